--- /dev/null
+++ b/src/cli/blocks.rs
@@ -0,0 +1,50 @@
+//! Sets the home regions of client blocks.
+
+use std::{collections::BTreeMap, fs, path::PathBuf};
+
+use argh::FromArgs;
+use eyre::WrapErr;
+use ipnet::IpNet;
+use reqwest::Method;
+
+use super::{
+    CommandResult, Failure,
+    client::{ChangeCall, change_command},
+};
+
+/// Sets the home regions of client blocks.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "blocks")]
+pub(super) struct BlocksFlags {
+    #[argh(subcommand)]
+    action: Action,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Action {
+    Put(Put),
+}
+
+change_command! {
+    /// Sets the home regions of client blocks; other blocks stay.
+    Put as "put" {
+        /// a file with a JSON object of blocks and regions, as in {"10.1.0.0/16": "north"}
+        #[argh(positional)]
+        file: PathBuf,
+    }
+}
+
+impl BlocksFlags {
+    pub(super) async fn run(self) -> CommandResult {
+        let Action::Put(flags) = self.action;
+        let text = fs::read_to_string(&flags.file)
+            .wrap_err_with(|| format!("{}: name a file that can be read", flags.file.display()))
+            .map_err(Failure::Usage)?;
+        let blocks: BTreeMap<IpNet, String> = serde_json::from_str(&text)
+            .wrap_err_with(|| format!("{}: not an object of blocks", flags.file.display()))
+            .map_err(Failure::Usage)?;
+        let call = ChangeCall { method: Method::PUT, path: "/v1/blocks", body: Some(&blocks) };
+        flags.client()?.change(call, flags.change_flags()).await
+    }
+}
--- /dev/null
+++ b/src/core/admission/desk.rs
@@ -0,0 +1,235 @@
+//! Holds all that one instance owns.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use super::{Finish, Offer, Pool, PoolConfig, PoolEvent, Slots, Ticket, Waiting};
+use crate::core::control::{
+    Holder, LoadReport, OwnerEpoch, Ownership, Policy, Service, ServiceName, Topology, UpstreamName,
+};
+
+/// Holds all that one instance owns, by service.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    me: Holder,
+    config: AdmissionConfig,
+    pools: BTreeMap<ServiceName, Pool>,
+    /// The upstreams that are leaving by the platform's word.
+    platform_leaving: BTreeSet<UpstreamName>,
+    draining: BTreeMap<UpstreamName, Drain>,
+    drained: Vec<(UpstreamName, Duration)>,
+    /// Whether everything is to be given up, because the process stops.
+    leaving: bool,
+}
+
+/// Says how far a drain is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Drain {
+    /// Requests still run; this instance heard of it at the given time.
+    Began(Duration),
+    /// Nothing runs, and that was reported.
+    Ended,
+}
+
+/// Configures an [`Admission`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AdmissionConfig {
+    /// How long a slot counts as taken after its request was cancelled.
+    pub cancel_hold: Duration,
+}
+
+/// Names an upstream that its owner gives up with nothing running on it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Released {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// The ownership that ends.
+    pub epoch: OwnerEpoch,
+}
+
+impl Admission {
+    /// Returns the admission of a process that owns nothing yet.
+    pub fn new(me: Holder, topology: &Topology, config: AdmissionConfig) -> Self {
+        let pool = |service: &Service| {
+            let cancel_hold = config.cancel_hold;
+            Pool::new(PoolConfig { queue_max: service.queue_max, cancel_hold })
+        };
+        let pools =
+            topology.services.iter().map(|(name, service)| (name.clone(), pool(service))).collect();
+        Self {
+            me,
+            config,
+            pools,
+            platform_leaving: BTreeSet::new(),
+            draining: BTreeMap::new(),
+            drained: Vec::new(),
+            leaving: false,
+        }
+    }
+
+    /// Returns the pool of a service.
+    pub fn pool(&self, service: &str) -> Option<&Pool> {
+        self.pools.get(service)
+    }
+
+    /// Notes until when this process's lease holds.
+    pub fn set_lease(&mut self, until: Duration) {
+        self.pools.values_mut().for_each(|pool| pool.set_lease(until));
+    }
+
+    /// Gives everything up: nothing new is sent, and what is idle can be
+    /// released whether or not another owner is named.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Notes which upstreams the platform lists as leaving.
+    pub fn set_platform_leaving(&mut self, leaving: BTreeSet<UpstreamName>) {
+        self.platform_leaving = leaving;
+    }
+
+    /// Takes over what a policy says of ownership and drains.
+    pub fn follow(&mut self, policy: &Policy, topology: &Topology, now: Duration) {
+        for (name, service) in &topology.services {
+            for (upstream, described) in &service.upstreams {
+                let ownership = policy.owners.get(upstream);
+                self.follow_upstream(name, service, upstream, described.slots, ownership, now);
+                let drained = policy.drained.contains(upstream);
+                self.follow_drain(name, upstream, drained, now);
+            }
+        }
+    }
+
+    fn follow_upstream(
+        &mut self,
+        service_name: &ServiceName,
+        service: &Service,
+        upstream: &UpstreamName,
+        slots: u32,
+        ownership: Option<&Ownership>,
+        now: Duration,
+    ) {
+        let cancel_hold = self.config.cancel_hold;
+        let mine = ownership.filter(|held| held.owner.as_ref() == Some(&self.me));
+        let Some(pool) = self.pools.get_mut(service_name) else { return };
+        match mine {
+            Some(held) => {
+                let mut fresh = Slots::new(held.epoch, slots);
+                if held.unsettled {
+                    fresh = fresh.with_unsettled(now + service.deadline + cancel_hold);
+                }
+                pool.own(upstream, fresh);
+                if let Some(slots) = pool.slots_mut(upstream) {
+                    slots.set_departing(self.leaving || held.handover.is_some());
+                }
+            }
+            None => {
+                if let Some(slots) = pool.slots_mut(upstream) {
+                    slots.set_departing(true);
+                }
+                pool.disown(upstream);
+            }
+        }
+    }
+
+    fn follow_drain(
+        &mut self,
+        service: &ServiceName,
+        upstream: &UpstreamName,
+        drained: bool,
+        now: Duration,
+    ) {
+        let leaving = drained || self.platform_leaving.contains(upstream);
+        let slots = self.pools.get_mut(service).and_then(|pool| pool.slots_mut(upstream));
+        let Some(slots) = slots else {
+            self.draining.remove(upstream);
+            return;
+        };
+        slots.set_draining(leaving, now);
+        if !leaving {
+            self.draining.remove(upstream);
+            return;
+        }
+        let idle = slots.is_idle();
+        let drain = self.draining.entry(upstream.clone()).or_insert(Drain::Began(now));
+        if let Drain::Began(began) = *drain
+            && idle
+        {
+            self.drained.push((upstream.clone(), now.saturating_sub(began)));
+            *drain = Drain::Ended;
+        }
+    }
+
+    /// Returns the drains that ended since the last call, with how long each
+    /// took from when this instance heard of it.
+    pub fn take_drained(&mut self) -> Vec<(UpstreamName, Duration)> {
+        std::mem::take(&mut self.drained)
+    }
+
+    /// Lists the upstreams that are to be given up and that nothing runs on.
+    pub fn releasable(&self, policy: &Policy) -> Vec<Released> {
+        let held = self.pools.values().flat_map(Pool::owned);
+        held.filter(|(_, slots)| slots.is_idle())
+            .filter_map(|(upstream, slots)| {
+                let ownership = policy.owners.get(upstream)?;
+                let mine = ownership.owner.as_ref() == Some(&self.me);
+                let asked = (self.leaving || ownership.handover.is_some())
+                    && ownership.epoch == slots.epoch();
+                let released = Released { upstream: upstream.clone(), epoch: slots.epoch() };
+                (mine && asked).then_some(released)
+            })
+            .collect()
+    }
+
+    /// Tells whether nothing runs and nothing waits.
+    pub fn is_idle(&self) -> bool {
+        self.pools
+            .values()
+            .all(|pool| pool.waiting() == 0 && pool.owned().all(|(_, slots)| slots.is_idle()))
+    }
+
+    /// Tells whether no upstream is held.
+    pub fn owns_nothing(&self) -> bool {
+        self.pools.values().all(|pool| pool.owned().next().is_none())
+    }
+
+    /// Offers a request. Returns `None` for a service that is not known.
+    pub fn offer(&mut self, service: &str, waiting: Waiting, now: Duration) -> Option<Offer> {
+        self.pools.get_mut(service).map(|pool| pool.offer(waiting, now))
+    }
+
+    /// Takes back a request that waits.
+    pub fn withdraw(&mut self, service: &str, ticket: Ticket) -> bool {
+        self.pools.get_mut(service).is_some_and(|pool| pool.withdraw(ticket))
+    }
+
+    /// Gives back the slot of a request.
+    pub fn finish(
+        &mut self,
+        service: &str,
+        ticket: Ticket,
+        finish: Finish,
+        now: Duration,
+    ) -> Vec<PoolEvent> {
+        self.pools.get_mut(service).map_or_else(Vec::new, |pool| pool.finish(ticket, finish, now))
+    }
+
+    /// Lets time pass.
+    pub fn poll(&mut self, now: Duration) -> Vec<PoolEvent> {
+        self.pools.values_mut().flat_map(|pool| pool.poll(now)).collect()
+    }
+
+    /// Returns when [`Admission::poll`] next has something to do.
+    pub fn next_due(&self, now: Duration) -> Option<Duration> {
+        self.pools.values().filter_map(|pool| pool.next_due(now)).min()
+    }
+
+    /// Reports the load by service.
+    pub fn load(&self, now: Duration) -> LoadReport {
+        let services =
+            self.pools.iter().map(|(name, pool)| (name.clone(), pool.load(now))).collect();
+        LoadReport { services }
+    }
+}
--- /dev/null
+++ b/src/core/admission/link.rs
@@ -0,0 +1,49 @@
+//! Keeps traffic between regions under its cap.
+
+use std::time::Duration;
+
+use crate::core::control::Link;
+
+/// Meters one direction of a link for one instance.
+///
+/// Each instance of a region gets an equal, fixed part of the cap less the
+/// reserve. The parts add up to no more than the cap whatever the instances
+/// know of each other; what an instance does not use stays unused.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LinkBucket {
+    bytes_per_s: u64,
+    /// When everything that was taken so far has passed.
+    clear_at: Duration,
+}
+
+const BYTES_PER_MBIT: u64 = 125_000;
+const MICROS_PER_S: u64 = 1_000_000;
+
+impl LinkBucket {
+    /// Returns the bucket of one of `instances` instances.
+    pub fn new(link: &Link, instances: usize) -> Self {
+        let usable_permille = u64::from(1000 - link.reserve_permille.min(1000));
+        let bytes_per_s = link.cap_mbit * BYTES_PER_MBIT * usable_permille / 1000;
+        let share = bytes_per_s / instances.max(1) as u64;
+        Self { bytes_per_s: share.max(1), clear_at: Duration::ZERO }
+    }
+
+    /// Takes room for `bytes` and returns how long to wait before sending
+    /// them. Whoever sends after that wait keeps to the rate without bursts.
+    pub fn take(&mut self, bytes: u64, now: Duration) -> Duration {
+        let begin = self.clear_at.max(now);
+        let micros = u128::from(bytes) * u128::from(MICROS_PER_S) / u128::from(self.bytes_per_s);
+        self.clear_at = begin + Duration::from_micros(micros as u64);
+        begin - now
+    }
+
+    /// Returns the rate in bytes a second.
+    pub fn bytes_per_s(&self) -> u64 {
+        self.bytes_per_s
+    }
+
+    /// Returns how far ahead the room is taken.
+    pub fn backlog(&self, now: Duration) -> Duration {
+        self.clear_at.saturating_sub(now)
+    }
+}
--- /dev/null
+++ b/src/core/admission/pool.rs
@@ -0,0 +1,362 @@
+//! Admits the requests of one service to the upstreams that one instance
+//! owns.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use super::{
+    Finish, SlotState, Slots, Ticket, WaitQueue, Waiting, fairness::Fairness,
+    service_time::ServiceTimes,
+};
+use crate::core::control::{OwnerEpoch, RegionLoad, RequestClass, UpstreamName};
+
+/// Admits the requests of one service at one instance.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    config: PoolConfig,
+    lease_until: Duration,
+    owned: BTreeMap<UpstreamName, Slots>,
+    queue: WaitQueue,
+    running: BTreeMap<Ticket, Running>,
+    fairness: Fairness,
+    times: ServiceTimes,
+    urgent_seen: Option<Duration>,
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    upstream: UpstreamName,
+    class: RequestClass,
+    expected: Duration,
+}
+
+/// Configures a [`Pool`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PoolConfig {
+    /// The most requests that wait.
+    pub queue_max: usize,
+    /// How long a slot counts as taken after its request was cancelled.
+    pub cancel_hold: Duration,
+}
+
+/// Says what becomes of a request that wants a slot.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Offer {
+    /// It may be sent now.
+    Dispatch {
+        /// The upstream.
+        upstream: UpstreamName,
+    },
+    /// It waits; a [`PoolEvent`] says what becomes of it.
+    Queued,
+    /// It is not run.
+    Refused {
+        /// Why it is refused.
+        reason: RefusalReason,
+        /// When to try again.
+        retry_after: Duration,
+    },
+}
+
+/// Says why a request is not run.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum RefusalReason {
+    /// This instance owns no upstream that takes work.
+    NoUpstream,
+    /// Too many requests wait.
+    QueueFull,
+    /// Its turn would come after its deadline.
+    TooLate,
+    /// The instance's lease has run out.
+    NoLease,
+}
+
+impl RefusalReason {
+    /// Returns the name that metrics and answers use.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoUpstream => "no_upstream",
+            Self::QueueFull => "queue_full",
+            Self::TooLate => "too_late",
+            Self::NoLease => "no_lease",
+        }
+    }
+}
+
+/// Says what became of a request that waited.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum PoolEvent {
+    /// It may be sent now.
+    Dispatch {
+        /// The request.
+        ticket: Ticket,
+        /// The upstream.
+        upstream: UpstreamName,
+    },
+    /// It is not run.
+    Refused {
+        /// The request.
+        ticket: Ticket,
+        /// Why it is refused.
+        reason: RefusalReason,
+        /// When to try again.
+        retry_after: Duration,
+    },
+}
+
+/// How long after an urgent request slots are kept for the next one.
+const URGENT_MEMORY: Duration = Duration::from_secs(10);
+/// One slot in this many is kept for urgent requests.
+const URGENT_DIVISOR: u32 = 8;
+/// What a refused caller is told to wait when nothing better is known.
+const RETRY_AFTER_MIN: Duration = Duration::from_millis(200);
+
+impl Pool {
+    /// Returns a pool that owns nothing and holds no lease.
+    pub fn new(config: PoolConfig) -> Self {
+        Self {
+            config,
+            lease_until: Duration::ZERO,
+            owned: BTreeMap::new(),
+            queue: WaitQueue::default(),
+            running: BTreeMap::new(),
+            fairness: Fairness::default(),
+            times: ServiceTimes::default(),
+            urgent_seen: None,
+        }
+    }
+
+    /// Notes until when the instance's lease holds.
+    pub fn set_lease(&mut self, until: Duration) {
+        self.lease_until = until;
+    }
+
+    /// Takes an upstream over. One that is held under the same epoch stays
+    /// as it is.
+    pub fn own(&mut self, upstream: &UpstreamName, slots: Slots) {
+        if self.epoch_of(upstream) != Some(slots.epoch()) {
+            self.owned.insert(upstream.clone(), slots);
+        }
+    }
+
+    /// Returns the epoch under which an upstream is held.
+    pub fn epoch_of(&self, upstream: &str) -> Option<OwnerEpoch> {
+        self.owned.get(upstream).map(Slots::epoch)
+    }
+
+    /// Returns an upstream that is held.
+    pub fn slots(&self, upstream: &str) -> Option<&Slots> {
+        self.owned.get(upstream)
+    }
+
+    /// Returns an upstream that is held, to be changed.
+    pub fn slots_mut(&mut self, upstream: &str) -> Option<&mut Slots> {
+        self.owned.get_mut(upstream)
+    }
+
+    /// Lets an upstream go that nothing runs on.
+    pub fn disown(&mut self, upstream: &str) {
+        if self.owned.get(upstream).is_some_and(Slots::is_idle) {
+            self.owned.remove(upstream);
+        }
+    }
+
+    /// Iterates over the upstreams that are held.
+    pub fn owned(&self) -> impl Iterator<Item = (&UpstreamName, &Slots)> {
+        self.owned.iter()
+    }
+
+    /// Returns how many requests wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Offers a request.
+    pub fn offer(&mut self, waiting: Waiting, now: Duration) -> Offer {
+        if waiting.class <= RequestClass::Read {
+            self.urgent_seen = Some(now);
+        }
+        if now >= self.lease_until {
+            return self.refuse(RefusalReason::NoLease);
+        }
+        let takes_work = |(name, slots): (&UpstreamName, &Slots)| {
+            slots.state(now) != SlotState::Leaving && !waiting.avoid.contains(name)
+        };
+        if !self.owned.iter().any(takes_work) {
+            return self.refuse(RefusalReason::NoUpstream);
+        }
+        if self.queue.is_empty()
+            && let Some(upstream) = self.choose(&waiting, now)
+        {
+            self.start(&waiting, &upstream, now);
+            return Offer::Dispatch { upstream };
+        }
+        self.queue_up(waiting, now)
+    }
+
+    fn queue_up(&mut self, waiting: Waiting, now: Duration) -> Offer {
+        let wait = self.expected_wait(waiting.class, now);
+        if now + wait + self.times.mean(waiting.class) > waiting.deadline {
+            return Offer::Refused { reason: RefusalReason::TooLate, retry_after: wait };
+        }
+        if self.queue.len() >= self.config.queue_max {
+            let retry_after = wait.max(RETRY_AFTER_MIN);
+            return Offer::Refused { reason: RefusalReason::QueueFull, retry_after };
+        }
+        self.queue.push(waiting);
+        Offer::Queued
+    }
+
+    fn refuse(&self, reason: RefusalReason) -> Offer {
+        Offer::Refused { reason, retry_after: RETRY_AFTER_MIN }
+    }
+
+    /// Estimates how long a request of a class would wait: for the slot time
+    /// of its own class and the more urgent ones ahead of it, spread over the
+    /// slots that may be used.
+    fn expected_wait(&self, class: RequestClass, now: Duration) -> Duration {
+        let usable: u32 = self.owned.values().map(|slots| slots.limit(now)).sum();
+        let ahead: Duration = RequestClass::ALL
+            .into_iter()
+            .filter(|other| *other <= class)
+            .map(|other| self.times.mean(other) * self.queue.len_of(other) as u32)
+            .sum();
+        ahead / usable.max(1)
+    }
+
+    /// Chooses the upstream for a request: one with the most free slots, the
+    /// least recently used of equals.
+    fn choose(&self, waiting: &Waiting, now: Duration) -> Option<UpstreamName> {
+        if self.keeps_slots_for_urgent(waiting.class, now) {
+            return None;
+        }
+        self.owned
+            .iter()
+            .filter(|(name, slots)| {
+                slots.free(now) > 0
+                    && !waiting.avoid.contains(*name)
+                    && !(waiting.suspect && slots.has_suspect())
+            })
+            .max_by_key(|(_, slots)| (slots.free(now), std::cmp::Reverse(slots.last_used())))
+            .map(|(name, _)| name.clone())
+    }
+
+    /// Uploads and reports last long; they leave a few slots free while
+    /// urgent requests keep coming.
+    fn keeps_slots_for_urgent(&self, class: RequestClass, now: Duration) -> bool {
+        let recent = self.urgent_seen.is_some_and(|seen| now < seen + URGENT_MEMORY);
+        if class <= RequestClass::Read || !recent {
+            return false;
+        }
+        let usable: u32 = self.owned.values().map(|slots| slots.limit(now)).sum();
+        let free: u32 = self.owned.values().map(|slots| slots.free(now)).sum();
+        free <= usable / URGENT_DIVISOR
+    }
+
+    fn start(&mut self, waiting: &Waiting, upstream: &UpstreamName, now: Duration) {
+        let expected = self.times.mean(waiting.class);
+        self.fairness.charge(waiting.class, expected);
+        if let Some(slots) = self.owned.get_mut(upstream) {
+            slots.start(waiting.ticket, waiting.suspect, now);
+        }
+        let running = Running { upstream: upstream.clone(), class: waiting.class, expected };
+        self.running.insert(waiting.ticket, running);
+    }
+
+    /// Gives back the slot of a request and returns what that lets happen.
+    pub fn finish(&mut self, ticket: Ticket, finish: Finish, now: Duration) -> Vec<PoolEvent> {
+        if let Some(running) = self.running.remove(&ticket) {
+            let hold = self.config.cancel_hold;
+            let slots = self.owned.get_mut(&running.upstream);
+            let taken = slots.and_then(|slots| slots.finish(ticket, finish, now, hold));
+            if let Some(taken) = taken.filter(|_| finish == Finish::Done) {
+                self.times.note(running.class, taken);
+                self.fairness.settle(running.class, running.expected, taken);
+            }
+        }
+        self.poll(now)
+    }
+
+    /// Takes back a request that waits. Returns whether it did.
+    pub fn withdraw(&mut self, ticket: Ticket) -> bool {
+        self.queue.remove(ticket).is_some()
+    }
+
+    /// Lets time pass and returns what it lets happen.
+    pub fn poll(&mut self, now: Duration) -> Vec<PoolEvent> {
+        self.owned.values_mut().for_each(|slots| slots.tick(now));
+        let mut events: Vec<PoolEvent> = self
+            .queue
+            .expire(now)
+            .into_iter()
+            .map(|waiting| refused(waiting.ticket, RefusalReason::TooLate))
+            .collect();
+        if now >= self.lease_until {
+            events.extend(self.refuse_all(RefusalReason::NoLease));
+            return events;
+        }
+        let leaving = |slots: &Slots| slots.state(now) == SlotState::Leaving;
+        if self.owned.values().all(leaving) {
+            events.extend(self.refuse_all(RefusalReason::NoUpstream));
+            return events;
+        }
+        while let Some(event) = self.dispatch_next(now) {
+            events.push(event);
+        }
+        events
+    }
+
+    fn refuse_all(&mut self, reason: RefusalReason) -> Vec<PoolEvent> {
+        let all: Vec<Ticket> = RequestClass::ALL
+            .into_iter()
+            .flat_map(|class| self.queue.of_class(class))
+            .map(|waiting| waiting.ticket)
+            .collect();
+        self.queue = WaitQueue::default();
+        all.into_iter().map(|ticket| refused(ticket, reason)).collect()
+    }
+
+    /// Sends the next request for which a slot is free. A class none of whose
+    /// requests fits anywhere is passed over.
+    fn dispatch_next(&mut self, now: Duration) -> Option<PoolEvent> {
+        let mut classes: BTreeSet<RequestClass> = self.queue.classes().collect();
+        while let Some(class) = self.fairness.choose(classes.iter().copied()) {
+            let fits = self
+                .queue
+                .of_class(class)
+                .find_map(|waiting| Some((waiting.ticket, self.choose(waiting, now)?)));
+            if let Some((ticket, upstream)) = fits {
+                let waiting = self.queue.remove(ticket)?;
+                self.start(&waiting, &upstream, now);
+                return Some(PoolEvent::Dispatch { ticket, upstream });
+            }
+            classes.remove(&class);
+        }
+        None
+    }
+
+    /// Returns when [`Pool::poll`] next has something to do.
+    pub fn next_due(&self, now: Duration) -> Option<Duration> {
+        let slots = self.owned.values().filter_map(|slots| slots.next_due(now));
+        let deadlines = RequestClass::ALL
+            .into_iter()
+            .filter_map(|class| self.queue.of_class(class).next())
+            .map(|waiting| waiting.deadline);
+        slots.chain(deadlines).min()
+    }
+
+    /// Reports the load of the upstreams that are held.
+    pub fn load(&self, now: Duration) -> RegionLoad {
+        RegionLoad {
+            usable_slots: self.owned.values().map(|slots| slots.limit(now)).sum(),
+            used_slots: self.owned.values().map(Slots::used).sum(),
+            waiting: self.queue.len() as u32,
+        }
+    }
+}
+
+fn refused(ticket: Ticket, reason: RefusalReason) -> PoolEvent {
+    PoolEvent::Refused { ticket, reason, retry_after: RETRY_AFTER_MIN }
+}
--- /dev/null
+++ b/src/core/admission/service_time.rs
@@ -0,0 +1,27 @@
+//! Estimates how long requests of a class take.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::core::control::RequestClass;
+
+/// Keeps a moving average of slot time for each class.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ServiceTimes {
+    means: BTreeMap<RequestClass, Duration>,
+}
+
+/// What is expected before anything was seen.
+const FIRST_GUESS: Duration = Duration::from_millis(20);
+/// A new value counts as one part in this many.
+const MEMORY: u32 = 16;
+
+impl ServiceTimes {
+    pub(super) fn mean(&self, class: RequestClass) -> Duration {
+        self.means.get(&class).copied().unwrap_or(FIRST_GUESS)
+    }
+
+    pub(super) fn note(&mut self, class: RequestClass, taken: Duration) {
+        let mean = self.mean(class);
+        self.means.insert(class, (mean * (MEMORY - 1) + taken) / MEMORY);
+    }
+}
--- /dev/null
+++ b/src/core/claims/key.rs
@@ -0,0 +1,68 @@
+//! Reads the key of a non-idempotent request.
+
+use std::{error::Error, fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+
+use super::ClaimEpoch;
+
+/// Identifies a non-idempotent request: the epoch that the look-up named, a
+/// dash, and the caller's own part.
+///
+/// The epoch makes forgetting safe. A key of an epoch whose claims were
+/// dropped can't be told from one that was never used, so it never runs.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct ClaimKey {
+    /// The epoch in which the key was issued.
+    pub epoch: ClaimEpoch,
+    /// The caller's own part.
+    pub token: String,
+}
+
+/// The longest token that a caller may choose.
+const TOKEN_MAX_BYTES: usize = 128;
+
+/// Says what is wrong with a key.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum KeyError {
+    /// There is no epoch before the first dash.
+    NoEpoch,
+    /// The token is empty, too long, or not printable ASCII.
+    Token,
+}
+
+impl fmt::Display for KeyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NoEpoch => f.write_str(
+                "the key must begin with the look-up's `key_epoch` and a dash, as in `12-order-77`",
+            ),
+            Self::Token => write!(
+                f,
+                "what follows the epoch must be 1 to {TOKEN_MAX_BYTES} printable ASCII characters"
+            ),
+        }
+    }
+}
+
+impl Error for KeyError {}
+
+impl FromStr for ClaimKey {
+    type Err = KeyError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (epoch, token) = text.split_once('-').ok_or(KeyError::NoEpoch)?;
+        let epoch = epoch.parse().map_err(|_| KeyError::NoEpoch)?;
+        let printable = token.bytes().all(|byte| byte.is_ascii_graphic());
+        if token.is_empty() || token.len() > TOKEN_MAX_BYTES || !printable {
+            return Err(KeyError::Token);
+        }
+        Ok(Self { epoch, token: token.to_owned() })
+    }
+}
+
+impl fmt::Display for ClaimKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}", self.epoch, self.token)
+    }
+}
--- /dev/null
+++ b/src/core/control/plan.rs
@@ -0,0 +1,257 @@
+//! Plans what the leader proposes of its own accord.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use super::{
+    Assignment, AssignmentAction, Command, ControlState, Holder, InstanceName, InstanceState,
+    Ownership, Policy, RegionName, ServiceName, Sessions, Topology, Upstream, UpstreamName,
+};
+use crate::core::{
+    claims::ClaimCommand,
+    steering::{ShiftInputs, next_step, reachable_shares},
+};
+
+/// Holds what the leader's proposals are planned from.
+#[derive(Clone, Copy, Debug)]
+pub struct PlanInputs<'a> {
+    /// The applied state.
+    pub state: &'a ControlState,
+    /// The deployment.
+    pub topology: &'a Topology,
+    /// What the leader heard from the instances.
+    pub sessions: &'a Sessions,
+    /// The time, from the driver's origin.
+    pub now: Duration,
+    /// The time in milliseconds since 1970.
+    pub unix_ms: u64,
+    /// When this leader last committed a step of a shift, or began to lead.
+    pub last_shift: Duration,
+}
+
+/// Returns the commands that the leader should propose now.
+///
+/// All of them are checked again when they are applied, so a plan made from
+/// an old view does no harm.
+pub fn plan(inputs: &PlanInputs<'_>) -> Vec<Command> {
+    if !inputs.state.is_seeded() {
+        return Vec::new();
+    }
+    let mut commands = Vec::new();
+    commands.extend(plan_instances(inputs));
+    commands.extend(plan_owners(inputs));
+    commands.extend(plan_shift(inputs));
+    commands.extend(plan_claim_epoch(inputs));
+    commands.extend(plan_forgetting(inputs));
+    commands
+}
+
+fn plan_instances(inputs: &PlanInputs<'_>) -> Option<Command> {
+    let policy = inputs.state.policy();
+    let mut newest: BTreeMap<&InstanceName, (Duration, InstanceState)> = BTreeMap::new();
+    for (holder, session) in inputs.sessions.live(inputs.now) {
+        let incarnation = holder.incarnation;
+        let state = if session.stopping {
+            InstanceState::Stopping { incarnation }
+        } else {
+            InstanceState::Live { incarnation }
+        };
+        let held = newest.get(&holder.instance).map(|(granted, _)| *granted);
+        if held.is_none_or(|granted| session.granted > granted) {
+            newest.insert(&holder.instance, (session.granted, state));
+        }
+    }
+    let mut changed: Vec<(InstanceName, InstanceState)> = newest
+        .iter()
+        .filter(|(name, (_, state))| policy.instances.get(**name) != Some(state))
+        .map(|(name, (_, state))| ((*name).clone(), state.clone()))
+        .collect();
+    if inputs.sessions.is_settled(inputs.now) {
+        let silent = policy
+            .instances
+            .iter()
+            .filter(|(name, state)| **state != InstanceState::Down && !newest.contains_key(*name));
+        changed.extend(silent.map(|(name, _)| (name.clone(), InstanceState::Down)));
+    }
+    (!changed.is_empty()).then_some(Command::Instances(changed))
+}
+
+/// Counts the upstreams of one service that each candidate owns.
+type Counts<'a> = BTreeMap<&'a Holder, usize>;
+
+fn plan_owners(inputs: &PlanInputs<'_>) -> Option<Command> {
+    let mut assignments = Vec::new();
+    for (service, described) in &inputs.topology.services {
+        for region in inputs.topology.regions.keys() {
+            let upstreams: BTreeMap<&UpstreamName, &Upstream> = described
+                .upstreams
+                .iter()
+                .filter(|(_, u)| inputs.topology.region_of_zone(&u.zone) == Some(region))
+                .collect();
+            assignments.extend(plan_group(inputs, service, region, &upstreams));
+        }
+    }
+    (!assignments.is_empty()).then_some(Command::Assign(assignments))
+}
+
+/// Plans the owners of a service's upstreams in one region.
+fn plan_group(
+    inputs: &PlanInputs<'_>,
+    _service: &ServiceName,
+    region: &RegionName,
+    upstreams: &BTreeMap<&UpstreamName, &Upstream>,
+) -> Vec<Assignment> {
+    let policy = inputs.state.policy();
+    let candidates = candidates(inputs, region);
+    let mut counts: Counts<'_> = candidates.iter().map(|holder| (*holder, 0)).collect();
+    for name in upstreams.keys() {
+        let held = policy.owners.get(*name);
+        let next = held.and_then(|held| held.handover.as_ref().or(held.owner.as_ref()));
+        if let Some(count) = next.and_then(|holder| counts.get_mut(holder)) {
+            *count += 1;
+        }
+    }
+    let mut assignments = Vec::new();
+    for (name, upstream) in upstreams {
+        let held = policy.owners.get(*name);
+        let Some(action) = needed_action(inputs, held, &candidates) else { continue };
+        let Some(target) = least_loaded(inputs, &counts, upstream) else { continue };
+        let target = target.clone();
+        if let Some((_, count)) = counts.iter_mut().find(|(holder, _)| ***holder == target) {
+            *count += 1;
+        }
+        assignments.push(assignment(name, held, action(target)));
+    }
+    if assignments.is_empty() {
+        assignments.extend(rebalance(policy, upstreams, &counts));
+    }
+    assignments
+}
+
+type ActionKind = fn(Holder) -> AssignmentAction;
+
+fn needed_action(
+    inputs: &PlanInputs<'_>,
+    held: Option<&Ownership>,
+    candidates: &[&Holder],
+) -> Option<ActionKind> {
+    let owner = held.and_then(|held| held.owner.as_ref());
+    let Some(owner) = owner else { return Some(AssignmentAction::Give) };
+    if inputs.sessions.is_expired(owner, inputs.now) {
+        return Some(AssignmentAction::Give);
+    }
+    if candidates.contains(&owner) {
+        // A handover to an instance that went is called off by naming
+        // another one.
+        let next = held.and_then(|held| held.handover.as_ref());
+        let lost = next.is_some_and(|next| !candidates.contains(&next));
+        return lost.then_some(AssignmentAction::HandOver);
+    }
+    let next = held.and_then(|held| held.handover.as_ref());
+    let settled = next.is_some_and(|next| candidates.contains(&next));
+    (!settled).then_some(AssignmentAction::HandOver)
+}
+
+/// Lists the processes in a region that may own upstreams.
+fn candidates<'a>(inputs: &PlanInputs<'a>, region: &RegionName) -> Vec<&'a Holder> {
+    let policy = inputs.state.policy();
+    let takes_part = |holder: &Holder| {
+        let live = InstanceState::Live { incarnation: holder.incarnation };
+        policy.instances.get(&holder.instance) == Some(&live)
+            && !policy.leaving.contains(&holder.instance)
+            && inputs.topology.region_of_instance(&holder.instance) == Some(region)
+    };
+    inputs
+        .sessions
+        .live(inputs.now)
+        .filter(|(holder, session)| !session.stopping && takes_part(holder))
+        .map(|(holder, _)| holder)
+        .collect()
+}
+
+/// Returns the candidate with the fewest upstreams, in the upstream's own
+/// availability zone if there is a choice.
+fn least_loaded<'a>(
+    inputs: &PlanInputs<'_>,
+    counts: &Counts<'a>,
+    upstream: &Upstream,
+) -> Option<&'a Holder> {
+    let far = |holder: &Holder| {
+        inputs.topology.instance_zones.get(&holder.instance) != Some(&upstream.zone)
+    };
+    counts.iter().min_by_key(|(holder, count)| (**count, far(holder))).map(|(holder, _)| *holder)
+}
+
+fn assignment(
+    name: &UpstreamName,
+    held: Option<&Ownership>,
+    action: AssignmentAction,
+) -> Assignment {
+    let expected_epoch = held.map_or(0, |held| held.epoch);
+    Assignment { upstream: name.clone(), expected_epoch, action }
+}
+
+/// Moves one upstream from the candidate with the most to the one with the
+/// fewest when they differ by two or more.
+fn rebalance(
+    policy: &Policy,
+    upstreams: &BTreeMap<&UpstreamName, &Upstream>,
+    counts: &Counts<'_>,
+) -> Option<Assignment> {
+    let (fullest, most) = counts.iter().max_by_key(|(_, count)| **count)?;
+    let (emptiest, fewest) = counts.iter().min_by_key(|(_, count)| **count)?;
+    if *most < *fewest + 2 {
+        return None;
+    }
+    let moved = upstreams.keys().find(|name| {
+        let held = policy.owners.get(**name);
+        held.is_some_and(|held| held.owner.as_ref() == Some(*fullest) && held.handover.is_none())
+    })?;
+    let action = AssignmentAction::HandOver((*emptiest).clone());
+    Some(assignment(moved, policy.owners.get(*moved), action))
+}
+
+fn plan_shift(inputs: &PlanInputs<'_>) -> Option<Command> {
+    let policy = inputs.state.policy();
+    let preset = policy.preset()?;
+    let settled = inputs.sessions.is_settled(inputs.now);
+    if !settled || inputs.now < inputs.last_shift + preset.shift.interval() {
+        return None;
+    }
+    let region_of = |name: &InstanceName| inputs.topology.region_of_instance(name).cloned();
+    let offered = policy.instances.keys().filter(|name| policy.is_offered(name));
+    let up: BTreeSet<RegionName> = offered.filter_map(region_of).collect();
+    let target = reachable_shares(&preset.shares, &up);
+    let mut blocks: BTreeMap<RegionName, u32> = BTreeMap::new();
+    for home in policy.blocks.values() {
+        *blocks.entry(home.clone()).or_insert(0) += 1;
+    }
+    let rows = next_step(&ShiftInputs {
+        layouts: &policy.layouts,
+        target: &target,
+        rule: preset.shift,
+        loads: &inputs.sessions.region_loads(inputs.now, region_of),
+        slots: &inputs.topology.slots_by_region(),
+        blocks: &blocks,
+    });
+    let step = policy.shift_step + 1;
+    let in_force = policy.in_force.clone();
+    (!rows.is_empty()).then_some(Command::Shift { step, in_force, rows })
+}
+
+fn plan_claim_epoch(inputs: &PlanInputs<'_>) -> Option<Command> {
+    let claims = inputs.state.claims();
+    let due = claims.epoch_began_unix_ms() + inputs.topology.claim_epoch.as_millis() as u64;
+    let begin = ClaimCommand::BeginEpoch { epoch: claims.epoch() + 1, at_unix_ms: inputs.unix_ms };
+    (claims.epoch() == 0 || inputs.unix_ms >= due).then_some(Command::Claim(begin))
+}
+
+fn plan_forgetting(inputs: &PlanInputs<'_>) -> Option<Command> {
+    let kept_ms = inputs.topology.suspect_kept.as_millis() as u64;
+    let before_unix_ms = inputs.unix_ms.saturating_sub(kept_ms);
+    let policy = inputs.state.policy();
+    let any = policy.suspects.values().any(|suspect| suspect.at_unix_ms < before_unix_ms);
+    any.then_some(Command::ForgetSuspects { before_unix_ms })
+}
--- /dev/null
+++ b/src/core/control/state.rs
@@ -0,0 +1,424 @@
+//! Applies committed commands.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use super::{
+    Assignment, AssignmentAction, AuditRecord, Change, ChangeId, ChangeMeta, ChangeOutcome,
+    ChangeRequest, Command, Fingerprint, Holder, InstanceName, InstanceState, Outcome, OwnerEpoch,
+    Ownership, Policy, PolicyDelta, PolicyEdit, PresetName, RegionName, Revision, Seed, Suspect,
+    Topology, UpstreamName, Version,
+};
+use crate::core::{
+    claims::{ClaimLimits, ClaimTable},
+    steering::Layout,
+};
+
+/// Holds the replicated control state.
+///
+/// Replicas that apply the same commands hold the same state; nothing here
+/// reads a clock, a setting that may differ between replicas, or a random
+/// number.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct ControlState {
+    policy: Policy,
+    claims: ClaimTable,
+    answers: BTreeMap<ChangeId, AnsweredChange>,
+    answer_order: VecDeque<ChangeId>,
+    audit: VecDeque<AuditRecord>,
+    /// The newest deltas, for instances that lag a little.
+    #[serde(skip)]
+    recent: VecDeque<PolicyDelta>,
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+struct AnsweredChange {
+    digest: String,
+    outcome: ChangeOutcome,
+}
+
+/// Bounds what a [`ControlState`] keeps. All replicas must use the same.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ControlLimits {
+    /// How many changes' answers are kept for resends.
+    pub answers_max: usize,
+    /// How many records the audit trail keeps.
+    pub audit_max: usize,
+    /// How many deltas are kept for instances that lag.
+    pub recent_max: usize,
+    /// The bounds of the claims.
+    pub claims: ClaimLimits,
+}
+
+impl Default for ControlLimits {
+    fn default() -> Self {
+        Self {
+            answers_max: 10_000,
+            audit_max: 20_000,
+            recent_max: 2_000,
+            claims: ClaimLimits { epochs_kept: 3, claims_max: 200_000 },
+        }
+    }
+}
+
+impl ControlState {
+    /// Returns the state of a deployment that was never seeded.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns what every instance follows.
+    pub fn policy(&self) -> &Policy {
+        &self.policy
+    }
+
+    /// Returns the claims.
+    pub fn claims(&self) -> &ClaimTable {
+        &self.claims
+    }
+
+    /// Iterates over the audit trail, the oldest record first.
+    pub fn audit(&self) -> impl DoubleEndedIterator<Item = &AuditRecord> {
+        self.audit.iter()
+    }
+
+    /// Tells whether the deployment has its first state.
+    pub fn is_seeded(&self) -> bool {
+        self.policy.version > 0
+    }
+
+    /// Returns the deltas after `version`, or nothing when some of them are
+    /// no longer kept.
+    pub fn deltas_after(&self, version: Version) -> Option<Vec<PolicyDelta>> {
+        if version == self.policy.version {
+            return Some(Vec::new());
+        }
+        let first = self.recent.front()?.version;
+        if version + 1 < first || version > self.policy.version {
+            return None;
+        }
+        Some(self.recent.iter().filter(|delta| delta.version > version).cloned().collect())
+    }
+
+    /// Applies one committed command.
+    pub fn apply(
+        &mut self,
+        command: Command,
+        topology: &Topology,
+        limits: &ControlLimits,
+    ) -> Outcome {
+        match command {
+            Command::Seed(seed) => self.seed(seed, limits),
+            Command::Change(request) => {
+                return Outcome::Change(self.change(request, topology, limits));
+            }
+            Command::Instances(states) => self.set_instances(states, limits),
+            Command::Assign(assignments) => self.assign(assignments, limits),
+            Command::Release { upstream, epoch } => self.release(upstream, epoch, limits),
+            Command::Shift { step, in_force, rows } => self.shift(step, &in_force, rows, limits),
+            Command::Suspect { fingerprint, upstream, at_unix_ms } => {
+                self.suspect(fingerprint, upstream, at_unix_ms, limits);
+            }
+            Command::ForgetSuspects { before_unix_ms } => self.forget(before_unix_ms, limits),
+            Command::Claim(command) => {
+                let outcome = self.claims.apply(command, &limits.claims);
+                self.publish_claim_epoch(limits);
+                return Outcome::Claim(outcome);
+            }
+        }
+        Outcome::Done
+    }
+
+    fn commit(&mut self, edits: Vec<PolicyEdit>, limits: &ControlLimits) {
+        if edits.is_empty() {
+            return;
+        }
+        let delta = PolicyDelta { version: self.policy.version + 1, edits };
+        self.policy.advance(&delta);
+        self.recent.push_back(delta);
+        while self.recent.len() > limits.recent_max {
+            self.recent.pop_front();
+        }
+    }
+
+    fn seed(&mut self, seed: Seed, limits: &ControlLimits) {
+        if self.is_seeded() {
+            return;
+        }
+        let first = seed.presets.iter().find(|(name, _)| *name == seed.in_force);
+        let layouts: Vec<PolicyEdit> = first
+            .iter()
+            .flat_map(|(_, preset)| &preset.shares)
+            .map(|(home, row)| PolicyEdit::Layout(home.clone(), Layout::new(row)))
+            .collect();
+        let mut edits: Vec<PolicyEdit> =
+            seed.presets.into_iter().map(|(name, p)| PolicyEdit::Preset(name, p)).collect();
+        edits.extend(layouts);
+        edits.push(PolicyEdit::InForce(seed.in_force));
+        edits.push(PolicyEdit::Blocks(seed.blocks));
+        edits.push(PolicyEdit::Revision(1));
+        self.commit(edits, limits);
+    }
+
+    fn change(
+        &mut self,
+        request: ChangeRequest,
+        topology: &Topology,
+        limits: &ControlLimits,
+    ) -> ChangeOutcome {
+        let digest = digest_of(&request.change, request.meta.expected_revision);
+        if let Some(answered) = self.answers.get(&request.meta.change_id) {
+            return self.repeat(answered, &digest);
+        }
+        let id = request.meta.change_id.clone();
+        let outcome = self.decide(request, topology, limits);
+        self.remember(id, AnsweredChange { digest, outcome: outcome.clone() }, limits);
+        outcome
+    }
+
+    fn repeat(&self, answered: &AnsweredChange, digest: &str) -> ChangeOutcome {
+        if answered.digest == digest {
+            return answered.outcome.clone();
+        }
+        let finding = "the change id was used for another change; choose a new one".to_owned();
+        ChangeOutcome::Rejected { revision: self.policy.revision, findings: vec![finding] }
+    }
+
+    fn remember(&mut self, id: ChangeId, answered: AnsweredChange, limits: &ControlLimits) {
+        self.answers.insert(id.clone(), answered);
+        self.answer_order.push_back(id);
+        while self.answer_order.len() > limits.answers_max {
+            if let Some(oldest) = self.answer_order.pop_front() {
+                self.answers.remove(&oldest);
+            }
+        }
+    }
+
+    fn decide(
+        &mut self,
+        request: ChangeRequest,
+        topology: &Topology,
+        limits: &ControlLimits,
+    ) -> ChangeOutcome {
+        let revision = self.policy.revision;
+        let ChangeRequest { change, meta } = request;
+        if meta.expected_revision != revision {
+            return self.conflict(meta.expected_revision);
+        }
+        let findings = self.findings(&change, topology);
+        if !findings.is_empty() {
+            return ChangeOutcome::Rejected { revision, findings };
+        }
+        let before = self.shown(&change);
+        let kind = change.kind().to_owned();
+        let subject = change.subject();
+        let mut edits = edits_of(change.clone());
+        edits.push(PolicyEdit::Revision(revision + 1));
+        self.commit(edits, limits);
+        let after = self.shown(&change);
+        self.record(meta, kind, subject, before, after, limits);
+        ChangeOutcome::Accepted { revision: revision + 1, version: self.policy.version }
+    }
+
+    /// Names the change that was accepted on the expected revision.
+    fn conflict(&self, expected: Revision) -> ChangeOutcome {
+        let revision = self.policy.revision;
+        let winner = self.audit.iter().find(|record| record.revision == expected + 1);
+        let (winner, winner_actor) = winner.map_or_else(
+            || ("unknown".to_owned(), "unknown".to_owned()),
+            |record| (record.change_id.clone(), record.actor.clone()),
+        );
+        ChangeOutcome::Conflict { revision, winner, winner_actor }
+    }
+
+    fn findings(&self, change: &Change, topology: &Topology) -> Vec<String> {
+        let known = |known: bool, what: &str, name: &str| {
+            if known { Vec::new() } else { vec![format!("there is no {what} `{name}`")] }
+        };
+        match change {
+            Change::PutPreset { preset, .. } => {
+                let regions: Vec<RegionName> = topology.regions.keys().cloned().collect();
+                preset.findings(&regions, topology.look_up_ttl)
+            }
+            Change::UsePreset { name } => {
+                known(self.policy.presets.contains_key(name), "preset", name)
+            }
+            Change::DrainUpstream { upstream } | Change::RestoreUpstream { upstream } => {
+                known(topology.upstream(upstream).is_some(), "upstream", upstream)
+            }
+            Change::LeaveInstance { instance } | Change::JoinInstance { instance } => {
+                known(topology.instance_zones.contains_key(instance), "instance", instance)
+            }
+            Change::PutBlocks { blocks } => blocks
+                .iter()
+                .flat_map(|(_, region)| {
+                    known(topology.regions.contains_key(region), "region", region)
+                })
+                .collect(),
+        }
+    }
+
+    /// Shows what a change is about, as JSON, for the audit trail.
+    fn shown(&self, change: &Change) -> String {
+        let policy = &self.policy;
+        let value = match change {
+            Change::PutPreset { name, .. } => serde_json::to_value(policy.presets.get(name)),
+            Change::UsePreset { .. } => serde_json::to_value(&policy.in_force),
+            Change::DrainUpstream { upstream } | Change::RestoreUpstream { upstream } => {
+                serde_json::to_value(policy.drained.contains(upstream))
+            }
+            Change::LeaveInstance { instance } | Change::JoinInstance { instance } => {
+                serde_json::to_value(policy.leaving.contains(instance))
+            }
+            Change::PutBlocks { blocks } => {
+                let held: BTreeMap<String, Option<&RegionName>> = blocks
+                    .iter()
+                    .take(AUDITED_BLOCKS_MAX)
+                    .map(|(block, _)| (block.to_string(), policy.blocks.get(block)))
+                    .collect();
+                serde_json::to_value(held)
+            }
+        };
+        value.map(|value| value.to_string()).unwrap_or_default()
+    }
+
+    fn record(
+        &mut self,
+        meta: ChangeMeta,
+        kind: String,
+        subject: String,
+        before: String,
+        after: String,
+        limits: &ControlLimits,
+    ) {
+        self.audit.push_back(AuditRecord {
+            revision: self.policy.revision,
+            at_unix_ms: meta.at_unix_ms,
+            actor: meta.actor,
+            origin: meta.origin,
+            change_id: meta.change_id,
+            kind,
+            subject,
+            before,
+            after,
+        });
+        while self.audit.len() > limits.audit_max {
+            self.audit.pop_front();
+        }
+    }
+
+    fn set_instances(
+        &mut self,
+        states: Vec<(InstanceName, InstanceState)>,
+        limits: &ControlLimits,
+    ) {
+        let changed = states
+            .into_iter()
+            .filter(|(name, state)| self.policy.instances.get(name) != Some(state))
+            .map(|(name, state)| PolicyEdit::Instance(name, state))
+            .collect();
+        self.commit(changed, limits);
+    }
+
+    fn assign(&mut self, assignments: Vec<Assignment>, limits: &ControlLimits) {
+        let edits = assignments.into_iter().filter_map(|a| self.assigned(a)).collect();
+        self.commit(edits, limits);
+    }
+
+    fn assigned(&self, assignment: Assignment) -> Option<PolicyEdit> {
+        let held = self.policy.owners.get(&assignment.upstream);
+        if held.map_or(0, |held| held.epoch) != assignment.expected_epoch {
+            return None;
+        }
+        let ownership = match assignment.action {
+            AssignmentAction::Give(owner) => {
+                let unsettled = held.is_some_and(|held| held.owner.is_some() || held.unsettled);
+                let epoch = assignment.expected_epoch + 1;
+                Ownership { owner: Some(owner), epoch, unsettled, handover: None }
+            }
+            AssignmentAction::HandOver(next) => Ownership { handover: Some(next), ..held?.clone() },
+        };
+        Some(PolicyEdit::Owner(assignment.upstream, ownership))
+    }
+
+    fn release(&mut self, upstream: UpstreamName, epoch: OwnerEpoch, limits: &ControlLimits) {
+        let held = self.policy.owners.get(&upstream).filter(|held| held.epoch == epoch);
+        let Some(held) = held else { return };
+        let owner: Option<Holder> = held.handover.clone();
+        let released = Ownership { owner, epoch: epoch + 1, unsettled: false, handover: None };
+        self.commit(vec![PolicyEdit::Owner(upstream, released)], limits);
+    }
+
+    fn shift(
+        &mut self,
+        step: u64,
+        in_force: &PresetName,
+        rows: BTreeMap<RegionName, Layout>,
+        limits: &ControlLimits,
+    ) {
+        let policy = &self.policy;
+        let Some(rule) = policy.preset().map(|preset| preset.shift) else { return };
+        let within_cap = rows.iter().all(|(home, row)| {
+            let current = policy.layouts.get(home);
+            current.is_some_and(|current| current.distance(row) <= rule.cap_permille)
+        });
+        if step != policy.shift_step + 1 || policy.in_force != *in_force || !within_cap {
+            return;
+        }
+        let mut edits: Vec<PolicyEdit> =
+            rows.into_iter().map(|(home, row)| PolicyEdit::Layout(home, row)).collect();
+        edits.push(PolicyEdit::ShiftStep(step));
+        self.commit(edits, limits);
+    }
+
+    fn suspect(
+        &mut self,
+        fingerprint: Fingerprint,
+        upstream: UpstreamName,
+        at_unix_ms: u64,
+        limits: &ControlLimits,
+    ) {
+        let held = self.policy.suspects.get(&fingerprint).cloned();
+        let mut suspect =
+            held.unwrap_or_else(|| Suspect { crashed: Default::default(), at_unix_ms });
+        suspect.crashed.insert(upstream);
+        suspect.at_unix_ms = suspect.at_unix_ms.max(at_unix_ms);
+        self.commit(vec![PolicyEdit::Suspect(fingerprint, Some(suspect))], limits);
+    }
+
+    fn forget(&mut self, before_unix_ms: u64, limits: &ControlLimits) {
+        let old = self.policy.suspects.iter().filter(|(_, s)| s.at_unix_ms < before_unix_ms);
+        let edits = old.map(|(name, _)| PolicyEdit::Suspect(name.clone(), None)).collect();
+        self.commit(edits, limits);
+    }
+
+    fn publish_claim_epoch(&mut self, limits: &ControlLimits) {
+        let epoch = self.claims.epoch();
+        if epoch != self.policy.claim_epoch {
+            self.commit(vec![PolicyEdit::ClaimEpoch(epoch)], limits);
+        }
+    }
+}
+
+/// The most blocks of one change that the audit trail shows one by one.
+const AUDITED_BLOCKS_MAX: usize = 100;
+
+fn edits_of(change: Change) -> Vec<PolicyEdit> {
+    let edit = match change {
+        Change::PutPreset { name, preset } => PolicyEdit::Preset(name, preset),
+        Change::UsePreset { name } => PolicyEdit::InForce(name),
+        Change::DrainUpstream { upstream } => PolicyEdit::Drained(upstream, true),
+        Change::RestoreUpstream { upstream } => PolicyEdit::Drained(upstream, false),
+        Change::LeaveInstance { instance } => PolicyEdit::Leaving(instance, true),
+        Change::JoinInstance { instance } => PolicyEdit::Leaving(instance, false),
+        Change::PutBlocks { blocks } => PolicyEdit::Blocks(blocks),
+    };
+    vec![edit]
+}
+
+fn digest_of(change: &Change, expected_revision: Revision) -> String {
+    let encoded = serde_json::to_vec(&(change, expected_revision)).unwrap_or_default();
+    Sha256::digest(&encoded).iter().take(16).map(|byte| format!("{byte:02x}")).collect()
+}
--- /dev/null
+++ b/src/core/control/topology.rs
@@ -0,0 +1,159 @@
+//! Describes what the settings fix: regions, links, services, upstreams.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use super::{InstanceName, RegionName, ServiceName, UpstreamName, ZoneName};
+
+/// Describes the whole deployment.
+#[derive(Clone, Debug, Default)]
+pub struct Topology {
+    /// The regions, by name.
+    pub regions: BTreeMap<RegionName, Region>,
+    /// The availability zones, by name.
+    pub zones: BTreeMap<ZoneName, Zone>,
+    /// The directed links between regions.
+    pub links: BTreeMap<(RegionName, RegionName), Link>,
+    /// The services, by name.
+    pub services: BTreeMap<ServiceName, Service>,
+    /// The availability zone of each instance.
+    pub instance_zones: BTreeMap<InstanceName, ZoneName>,
+    /// How long callers may keep the answer to a look-up.
+    pub look_up_ttl: Duration,
+    /// How long an epoch of claims lasts.
+    pub claim_epoch: Duration,
+    /// How long a request that crashed upstreams is remembered.
+    pub suspect_kept: Duration,
+}
+
+/// Describes a region.
+#[derive(Clone, Debug, Default)]
+pub struct Region {
+    /// The availability zones in the region.
+    pub zones: Vec<ZoneName>,
+}
+
+/// Describes an availability zone.
+#[derive(Clone, Debug)]
+pub struct Zone {
+    /// The region that the availability zone is in.
+    pub region: RegionName,
+}
+
+/// Describes one direction of a link between two regions.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Link {
+    /// The delay one way.
+    pub delay: Duration,
+    /// What all traffic together may use.
+    pub cap_mbit: u64,
+    /// The part of the cap that is kept for control and other traffic.
+    pub reserve_permille: u32,
+}
+
+/// Describes a service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// The upstreams, by name.
+    pub upstreams: BTreeMap<UpstreamName, Upstream>,
+    /// The longest that a request may take, which is also what it gets when
+    /// it names no deadline.
+    pub deadline: Duration,
+    /// The most requests that wait at one instance.
+    pub queue_max: usize,
+    /// The classes of requests by path prefix, the longest prefix first.
+    pub routes: Vec<(String, RequestClass)>,
+    /// The largest request body.
+    pub body_max_bytes: u64,
+    /// Retries allowed for each hundred requests.
+    pub retry_percent: u32,
+    /// Whether a 503 with `Retry-After` says that the request was not run.
+    pub shed_means_not_run: bool,
+}
+
+/// Describes an upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Upstream {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// The most requests it runs at once.
+    pub slots: u32,
+    /// The most connections it takes.
+    pub connections: u32,
+}
+
+/// Orders requests by urgency, the most urgent first.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RequestClass {
+    /// A booking, deposit or release.
+    Booking,
+    /// A look-up of data.
+    Read,
+    /// An upload.
+    Upload,
+    /// A report.
+    Report,
+}
+
+impl RequestClass {
+    /// All classes, the most urgent first.
+    pub const ALL: [Self; 4] = [Self::Booking, Self::Read, Self::Upload, Self::Report];
+
+    /// Returns the name that settings, metrics and answers use.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Booking => "booking",
+            Self::Read => "read",
+            Self::Upload => "upload",
+            Self::Report => "report",
+        }
+    }
+}
+
+impl Topology {
+    /// Returns the region of an availability zone.
+    pub fn region_of_zone(&self, zone: &str) -> Option<&RegionName> {
+        self.zones.get(zone).map(|zone| &zone.region)
+    }
+
+    /// Returns the region of an instance.
+    pub fn region_of_instance(&self, instance: &str) -> Option<&RegionName> {
+        self.region_of_zone(self.instance_zones.get(instance)?)
+    }
+
+    /// Iterates over all upstreams with their services.
+    pub fn upstreams(&self) -> impl Iterator<Item = (&ServiceName, &UpstreamName, &Upstream)> {
+        self.services.iter().flat_map(|(service, described)| {
+            described.upstreams.iter().map(move |(name, upstream)| (service, name, upstream))
+        })
+    }
+
+    /// Returns an upstream with its service.
+    pub fn upstream(&self, name: &str) -> Option<(&Service, &Upstream)> {
+        let service =
+            self.services.values().find(|service| service.upstreams.contains_key(name))?;
+        Some((service, service.upstreams.get(name)?))
+    }
+
+    /// Returns the slots of each region, over all services.
+    pub fn slots_by_region(&self) -> BTreeMap<RegionName, u32> {
+        let mut slots = BTreeMap::new();
+        for (_, _, upstream) in self.upstreams() {
+            if let Some(region) = self.region_of_zone(&upstream.zone) {
+                *slots.entry(region.clone()).or_insert(0) += upstream.slots;
+            }
+        }
+        slots
+    }
+
+    /// Returns how many instances a region has.
+    pub fn instances_in(&self, region: &str) -> usize {
+        let in_region =
+            |name: &&InstanceName| self.region_of_instance(name).is_some_and(|r| r == region);
+        self.instance_zones.keys().filter(in_region).count()
+    }
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,9 @@
+//! Decides without input or output: every part is a deterministic function of
+//! its state, an input and the time that the caller passes in.
+
+pub mod admission;
+mod byte_string;
+pub mod claims;
+pub mod control;
+pub mod replication;
+pub mod steering;
--- /dev/null
+++ b/src/core/replication/log.rs
@@ -0,0 +1,137 @@
+//! Holds what a replica must find again after a restart.
+
+use serde::{Deserialize, Serialize};
+
+use super::{LogIndex, Members, ReplicaId, Term};
+use crate::core::byte_string;
+
+/// Holds a replica's durable state.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Durable<C> {
+    /// The current term and the vote given in it.
+    pub ballot: Ballot,
+    /// The state up to which the log was compacted.
+    pub snapshot: Snapshot,
+    /// The entries that follow the snapshot, without a gap.
+    pub entries: Vec<Entry<C>>,
+}
+
+/// Holds the current term and the vote given in it.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Ballot {
+    /// The highest term seen.
+    pub term: Term,
+    /// The replica that was voted for in that term.
+    pub voted_for: Option<ReplicaId>,
+}
+
+/// Holds the applied state at one index of the log.
+#[derive(Clone, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Snapshot {
+    /// The last index that the state includes.
+    pub index: LogIndex,
+    /// The term of the entry at that index.
+    pub term: Term,
+    /// The members as of that index.
+    pub members: Members,
+    /// The encoded state.
+    #[serde(with = "byte_string")]
+    pub data: Vec<u8>,
+}
+
+/// Holds one entry of the log.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Entry<C> {
+    /// The place in the log.
+    pub index: LogIndex,
+    /// The term of the leader that wrote the entry.
+    pub term: Term,
+    /// What the entry says.
+    pub payload: Payload<C>,
+}
+
+/// Says what an entry carries.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum Payload<C> {
+    /// Marks the start of a leader's term.
+    Noop,
+    /// Carries a command for the state machine.
+    Command(C),
+    /// Replaces the members, from the moment it is appended.
+    Members(Members),
+}
+
+impl<C: Clone> Durable<C> {
+    /// Returns the state of a replica that founds a log with others.
+    pub fn new(members: Members) -> Self {
+        Self {
+            ballot: Ballot::default(),
+            snapshot: Snapshot { members, ..Snapshot::default() },
+            entries: Vec::new(),
+        }
+    }
+
+    /// Returns the index of the last entry.
+    pub fn last_index(&self) -> LogIndex {
+        self.entries.last().map_or(self.snapshot.index, |entry| entry.index)
+    }
+
+    /// Returns the term of the last entry.
+    pub fn last_term(&self) -> Term {
+        self.entries.last().map_or(self.snapshot.term, |entry| entry.term)
+    }
+
+    /// Returns the term of the entry at `index`, if it is still held.
+    pub fn term_at(&self, index: LogIndex) -> Option<Term> {
+        if index == self.snapshot.index {
+            return Some(self.snapshot.term);
+        }
+        self.get(index).map(|entry| entry.term)
+    }
+
+    /// Returns the entry at `index`, if it is still held.
+    pub fn get(&self, index: LogIndex) -> Option<&Entry<C>> {
+        let offset = index.checked_sub(self.snapshot.index + 1)?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+
+    /// Returns up to `limit` entries, the first at `from`.
+    pub fn slice(&self, from: LogIndex, limit: usize) -> &[Entry<C>] {
+        let offset = from.saturating_sub(self.snapshot.index + 1);
+        let start = usize::try_from(offset).unwrap_or(usize::MAX).min(self.entries.len());
+        let end = start.saturating_add(limit).min(self.entries.len());
+        &self.entries[start..end]
+    }
+
+    /// Puts an entry at its index and drops what stood there and after it.
+    pub fn put(&mut self, entry: Entry<C>) {
+        let offset = entry.index.saturating_sub(self.snapshot.index + 1);
+        self.entries.truncate(usize::try_from(offset).unwrap_or(usize::MAX));
+        self.entries.push(entry);
+    }
+
+    /// Replaces the snapshot and drops the entries that it includes.
+    ///
+    /// Entries after it are kept only when the log agrees with the snapshot.
+    pub fn compact(&mut self, snapshot: Snapshot) {
+        let agrees = self.term_at(snapshot.index) == Some(snapshot.term);
+        if agrees {
+            self.entries.retain(|entry| entry.index > snapshot.index);
+        } else {
+            self.entries.clear();
+        }
+        self.snapshot = snapshot;
+    }
+
+    /// Returns the members that the log says are in force, committed or not,
+    /// with the index of the entry that says so.
+    pub fn members(&self) -> (LogIndex, &Members) {
+        let newest = self.entries.iter().rev().find_map(|entry| match &entry.payload {
+            Payload::Members(members) => Some((entry.index, members)),
+            _ => None,
+        });
+        newest.unwrap_or((self.snapshot.index, &self.snapshot.members))
+    }
+}
--- /dev/null
+++ b/src/core/replication/members.rs
@@ -0,0 +1,127 @@
+//! Holds who takes part in the replicated log and who has a vote.
+
+use std::{collections::BTreeMap, error::Error, fmt};
+
+use serde::{Deserialize, Serialize};
+
+use super::ReplicaId;
+
+/// Lists the replicas of a log.
+#[derive(Clone, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Members {
+    replicas: BTreeMap<ReplicaId, Member>,
+}
+
+/// Describes one replica.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Member {
+    /// The instance that runs the replica, as the settings name it.
+    pub instance: String,
+    /// Whether the replica counts towards a quorum.
+    pub voter: bool,
+}
+
+impl Members {
+    /// Returns a list in which every given replica has a vote.
+    pub fn new(voters: impl IntoIterator<Item = (ReplicaId, String)>) -> Self {
+        let replicas = voters
+            .into_iter()
+            .map(|(id, instance)| (id, Member { instance, voter: true }))
+            .collect();
+        Self { replicas }
+    }
+
+    /// Returns the list with a replica that has no vote added.
+    pub fn with_learner(mut self, id: ReplicaId, instance: String) -> Self {
+        self.replicas.insert(id, Member { instance, voter: false });
+        self
+    }
+
+    /// Returns the list with a replica's vote granted.
+    pub fn with_vote(mut self, id: ReplicaId) -> Self {
+        if let Some(member) = self.replicas.get_mut(&id) {
+            member.voter = true;
+        }
+        self
+    }
+
+    /// Returns the list without a replica.
+    pub fn without(mut self, id: ReplicaId) -> Self {
+        self.replicas.remove(&id);
+        self
+    }
+
+    /// Iterates over all replicas, by id.
+    pub fn iter(&self) -> impl Iterator<Item = (ReplicaId, &Member)> {
+        self.replicas.iter().map(|(id, member)| (*id, member))
+    }
+
+    /// Iterates over the replicas that have a vote.
+    pub fn voters(&self) -> impl Iterator<Item = ReplicaId> + '_ {
+        self.iter().filter(|(_, member)| member.voter).map(|(id, _)| id)
+    }
+
+    /// Returns the description of a replica.
+    pub fn get(&self, id: ReplicaId) -> Option<&Member> {
+        self.replicas.get(&id)
+    }
+
+    /// Tells whether a replica has a vote.
+    pub fn is_voter(&self, id: ReplicaId) -> bool {
+        self.get(id).is_some_and(|member| member.voter)
+    }
+
+    /// Returns how many votes make a quorum.
+    pub fn quorum(&self) -> usize {
+        self.voters().count() / 2 + 1
+    }
+
+    /// Tells whether the voters for which `holds` is true make a quorum.
+    pub fn has_quorum(&self, holds: impl Fn(ReplicaId) -> bool) -> bool {
+        self.voters().filter(|id| holds(*id)).count() >= self.quorum()
+    }
+
+    /// Returns the highest value that a quorum has reached.
+    pub fn quorum_value(&self, value: impl Fn(ReplicaId) -> u64) -> u64 {
+        let mut values: Vec<u64> = self.voters().map(value).collect();
+        values.sort_unstable_by(|a, b| b.cmp(a));
+        values.get(self.quorum() - 1).copied().unwrap_or(0)
+    }
+
+    /// Checks that quorums of `self` and `next` always share a replica.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when more than one vote differs or none would be left.
+    pub fn check_successor(&self, next: &Self) -> Result<(), MembersError> {
+        if next.voters().next().is_none() {
+            return Err(MembersError::NoVoter);
+        }
+        let gained = next.voters().filter(|id| !self.is_voter(*id)).count();
+        let lost = self.voters().filter(|id| !next.is_voter(*id)).count();
+        if gained + lost > 1 {
+            return Err(MembersError::MoreThanOneVote);
+        }
+        Ok(())
+    }
+}
+
+/// Says why a list of members can't follow another.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum MembersError {
+    /// Nobody would have a vote.
+    NoVoter,
+    /// More than one vote would be gained or lost at once.
+    MoreThanOneVote,
+}
+
+impl fmt::Display for MembersError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NoVoter => f.write_str("no replica would have a vote"),
+            Self::MoreThanOneVote => f.write_str("more than one vote would change at once"),
+        }
+    }
+}
+
+impl Error for MembersError {}
--- /dev/null
+++ b/src/core/replication/vote.rs
@@ -0,0 +1,129 @@
+//! Elects a leader, with a vote before the vote.
+
+use std::collections::BTreeSet;
+
+use super::{Ballot, Leadership, LogIndex, Message, Node, Outputs, Payload, ReplicaId, Role, Term};
+
+/// Counts the votes given to a candidate.
+#[derive(Clone, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Tally {
+    granted: BTreeSet<ReplicaId>,
+}
+
+impl<C: Clone> Node<C> {
+    /// Asks the others whether an election could be won. Terms stay as they
+    /// are, so a replica that comes back from a cut does not depose a leader.
+    pub(super) fn begin_pre_vote(&mut self, out: &mut Outputs<C>) {
+        if self.is_leader() {
+            return;
+        }
+        self.leader = None;
+        if !self.members().is_voter(self.id) {
+            return;
+        }
+        self.role = Role::PreCandidate(Tally::default());
+        let next_term = self.term() + 1;
+        for voter in self.other_voters() {
+            self.send_in_term(voter, next_term, self.pre_vote(), out);
+        }
+        self.count_pre_vote(self.id, next_term, out);
+    }
+
+    pub(super) fn answer_pre_vote(
+        &self,
+        from: ReplicaId,
+        term: Term,
+        last_index: LogIndex,
+        last_term: Term,
+        out: &mut Outputs<C>,
+    ) {
+        let granted =
+            term > self.term() && self.leader.is_none() && self.is_current(last_index, last_term);
+        let reply_term = if granted { term } else { self.term() };
+        self.send_in_term(from, reply_term, Message::PreVoteReply { granted }, out);
+    }
+
+    pub(super) fn count_pre_vote(&mut self, from: ReplicaId, term: Term, out: &mut Outputs<C>) {
+        let expected = self.term() + 1;
+        let members = self.durable.members().1.clone();
+        let Role::PreCandidate(tally) = &mut self.role else { return };
+        if term != expected {
+            return;
+        }
+        tally.granted.insert(from);
+        let granted = &tally.granted;
+        if members.has_quorum(|id| granted.contains(&id)) {
+            self.stand(out);
+        }
+    }
+
+    fn stand(&mut self, out: &mut Outputs<C>) {
+        let ballot = Ballot { term: self.term() + 1, voted_for: Some(self.id) };
+        self.durable.ballot = ballot;
+        out.ballot = Some(ballot);
+        out.heard_leader = true;
+        self.role = Role::Candidate(Tally::default());
+        for voter in self.other_voters() {
+            self.send(voter, self.vote(), out);
+        }
+        self.count_vote(self.id, true, out);
+    }
+
+    pub(super) fn answer_vote(
+        &mut self,
+        from: ReplicaId,
+        last_index: LogIndex,
+        last_term: Term,
+        out: &mut Outputs<C>,
+    ) {
+        let free = self.durable.ballot.voted_for.is_none_or(|id| id == from);
+        let granted = free && self.leader.is_none() && self.is_current(last_index, last_term);
+        if granted {
+            self.durable.ballot.voted_for = Some(from);
+            out.ballot = Some(self.durable.ballot);
+            out.heard_leader = true;
+        }
+        self.send(from, Message::VoteReply { granted }, out);
+    }
+
+    pub(super) fn count_vote(&mut self, from: ReplicaId, granted: bool, out: &mut Outputs<C>) {
+        let members = self.durable.members().1.clone();
+        let Role::Candidate(tally) = &mut self.role else { return };
+        if !granted {
+            return;
+        }
+        tally.granted.insert(from);
+        let granted = &tally.granted;
+        if members.has_quorum(|id| granted.contains(&id)) {
+            self.lead(out);
+        }
+    }
+
+    fn lead(&mut self, out: &mut Outputs<C>) {
+        self.leader = Some(self.id);
+        self.role = Role::Leader(Leadership::new(self.others(), self.durable.last_index()));
+        // Entries of earlier terms count as committed only under one of this
+        // term, so a leader writes one at once.
+        self.propose(Payload::Noop, out);
+        out.proposed = None;
+    }
+
+    fn is_current(&self, last_index: LogIndex, last_term: Term) -> bool {
+        (last_term, last_index) >= (self.durable.last_term(), self.durable.last_index())
+    }
+
+    fn pre_vote(&self) -> Message<C> {
+        Message::PreVote {
+            last_index: self.durable.last_index(),
+            last_term: self.durable.last_term(),
+        }
+    }
+
+    fn vote(&self) -> Message<C> {
+        Message::Vote { last_index: self.durable.last_index(), last_term: self.durable.last_term() }
+    }
+
+    fn other_voters(&self) -> Vec<ReplicaId> {
+        self.members().voters().filter(|id| *id != self.id).collect()
+    }
+}
--- /dev/null
+++ b/src/core/steering/layout.rs
@@ -0,0 +1,119 @@
+//! Spreads a home region's callers over the regions that serve them.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::Point;
+use crate::core::control::RegionName;
+
+/// Assigns every point from 0 to 999 to a region.
+///
+/// A caller's point never changes. Moving shares changes the region of as
+/// many points as the shares say and of no other, which cumulative or
+/// weighted hashing would not do; the cap of a shift counts these points.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Layout {
+    runs: Vec<Run>,
+}
+
+/// Assigns consecutive points to one region.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Run {
+    /// The region.
+    pub region: RegionName,
+    /// How many points.
+    pub points: u32,
+}
+
+impl Layout {
+    /// Returns a layout with the given shares.
+    pub fn new(shares: &BTreeMap<RegionName, u32>) -> Self {
+        let mut layout = Self::default();
+        for (region, points) in shares {
+            layout.push(region, *points);
+        }
+        layout
+    }
+
+    /// Returns the region of a point.
+    pub fn region_at(&self, point: Point) -> Option<&RegionName> {
+        let mut end = 0;
+        let holds = |run: &&Run| {
+            end += run.points;
+            point < end
+        };
+        self.runs.iter().find(holds).map(|run| &run.region)
+    }
+
+    /// Returns how many points each region has.
+    pub fn shares(&self) -> BTreeMap<RegionName, u32> {
+        let mut shares = BTreeMap::new();
+        for run in &self.runs {
+            *shares.entry(run.region.clone()).or_insert(0) += run.points;
+        }
+        shares
+    }
+
+    /// Returns how many points there are.
+    pub fn total(&self) -> u32 {
+        self.runs.iter().map(|run| run.points).sum()
+    }
+
+    /// Returns the layout with `points` of one region's points given to
+    /// another, or all of them when it has fewer.
+    pub fn with_moved(&self, from: &RegionName, to: &RegionName, points: u32) -> Self {
+        let held = self.shares().get(from).copied().unwrap_or(0);
+        let mut stay = held.saturating_sub(points);
+        let mut layout = Self::default();
+        for run in &self.runs {
+            if run.region != *from {
+                layout.push(&run.region, run.points);
+                continue;
+            }
+            let kept = run.points.min(stay);
+            stay -= kept;
+            layout.push(from, kept);
+            layout.push(to, run.points - kept);
+        }
+        layout
+    }
+
+    /// Counts the points that have different regions in the two layouts.
+    pub fn distance(&self, other: &Self) -> u32 {
+        let mut ends: Vec<Point> = self.ends();
+        ends.extend(other.ends());
+        ends.sort_unstable();
+        ends.dedup();
+        let mut begin = 0;
+        let mut distance = 0;
+        for end in ends {
+            if self.region_at(begin) != other.region_at(begin) {
+                distance += end - begin;
+            }
+            begin = end;
+        }
+        distance
+    }
+
+    fn ends(&self) -> Vec<Point> {
+        let mut end = 0;
+        self.runs
+            .iter()
+            .map(|run| {
+                end += run.points;
+                end
+            })
+            .collect()
+    }
+
+    fn push(&mut self, region: &RegionName, points: u32) {
+        if points == 0 {
+            return;
+        }
+        match self.runs.last_mut() {
+            Some(last) if last.region == *region => last.points += points,
+            _ => self.runs.push(Run { region: region.clone(), points }),
+        }
+    }
+}
--- /dev/null
+++ b/src/core/steering/shift.rs
@@ -0,0 +1,164 @@
+//! Plans the next step of a shift between regions.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::Layout;
+use crate::core::control::{RegionLoad, RegionName, SHARES_TOTAL_PERMILLE, Shares, ShiftRule};
+
+/// Holds what a step is planned from.
+#[derive(Clone, Debug)]
+pub struct ShiftInputs<'a> {
+    /// Where each home region's callers go now.
+    pub layouts: &'a BTreeMap<RegionName, Layout>,
+    /// Where they are to go.
+    pub target: &'a Shares,
+    /// The bounds of the step.
+    pub rule: ShiftRule,
+    /// The fresh load of each region. A region without one receives nothing.
+    pub loads: &'a BTreeMap<RegionName, RegionLoad>,
+    /// The slots of each region.
+    pub slots: &'a BTreeMap<RegionName, u32>,
+    /// How many client blocks call each region home.
+    pub blocks: &'a BTreeMap<RegionName, u32>,
+}
+
+/// Returns the shares that can be reached while only some regions are up:
+/// the share of a region that is down is spread over its row's other regions,
+/// and over all that are up when the row has no other.
+pub fn reachable_shares(target: &Shares, up: &BTreeSet<RegionName>) -> Shares {
+    target.iter().map(|(home, row)| (home.clone(), reachable_row(row, up))).collect()
+}
+
+fn reachable_row(
+    row: &BTreeMap<RegionName, u32>,
+    up: &BTreeSet<RegionName>,
+) -> BTreeMap<RegionName, u32> {
+    let mut reachable: BTreeMap<RegionName, u32> =
+        row.iter().filter(|(region, _)| up.contains(*region)).map(clone_pair).collect();
+    if reachable.values().all(|share| *share == 0) {
+        reachable = up.iter().map(|region| (region.clone(), 1)).collect();
+    }
+    if reachable.is_empty() {
+        return row.clone();
+    }
+    scale(reachable)
+}
+
+fn clone_pair((region, share): (&RegionName, &u32)) -> (RegionName, u32) {
+    (region.clone(), *share)
+}
+
+/// Scales a row to the total; the rounding goes to its largest share.
+fn scale(mut row: BTreeMap<RegionName, u32>) -> BTreeMap<RegionName, u32> {
+    let sum: u32 = row.values().sum();
+    for share in row.values_mut() {
+        *share = *share * SHARES_TOTAL_PERMILLE / sum;
+    }
+    let scaled: u32 = row.values().sum();
+    if let Some(largest) = row.values_mut().max() {
+        *largest += SHARES_TOTAL_PERMILLE - scaled;
+    }
+    row
+}
+
+/// Returns the rows that change in the next step, none when the target is
+/// reached or nothing may move now.
+///
+/// A row moves by the rule's cap at most. A region receives only what leaves
+/// its headroom free, by its own fresh report, after all rows of the step.
+pub fn next_step(inputs: &ShiftInputs<'_>) -> BTreeMap<RegionName, Layout> {
+    let mut room = free_room(inputs);
+    let mut rows = BTreeMap::new();
+    for (home, layout) in inputs.layouts {
+        let Some(target) = inputs.target.get(home) else { continue };
+        let moved = step_row(inputs, home, layout, target, &mut room);
+        if moved != *layout {
+            rows.insert(home.clone(), moved);
+        }
+    }
+    rows
+}
+
+/// Returns the slots that each region can still receive.
+fn free_room(inputs: &ShiftInputs<'_>) -> BTreeMap<RegionName, f64> {
+    let usable_permille = SHARES_TOTAL_PERMILLE.saturating_sub(inputs.rule.headroom_permille);
+    let room = |load: &RegionLoad| {
+        let usable = f64::from(load.usable_slots) * f64::from(usable_permille) / 1000.0;
+        usable - f64::from(load.used_slots) - f64::from(load.waiting)
+    };
+    inputs.loads.iter().map(|(region, load)| (region.clone(), room(load))).collect()
+}
+
+fn step_row(
+    inputs: &ShiftInputs<'_>,
+    home: &RegionName,
+    layout: &Layout,
+    target: &BTreeMap<RegionName, u32>,
+    room: &mut BTreeMap<RegionName, f64>,
+) -> Layout {
+    let mut moved = layout.clone();
+    let mut left = inputs.rule.cap_permille;
+    let now = layout.shares();
+    for (from, surplus) in differences(&now, target) {
+        let mut surplus = surplus;
+        let per_point = slots_per_point(inputs, home, &from);
+        for (to, wanted) in differences(target, &moved.shares()) {
+            let fits = points_that_fit(room.get(&to).copied().unwrap_or(0.0), per_point);
+            let points = surplus.min(wanted).min(left).min(fits);
+            if points == 0 {
+                continue;
+            }
+            moved = moved.with_moved(&from, &to, points);
+            surplus -= points;
+            left -= points;
+            room.entry(to).and_modify(|free| *free -= f64::from(points) * per_point);
+        }
+    }
+    moved
+}
+
+/// Lists the regions that have more in `more` than in `less`, and how much.
+fn differences(
+    more: &BTreeMap<RegionName, u32>,
+    less: &BTreeMap<RegionName, u32>,
+) -> Vec<(RegionName, u32)> {
+    more.iter()
+        .map(|(region, share)| {
+            let held = less.get(region).copied().unwrap_or(0);
+            (region.clone(), share.saturating_sub(held))
+        })
+        .filter(|(_, difference)| *difference > 0)
+        .collect()
+}
+
+/// Estimates the slots that one point of a home region uses in `from`.
+///
+/// A region that reports nothing counts as full: after it failed, its callers
+/// may bring all that it could carry.
+fn slots_per_point(inputs: &ShiftInputs<'_>, home: &RegionName, from: &RegionName) -> f64 {
+    let slots = inputs.slots.get(from).copied().unwrap_or(0);
+    let used = inputs.loads.get(from).map_or(slots, |load| load.used_slots + load.waiting);
+    let weight_of = |home: &RegionName| f64::from(inputs.blocks.get(home).copied().unwrap_or(1));
+    let served: f64 = inputs
+        .layouts
+        .iter()
+        .map(|(home, layout)| {
+            let points = layout.shares().get(from).copied().unwrap_or(0);
+            f64::from(points) * weight_of(home)
+        })
+        .sum();
+    if served <= 0.0 {
+        return 0.0;
+    }
+    f64::from(used) * weight_of(home) / served
+}
+
+fn points_that_fit(room: f64, per_point: f64) -> u32 {
+    if room <= 0.0 {
+        return 0;
+    }
+    if per_point <= 0.0 {
+        return SHARES_TOTAL_PERMILLE;
+    }
+    (room / per_point).min(f64::from(SHARES_TOTAL_PERMILLE)) as u32
+}
--- /dev/null
+++ b/src/demo/mod.rs
@@ -0,0 +1,9 @@
+//! Runs a whole deployment in one process and checks its promises.
+
+mod deployment;
+mod load;
+mod report;
+mod scenario;
+mod stand_in;
+
+pub use self::{report::Report, scenario::run, stand_in::StandIn};
--- /dev/null
+++ b/src/demo/stand_in.rs
@@ -0,0 +1,252 @@
+//! A small upstream.
+
+use std::{
+    collections::BTreeMap,
+    fs::{File, OpenOptions},
+    future::Future,
+    io::{self, Write},
+    net::SocketAddr,
+    path::Path,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use bytes::{Buf, Bytes};
+use futures_util::{Stream, StreamExt, stream};
+use serde::Serialize;
+use sha2::{Digest, Sha256};
+use tokio::net::TcpListener;
+use warp::{
+    Filter,
+    http::{HeaderMap, HeaderValue, Method, StatusCode, header},
+    reply::{Reply, Response},
+};
+
+use crate::net::{HttpLimits, serve_http};
+
+/// Answers any request with what it was sent and keeps count. Clones share
+/// the count.
+#[derive(Clone, Debug)]
+pub struct StandIn {
+    name: String,
+    slots: u32,
+    service_time: Duration,
+    may_crash: bool,
+    seen: Arc<Mutex<Seen>>,
+}
+
+/// Holds what a stand-in saw.
+#[derive(Debug, Default)]
+struct Seen {
+    running: u32,
+    most_running: u32,
+    runs: u64,
+    runs_by_key: BTreeMap<String, u32>,
+    record: Option<File>,
+}
+
+/// The body of an answer.
+#[derive(Serialize)]
+struct Echo<'a> {
+    upstream: &'a str,
+    method: &'a str,
+    path: &'a str,
+    key: &'a str,
+    body_bytes: u64,
+    body_sha256: String,
+}
+
+struct Asked {
+    method: Method,
+    path: String,
+    query: BTreeMap<String, String>,
+    headers: HeaderMap,
+}
+
+impl Asked {
+    fn number(&self, name: &str) -> Option<u64> {
+        self.query.get(name)?.parse().ok()
+    }
+
+    fn key(&self) -> String {
+        let key = self.headers.get("idempotency-key").and_then(|value| value.to_str().ok());
+        key.unwrap_or_default().to_owned()
+    }
+}
+
+impl StandIn {
+    /// Returns an upstream with a number of slots, each of which is taken for
+    /// `service_time` by a request.
+    pub fn new(name: String, slots: u32, service_time: Duration) -> Self {
+        Self { name, slots, service_time, may_crash: false, seen: Arc::default() }
+    }
+
+    /// Lets `crash=1` end the process.
+    pub fn with_crashes(mut self) -> Self {
+        self.may_crash = true;
+        self
+    }
+
+    /// Appends a line for every run to a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the file can't be opened.
+    pub fn with_record(self, path: &Path) -> io::Result<Self> {
+        let file = OpenOptions::new().create(true).append(true).open(path)?;
+        self.lock().record = Some(file);
+        Ok(self)
+    }
+
+    /// Returns the most requests that ran at once.
+    pub fn most_running(&self) -> u32 {
+        self.lock().most_running
+    }
+
+    /// Returns the number of slots.
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
+    /// Returns how many requests began to run.
+    pub fn runs(&self) -> u64 {
+        self.lock().runs
+    }
+
+    /// Returns how often each key's request began to run.
+    pub fn runs_by_key(&self) -> BTreeMap<String, u32> {
+        self.lock().runs_by_key.clone()
+    }
+
+    /// Listens and returns what serves until it is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address can't be listened on.
+    pub async fn serve(&self, address: SocketAddr) -> io::Result<impl Future<Output = ()> + use<>> {
+        let listener = TcpListener::bind(address).await?;
+        let stand_in = self.clone();
+        let query = warp::query::<BTreeMap<String, String>>();
+        let asked = warp::method()
+            .and(warp::path::full())
+            .and(query)
+            .and(warp::header::headers_cloned())
+            .map(|method, path: warp::filters::path::FullPath, query, headers| Asked {
+                method,
+                path: path.as_str().to_owned(),
+                query,
+                headers,
+            });
+        let routes = asked.and(warp::body::stream()).then(move |asked: Asked, body| {
+            let stand_in = stand_in.clone();
+            async move { stand_in.answer(asked, body).await }
+        });
+        let service = warp::service(routes);
+        Ok(serve_http(listener, service, HttpLimits::default(), std::future::pending()))
+    }
+
+    async fn answer<S, B>(&self, asked: Asked, body: S) -> Response
+    where
+        S: Stream<Item = Result<B, warp::Error>> + Send,
+        B: Buf,
+    {
+        let Some(_running) = self.begin(&asked) else {
+            let mut refused = StatusCode::SERVICE_UNAVAILABLE.into_response();
+            refused.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from_static("1"));
+            return refused;
+        };
+        let Ok((length, digest)) = drain(body).await else {
+            return StatusCode::BAD_REQUEST.into_response();
+        };
+        let time = asked.number("ms").map_or(self.service_time, Duration::from_millis);
+        tokio::time::sleep(time).await;
+        if self.may_crash && asked.query.contains_key("crash") {
+            std::process::exit(CRASH_STATUS);
+        }
+        self.lock().write(&["done", &self.name, &asked.key(), &asked.path]);
+        self.reply(&asked, length, digest)
+    }
+
+    fn begin(&self, asked: &Asked) -> Option<Running> {
+        let mut seen = self.lock();
+        if seen.running >= self.slots {
+            seen.most_running = seen.most_running.max(seen.running + 1);
+            seen.write(&["over", &self.name, &asked.key(), &asked.path]);
+            return None;
+        }
+        seen.running += 1;
+        seen.runs += 1;
+        seen.most_running = seen.most_running.max(seen.running);
+        if !asked.key().is_empty() {
+            *seen.runs_by_key.entry(asked.key()).or_insert(0) += 1;
+        }
+        seen.write(&["run", &self.name, &asked.key(), &asked.path]);
+        Some(Running { seen: self.seen.clone() })
+    }
+
+    fn reply(&self, asked: &Asked, body_bytes: u64, body_sha256: String) -> Response {
+        let echo = Echo {
+            upstream: &self.name,
+            method: asked.method.as_str(),
+            path: &asked.path,
+            key: &asked.key(),
+            body_bytes,
+            body_sha256,
+        };
+        let mut text = serde_json::to_vec(&echo).unwrap_or_default();
+        if let Some(length) = asked.number("bytes") {
+            text.resize(length as usize, b' ');
+        }
+        if !asked.query.contains_key("cut") {
+            return text.into_response();
+        }
+        let half = Bytes::from(text[..text.len() / 2].to_vec());
+        let cut = stream::iter([Ok(half), Err(io::Error::other("cut"))]);
+        warp::reply::stream(cut).into_response()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Seen> {
+        self.seen.lock().unwrap_or_else(|error| error.into_inner())
+    }
+}
+
+/// The status of a process that `crash=1` ended.
+const CRASH_STATUS: i32 = 70;
+
+impl Seen {
+    fn write(&mut self, words: &[&str]) {
+        if let Some(file) = &mut self.record {
+            // One write for each line, so that a killed process leaves whole
+            // lines.
+            file.write_all(format!("{}\n", words.join("\t")).as_bytes()).ok();
+        }
+    }
+}
+
+struct Running {
+    seen: Arc<Mutex<Seen>>,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.seen.lock().unwrap_or_else(|error| error.into_inner()).running -= 1;
+    }
+}
+
+async fn drain<S, B>(body: S) -> Result<(u64, String), warp::Error>
+where
+    S: Stream<Item = Result<B, warp::Error>> + Send,
+    B: Buf,
+{
+    let mut body = std::pin::pin!(body);
+    let mut digest = Sha256::new();
+    let mut length = 0;
+    while let Some(chunk) = body.next().await {
+        let mut chunk = chunk?;
+        let bytes = chunk.copy_to_bytes(chunk.remaining());
+        length += bytes.len() as u64;
+        digest.update(&bytes);
+    }
+    let digest = digest.finalize().iter().map(|byte| format!("{byte:02x}")).collect();
+    Ok((length, digest))
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,9 @@
+//! Steers traffic between regions that cannot grow.
+
+pub mod cli;
+pub mod core;
+pub mod demo;
+pub mod net;
+pub mod runtime;
+pub mod settings;
+pub mod storage;
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,15 @@
+//! Speaks HTTP with callers and operators and gRPC between instances.
+
+mod cluster;
+mod http_server;
+pub mod wire;
+
+#[allow(clippy::all, clippy::pedantic, clippy::nursery, missing_docs)]
+mod generated {
+    include!("generated/cluster.rs");
+}
+
+pub use self::{
+    cluster::{ClusterClient, ClusterError, ClusterHandlers, serve_cluster},
+    http_server::{HttpLimits, PeerAddr, serve_http},
+};
--- /dev/null
+++ b/src/runtime/control_client.rs
@@ -0,0 +1,166 @@
+//! Reaches whichever control replica leads.
+
+use std::{
+    collections::BTreeMap,
+    error::Error,
+    fmt,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use tokio::time::Instant;
+
+use crate::{
+    core::{
+        control::{Command, InstanceName, Outcome},
+        replication::ReplicaId,
+    },
+    net::{
+        ClusterClient, ClusterError,
+        wire::{QueryReply, QueryRequest, SubmitReply, SubmitRequest, WatchReply, WatchRequest},
+    },
+};
+
+/// Reaches whichever control replica leads.
+#[derive(Clone, Debug)]
+pub struct ControlClient {
+    replicas: Arc<BTreeMap<InstanceName, ClusterClient>>,
+    leader: Arc<Mutex<Option<InstanceName>>>,
+}
+
+/// Says why a command is not known to be committed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum SubmitError {
+    /// Nothing was written anywhere.
+    NotSubmitted,
+    /// The command may be committed, or be so later.
+    Unknown,
+}
+
+impl fmt::Display for SubmitError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSubmitted => f.write_str("no control replica leads at present"),
+            Self::Unknown => f.write_str("the answer of the control replicas was lost"),
+        }
+    }
+}
+
+impl Error for SubmitError {}
+
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+impl ControlClient {
+    /// Returns a client of the given control replicas.
+    pub fn new(replicas: BTreeMap<InstanceName, ClusterClient>) -> Self {
+        Self { replicas: Arc::new(replicas), leader: Arc::default() }
+    }
+
+    /// Commits a command. It is sent again until it is committed or `within`
+    /// has passed, so it must be one that has no further effect when it is
+    /// applied twice.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the command is not known to be committed.
+    pub async fn submit(&self, command: Command, within: Duration) -> Result<Outcome, SubmitError> {
+        let until = Instant::now() + within;
+        let request = SubmitRequest::Command(command);
+        let mut may_be_written = false;
+        while let Some(left) = until.checked_duration_since(Instant::now()) {
+            let timeout = left.min(CALL_TIMEOUT);
+            match self.submit_once(&request, timeout).await {
+                Ok(SubmitReply::Committed(outcome)) => return Ok(outcome),
+                Ok(SubmitReply::NotLeader { .. }) | Err(ClusterError::Unreachable(_)) => {}
+                Ok(_) | Err(_) => may_be_written = true,
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+        Err(if may_be_written { SubmitError::Unknown } else { SubmitError::NotSubmitted })
+    }
+
+    async fn submit_once(
+        &self,
+        request: &SubmitRequest,
+        timeout: Duration,
+    ) -> Result<SubmitReply, ClusterError> {
+        let (name, client) = self.target();
+        let answer = client.submit(request, timeout).await;
+        match &answer {
+            Ok(SubmitReply::NotLeader { leader }) => self.redirect(&name, leader.clone()),
+            Ok(_) => {}
+            Err(_) => self.redirect(&name, None),
+        }
+        answer
+    }
+
+    /// Does one step of joining and tells whether the replica has its vote.
+    pub(super) async fn join(&self, instance: &InstanceName, replica: ReplicaId) -> bool {
+        let request = SubmitRequest::Join { instance: instance.clone(), replica };
+        matches!(self.submit_once(&request, CALL_TIMEOUT).await, Ok(SubmitReply::Joined))
+    }
+
+    /// Asks once for a lease and for what changed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no leader answered.
+    pub async fn watch(
+        &self,
+        request: &WatchRequest,
+        timeout: Duration,
+    ) -> Result<WatchReply, ClusterError> {
+        let (name, client) = self.target();
+        let answer = client.watch(request, timeout).await;
+        match &answer {
+            Ok(WatchReply::NotLeader { leader }) => self.redirect(&name, leader.clone()),
+            Ok(WatchReply::Granted { .. }) => {}
+            Err(_) => self.redirect(&name, None),
+        }
+        answer
+    }
+
+    /// Reads the control state from a leader that was sure of its
+    /// leadership. Returns `None` when none answered within `within`.
+    pub async fn query(&self, request: &QueryRequest, within: Duration) -> Option<QueryReply> {
+        let until = Instant::now() + within;
+        while let Some(left) = until.checked_duration_since(Instant::now()) {
+            let (name, client) = self.target();
+            match client.query(request, left.min(CALL_TIMEOUT)).await {
+                Ok(QueryReply::NotLeader { leader }) => self.redirect(&name, leader),
+                Ok(reply) => return Some(reply),
+                Err(_) => self.redirect(&name, None),
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+        None
+    }
+
+    /// Returns the replica to ask next.
+    fn target(&self) -> (InstanceName, ClusterClient) {
+        let mut leader = self.leader.lock().unwrap_or_else(|error| error.into_inner());
+        let known = leader.as_ref().and_then(|name| self.replicas.get_key_value(name));
+        let chosen = known.or_else(|| self.replicas.first_key_value());
+        let (name, client) = chosen.unwrap_or_else(|| unreachable!("settings name a replica"));
+        *leader = Some(name.clone());
+        (name.clone(), client.clone())
+    }
+
+    /// Turns away from a replica: to the leader that it named, or to the next
+    /// one in order.
+    fn redirect(&self, from: &InstanceName, to: Option<InstanceName>) {
+        let mut leader = self.leader.lock().unwrap_or_else(|error| error.into_inner());
+        if leader.as_ref() != Some(from) {
+            return;
+        }
+        let named = to.filter(|name| name != from && self.replicas.contains_key(name));
+        *leader = named.or_else(|| self.next_after(from));
+    }
+
+    fn next_after(&self, name: &InstanceName) -> Option<InstanceName> {
+        use std::ops::Bound::{Excluded, Unbounded};
+        let mut later = self.replicas.range::<InstanceName, _>((Excluded(name), Unbounded));
+        later.next().or_else(|| self.replicas.first_key_value()).map(|(name, _)| name.clone())
+    }
+}
--- /dev/null
+++ b/src/runtime/gateway/attempt.rs
@@ -0,0 +1,247 @@
+//! Makes one attempt: at an upstream of this instance's own, or through
+//! another instance.
+
+use std::time::Duration;
+
+use tracing::debug;
+use warp::http::{HeaderMap, StatusCode, header};
+
+use super::{
+    Gateway,
+    answer::Incoming,
+    call::Call,
+    headers::{
+        DEADLINE, OUTCOME, PEER_CLASS, PEER_FINGERPRINT, PEER_KEY, PEER_REGION, REFUSAL,
+        end_to_end, number, value,
+    },
+    links::Meter,
+    offer::Slot,
+    problem::{Problem, ProblemBody},
+};
+use crate::core::{
+    admission::Finish,
+    control::{Command, InstanceName, RegionName, UpstreamName},
+    steering::OwnerChoice,
+};
+
+/// How long the news of a crash may take before its request is answered.
+const SUSPECT_WITHIN: Duration = Duration::from_secs(2);
+const SUSPECT_PAUSE: Duration = Duration::from_millis(10);
+/// What the heads of a request or answer are counted as on a link.
+pub(super) const HEAD_BYTES: u64 = 512;
+
+impl Gateway {
+    /// Sends a request to an upstream that this instance owns.
+    pub(super) async fn run_here(&self, call: &Call) -> Result<Incoming, Problem> {
+        let (slot, upstream) = self.take_slot(call).await?;
+        let topology = &self.shared.settings.topology;
+        let Some((service, described)) = topology.upstream(&upstream) else {
+            return Err(self.refused(call, "no_upstream"));
+        };
+        let url = format!("http://{}{}", described.address, call.path);
+        let mut headers = end_to_end(&call.headers);
+        headers.remove(header::HOST);
+        let request = self.request(call, url, headers, None);
+        let sent = request.send().await;
+        let shed_means_not_run = service.shed_means_not_run;
+        match sent {
+            Ok(answer) => self.take_answer(call, slot, upstream, answer, shed_means_not_run),
+            Err(error) => Err(self.failed_here(call, slot, upstream, &error).await),
+        }
+    }
+
+    fn take_answer(
+        &self,
+        call: &Call,
+        mut slot: Slot,
+        upstream: UpstreamName,
+        answer: reqwest::Response,
+        shed_means_not_run: bool,
+    ) -> Result<Incoming, Problem> {
+        let shed = answer.status() == StatusCode::SERVICE_UNAVAILABLE;
+        if shed {
+            let seconds = number(answer.headers(), header::RETRY_AFTER.as_str());
+            let retry_after = seconds.map(Duration::from_secs);
+            slot.set_finish(Finish::Shed { retry_after });
+            if call.is_idempotent() || (shed_means_not_run && retry_after.is_some()) {
+                let problem = self.refused(call, "shed");
+                return Err(match retry_after {
+                    Some(wait) => problem.with_retry_after(wait),
+                    None => problem,
+                });
+            }
+        }
+        Ok(Incoming::here(answer, slot, upstream, !shed))
+    }
+
+    async fn failed_here(
+        &self,
+        call: &Call,
+        mut slot: Slot,
+        upstream: UpstreamName,
+        error: &reqwest::Error,
+    ) -> Problem {
+        debug!(%upstream, %error, "an attempt failed");
+        if error.is_connect() {
+            slot.set_finish(Finish::NotConnected);
+            return self.refused(call, "unreachable");
+        }
+        if error.is_timeout() {
+            let message = "the upstream did not answer before the deadline";
+            return Problem::unknown(StatusCode::GATEWAY_TIMEOUT, "deadline", message);
+        }
+        slot.set_finish(Finish::Broken);
+        drop(slot);
+        self.report_crash(call, upstream).await;
+        let message = "the upstream broke the connection before it answered";
+        Problem::unknown(StatusCode::BAD_GATEWAY, "broken", message)
+    }
+
+    /// Makes known that an upstream broke off while it ran a request, before
+    /// the caller learns of it and may send the request again elsewhere.
+    pub(super) async fn report_crash(&self, call: &Call, upstream: UpstreamName) {
+        let command = Command::Suspect {
+            fingerprint: call.fingerprint.clone(),
+            upstream: upstream.clone(),
+            at_unix_ms: self.shared.clock.unix_ms(),
+        };
+        let until = self.now() + SUSPECT_WITHIN;
+        if self.shared.control.submit(command, SUSPECT_WITHIN).await.is_err() {
+            return;
+        }
+        while self.now() < until && !self.knows_crash(call, &upstream) {
+            tokio::time::sleep(SUSPECT_PAUSE).await;
+        }
+    }
+
+    fn knows_crash(&self, call: &Call, upstream: &UpstreamName) -> bool {
+        let followed = self.shared.view.followed();
+        let suspect = followed.policy.suspects.get(&call.fingerprint);
+        suspect.is_some_and(|suspect| suspect.crashed.contains(upstream))
+    }
+
+    /// Sends a request through the instance that owns upstreams.
+    pub(super) async fn run_through(
+        &self,
+        call: &Call,
+        owner: &OwnerChoice,
+    ) -> Result<Incoming, Problem> {
+        let meter = self.meter_to(&owner.region);
+        if meter.as_ref().is_some_and(|meter| !meter.has_room(call.class)) {
+            return Err(self.refused(call, "link_full"));
+        }
+        let Some(peer) = self.shared.settings.instances.get(&owner.holder.instance) else {
+            return Err(self.refused(call, "unreachable"));
+        };
+        if let Some(meter) = &meter {
+            meter.pass(HEAD_BYTES).await;
+        }
+        let url = format!("http://{}/forward/{}{}", peer.forward, call.service, call.path);
+        let headers = self.peer_headers(call);
+        let _counted = self.count_forward(&owner.holder.instance);
+        let sent = self.request(call, url, headers, meter).send().await;
+        match sent {
+            Ok(answer) if answer.headers().contains_key(REFUSAL) => {
+                Err(self.refusal_of(call, answer).await)
+            }
+            Ok(answer) if answer.headers().contains_key(OUTCOME) => Err(unknown_of(answer).await),
+            Ok(answer) => Ok(Incoming::through(answer)),
+            Err(error) if error.is_connect() => Err(self.refused(call, "unreachable")),
+            Err(error) if error.is_timeout() => {
+                let message = "no answer came before the deadline";
+                Err(Problem::unknown(StatusCode::GATEWAY_TIMEOUT, "deadline", message))
+            }
+            Err(error) => {
+                debug!(owner = %owner.holder.instance, %error, "a forwarded attempt failed");
+                let message = "the connection broke before an answer came";
+                Err(Problem::unknown(StatusCode::BAD_GATEWAY, "broken", message))
+            }
+        }
+    }
+
+    fn peer_headers(&self, call: &Call) -> HeaderMap {
+        let mut headers = end_to_end(&call.headers);
+        headers.remove(header::HOST);
+        headers.insert(PEER_KEY, value(&self.shared.cluster_key));
+        headers.insert(PEER_REGION, value(&self.shared.region));
+        headers.insert(PEER_CLASS, value(call.class.name()));
+        headers.insert(PEER_FINGERPRINT, value(&call.fingerprint));
+        headers
+    }
+
+    async fn refusal_of(&self, call: &Call, answer: reqwest::Response) -> Problem {
+        let body: Option<ProblemBody> = answer.json().await.ok();
+        let reason = body.as_ref().map_or("refused", |body| body.error.as_str());
+        if reason == "crashes_upstreams" {
+            let policy = &self.shared.view.followed().policy;
+            return call.crashed(policy).err().unwrap_or_else(|| self.refused(call, reason));
+        }
+        let problem = self.refused(call, reason);
+        match body.and_then(|body| body.retry_after_ms) {
+            Some(wait) => problem.with_retry_after(Duration::from_millis(wait)),
+            None => problem,
+        }
+    }
+
+    fn request(
+        &self,
+        call: &Call,
+        url: String,
+        headers: HeaderMap,
+        meter: Option<Meter>,
+    ) -> reqwest::RequestBuilder {
+        let left = call.deadline.saturating_sub(self.now());
+        let mut request = self
+            .shared
+            .http
+            .request(call.method.clone(), url)
+            .headers(headers)
+            .header(DEADLINE, left.as_millis() as u64)
+            .timeout(left);
+        if let Some(body) = call.body.send(meter) {
+            request = request.body(body);
+        }
+        request
+    }
+
+    /// Returns the meter of the link to another region.
+    pub(super) fn meter_to(&self, region: &RegionName) -> Option<Meter> {
+        if *region == self.shared.region {
+            return None;
+        }
+        let counter = self.shared.metrics.link_bytes.with_label_values(&[region.as_str()]);
+        self.shared.links.meter(region, self.shared.clock, counter)
+    }
+
+    /// Counts a forwarded request until the guard goes.
+    fn count_forward(&self, instance: &InstanceName) -> ForwardCount {
+        let mut forwarded = self.shared.forwarded.lock().unwrap_or_else(|error| error.into_inner());
+        *forwarded.entry(instance.clone()).or_insert(0) += 1;
+        ForwardCount { gateway: self.clone(), instance: instance.clone() }
+    }
+}
+
+struct ForwardCount {
+    gateway: Gateway,
+    instance: InstanceName,
+}
+
+impl Drop for ForwardCount {
+    fn drop(&mut self) {
+        let forwarded = &self.gateway.shared.forwarded;
+        let mut forwarded = forwarded.lock().unwrap_or_else(|error| error.into_inner());
+        if let Some(count) = forwarded.get_mut(&self.instance) {
+            *count = count.saturating_sub(1);
+        }
+    }
+}
+
+async fn unknown_of(answer: reqwest::Response) -> Problem {
+    let status = answer.status();
+    let body: Option<ProblemBody> = answer.json().await.ok();
+    let (error, message) = body.map_or_else(
+        || ("broken".to_owned(), "the outcome is unknown".to_owned()),
+        |body| (body.error, body.message),
+    );
+    Problem::unknown(status, error, message)
+}
--- /dev/null
+++ b/src/runtime/gateway/call.rs
@@ -0,0 +1,169 @@
+//! Describes one request of a caller.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use sha2::{Digest, Sha256};
+use warp::http::{HeaderMap, Method, StatusCode, header};
+
+use super::{
+    Gateway,
+    body::CallerBody,
+    headers::{DEADLINE, IDEMPOTENCY_KEY, number, text},
+    problem::Problem,
+};
+use crate::core::{
+    claims::ClaimKey,
+    control::{Fingerprint, Policy, RequestClass, Service, ServiceName, UpstreamName},
+};
+
+/// Describes one request of a caller.
+#[derive(Clone)]
+pub(super) struct Call {
+    pub(super) service: ServiceName,
+    pub(super) method: Method,
+    /// The path below the service, with the query.
+    pub(super) path: String,
+    pub(super) headers: HeaderMap,
+    pub(super) body: CallerBody,
+    pub(super) class: RequestClass,
+    /// When the answer is of no more use, on this instance's clock.
+    pub(super) deadline: Duration,
+    /// The key of a non-idempotent request.
+    pub(super) key: Option<ClaimKey>,
+    pub(super) fingerprint: Fingerprint,
+}
+
+/// What arrived, before it is understood.
+pub(super) struct Arrived {
+    pub(super) service: ServiceName,
+    pub(super) method: Method,
+    pub(super) path: String,
+    pub(super) headers: HeaderMap,
+}
+
+/// This many upstreams may crash under one request; then it is refused.
+const CRASHES_MAX: usize = 2;
+/// The longest path that upstreams are sent.
+const PATH_MAX_BYTES: usize = 8 * 1024;
+
+impl Gateway {
+    /// Understands a caller's request, or says what is wrong with it.
+    pub(super) fn understand(
+        &self,
+        arrived: Arrived,
+        make_body: impl FnOnce(u64) -> CallerBody,
+    ) -> Result<Call, Problem> {
+        let Arrived { service: name, method, path, headers } = arrived;
+        let Some(service) = self.shared.settings.topology.services.get(&name) else {
+            let message = format!("there is no service `{name}`; use one that the look-up knows");
+            return Err(Problem::not_run(StatusCode::NOT_FOUND, "unknown_service", message));
+        };
+        check_head(&method, &path, &headers)?;
+        check_length(&headers, service)?;
+        let key = read_key(&method, &headers)?;
+        let class = class_of(service, &method, &path);
+        let asked = number(&headers, DEADLINE.as_str()).map(Duration::from_millis);
+        let left = asked.unwrap_or(service.deadline).min(service.deadline);
+        let fingerprint = fingerprint_of(&name, &method, &path, &headers, key.as_ref());
+        let has_body = headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING);
+        let body = if has_body { make_body(service.body_max_bytes) } else { CallerBody::empty() };
+        let deadline = self.now() + left;
+        Ok(Call { service: name, method, path, headers, body, class, deadline, key, fingerprint })
+    }
+}
+
+impl Call {
+    /// Tells whether the request may be sent again once it was sent.
+    pub(super) fn is_idempotent(&self) -> bool {
+        self.key.is_none()
+    }
+
+    /// Returns the upstreams that crashed under the request, or the problem
+    /// that ends it when there were too many.
+    pub(super) fn crashed(&self, policy: &Policy) -> Result<BTreeSet<UpstreamName>, Problem> {
+        let suspect = policy.suspects.get(&self.fingerprint);
+        let crashed = suspect.map(|suspect| suspect.crashed.clone()).unwrap_or_default();
+        if crashed.len() < CRASHES_MAX {
+            return Ok(crashed);
+        }
+        let message = "upstreams crashed while they ran this request; it is not sent to another \
+                       one. Change the request, or report it to whoever runs the service";
+        let status = StatusCode::UNPROCESSABLE_ENTITY;
+        Err(Problem::not_run(status, "crashes_upstreams", message))
+    }
+}
+
+fn check_head(method: &Method, path: &str, headers: &HeaderMap) -> Result<(), Problem> {
+    if method == Method::CONNECT || method == Method::TRACE {
+        let message = format!("{method} is not passed on; use another method");
+        return Err(Problem::not_run(StatusCode::METHOD_NOT_ALLOWED, "method", message));
+    }
+    if headers.contains_key(header::UPGRADE) {
+        let message = "upgrades are not passed on; send the request without `Upgrade`";
+        return Err(Problem::not_run(StatusCode::NOT_IMPLEMENTED, "upgrade", message));
+    }
+    if path.len() > PATH_MAX_BYTES {
+        let message = format!("the path has over {PATH_MAX_BYTES} bytes; shorten it");
+        return Err(Problem::not_run(StatusCode::URI_TOO_LONG, "path_too_long", message));
+    }
+    Ok(())
+}
+
+fn check_length(headers: &HeaderMap, service: &Service) -> Result<(), Problem> {
+    let Some(declared) = headers.get(header::CONTENT_LENGTH) else { return Ok(()) };
+    let length = declared.to_str().ok().and_then(|text| text.parse::<u64>().ok());
+    let Some(length) = length else {
+        let message = "`Content-Length` is no whole number; send the body's length";
+        return Err(Problem::not_run(StatusCode::BAD_REQUEST, "bad_length", message));
+    };
+    if length > service.body_max_bytes {
+        let message =
+            format!("the body has {length} bytes; the service takes {}", service.body_max_bytes);
+        return Err(Problem::not_run(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", message));
+    }
+    Ok(())
+}
+
+fn read_key(method: &Method, headers: &HeaderMap) -> Result<Option<ClaimKey>, Problem> {
+    if method.is_idempotent() {
+        return Ok(None);
+    }
+    let Some(key) = text(headers, IDEMPOTENCY_KEY) else {
+        let message = "a request that is not idempotent needs an `Idempotency-Key`: the \
+                       look-up's `key_epoch`, a dash, and a token of your own";
+        return Err(Problem::not_run(StatusCode::BAD_REQUEST, "no_key", message));
+    };
+    match key.parse() {
+        Ok(key) => Ok(Some(key)),
+        Err(error) => {
+            let message = format!("`Idempotency-Key`: {error}");
+            Err(Problem::not_run(StatusCode::BAD_REQUEST, "bad_key", message))
+        }
+    }
+}
+
+fn class_of(service: &Service, method: &Method, path: &str) -> RequestClass {
+    let routed = service.routes.iter().find(|(prefix, _)| path.starts_with(prefix));
+    let default = if method.is_safe() { RequestClass::Read } else { RequestClass::Booking };
+    routed.map_or(default, |(_, class)| *class)
+}
+
+/// Tells requests apart. A body is streamed and can't be part of it; its
+/// declared length is.
+fn fingerprint_of(
+    service: &str,
+    method: &Method,
+    path: &str,
+    headers: &HeaderMap,
+    key: Option<&ClaimKey>,
+) -> Fingerprint {
+    let length = text(headers, header::CONTENT_LENGTH.as_str()).unwrap_or("");
+    let key = key.map(ToString::to_string).unwrap_or_default();
+    let mut digest = Sha256::new();
+    for part in [service, method.as_str(), path, length, &key] {
+        digest.update((part.len() as u64).to_le_bytes());
+        digest.update(part.as_bytes());
+    }
+    digest.finalize().iter().take(16).map(|byte| format!("{byte:02x}")).collect()
+}
--- /dev/null
+++ b/src/runtime/gateway/claim.rs
@@ -0,0 +1,246 @@
+//! Runs a non-idempotent request under a claim on its key.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use tracing::warn;
+use warp::{
+    http::{HeaderName, HeaderValue, StatusCode},
+    reply::{Reply, Response},
+};
+
+use super::{
+    Gateway,
+    call::Call,
+    headers::REPLAYED,
+    problem::{Problem, RunOutcome},
+};
+use crate::core::{
+    claims::{Answer, AttemptId, ClaimCommand, ClaimKey, ClaimOutcome, Finished, HeaderPair},
+    control::{Command, Outcome},
+};
+
+/// The longest body that is recorded.
+const RECORDED_BODY_MAX: usize = 64 * 1024;
+/// How long a claim may take.
+const CLAIM_WITHIN: Duration = Duration::from_secs(5);
+/// How long the end of an attempt is tried to be recorded.
+const FINISH_WITHIN: Duration = Duration::from_secs(30);
+/// How long the caller of a request that was not run waits for its key to be
+/// free again.
+const WITHDRAW_WITHIN: Duration = Duration::from_secs(2);
+/// When to ask again about a key that another attempt holds.
+const HELD_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Says how a claim went.
+pub(super) enum Claimed {
+    /// This attempt may send the request, once.
+    Granted(Claim),
+    /// An earlier attempt's answer, or why the request can't run.
+    Answer(Result<Response, Problem>),
+}
+
+/// Holds a granted claim.
+#[derive(Clone)]
+pub(super) struct Claim {
+    gateway: Gateway,
+    key: ClaimKey,
+    fingerprint: String,
+    attempt: AttemptId,
+}
+
+impl Gateway {
+    /// Claims the key of a request.
+    pub(super) async fn claim(&self, call: &Call, key: &ClaimKey) -> Claimed {
+        let me = &self.shared.me;
+        let claim = Claim {
+            gateway: self.clone(),
+            key: key.clone(),
+            fingerprint: call.fingerprint.clone(),
+            attempt: format!("{}/{:x}/{}", me.instance, me.incarnation, self.ticket()),
+        };
+        let begun = self.now();
+        let outcome = claim.begin(call.deadline.saturating_sub(begun)).await;
+        let took = self.now().saturating_sub(begun);
+        self.shared.metrics.claim_time.observe(took.as_secs_f64());
+        self.shared.metrics.claims.with_label_values(&[name_of(&outcome)]).inc();
+        match outcome {
+            Some(ClaimOutcome::Granted) => Claimed::Granted(claim),
+            Some(outcome) => Claimed::Answer(answer_to(outcome)),
+            None => {
+                // The claim may be committed yet. Nothing was sent under it,
+                // so the key is given back.
+                claim.withdraw(FINISH_WITHIN);
+                let message = "the key could not be claimed; send the request again with the \
+                               same key";
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                Claimed::Answer(Err(Problem::not_run(status, "not_claimed", message)))
+            }
+        }
+    }
+}
+
+impl Claim {
+    async fn begin(&self, left: Duration) -> Option<ClaimOutcome> {
+        let command = ClaimCommand::Begin {
+            key: self.key.clone(),
+            fingerprint: self.fingerprint.clone(),
+            attempt: self.attempt.clone(),
+        };
+        self.submit(command, left.min(CLAIM_WITHIN)).await
+    }
+
+    async fn submit(&self, command: ClaimCommand, within: Duration) -> Option<ClaimOutcome> {
+        let control = &self.gateway.shared.control;
+        match control.submit(Command::Claim(command), within).await {
+            Ok(Outcome::Claim(outcome)) => Some(outcome),
+            _ => None,
+        }
+    }
+
+    /// Gives the key back; nothing was sent. The work goes on in a task of
+    /// its own, whose handle is returned.
+    fn withdraw(&self, within: Duration) -> tokio::task::JoinHandle<()> {
+        let claim = self.clone();
+        tokio::spawn(async move {
+            let command = ClaimCommand::Withdraw {
+                key: claim.key.clone(),
+                fingerprint: claim.fingerprint.clone(),
+                attempt: claim.attempt.clone(),
+            };
+            claim.submit(command, within).await;
+        })
+    }
+
+    /// Gives the key back and waits a little for that to be committed.
+    pub(super) async fn withdraw_soon(&self) {
+        let withdrawn = self.withdraw(FINISH_WITHIN);
+        tokio::time::timeout(WITHDRAW_WITHIN, withdrawn).await.ok();
+    }
+
+    /// Records how the attempt ended.
+    pub(super) async fn finish(&self, finished: Finished) {
+        let command =
+            ClaimCommand::Finish { key: self.key.clone(), attempt: self.attempt.clone(), finished };
+        if self.submit(command, FINISH_WITHIN).await.is_none() {
+            warn!(key = %self.key, "the end of a request could not be recorded; it stays unknown");
+        }
+    }
+
+    /// Returns a recorder of the answer that begins with a head.
+    pub(super) fn recorder(&self, status: StatusCode, headers: &warp::http::HeaderMap) -> Recorder {
+        let pair = |(name, value): (&HeaderName, &HeaderValue)| HeaderPair {
+            name: name.to_string(),
+            value: value.as_bytes().to_vec(),
+        };
+        let headers = headers.iter().map(pair).collect();
+        let answer = Answer { status: status.as_u16(), headers, body: Vec::new() };
+        Recorder { claim: self.clone(), answer, too_long: false }
+    }
+}
+
+/// Records an answer as it is handed on.
+pub(super) struct Recorder {
+    claim: Claim,
+    answer: Answer,
+    too_long: bool,
+}
+
+impl Recorder {
+    pub(super) fn add(&mut self, chunk: &Bytes) {
+        if self.answer.body.len() + chunk.len() > RECORDED_BODY_MAX {
+            self.too_long = true;
+            self.answer.body = Vec::new();
+        }
+        if !self.too_long {
+            self.answer.body.extend_from_slice(chunk);
+        }
+    }
+
+    pub(super) async fn end(self, whole: bool) {
+        let finished = match (whole, self.too_long) {
+            (false, _) => Finished::Unknown,
+            (true, true) => Finished::AnsweredAtLength { status: self.answer.status },
+            (true, false) => Finished::Answered(self.answer),
+        };
+        self.claim.finish(finished).await;
+    }
+}
+
+fn name_of(outcome: &Option<ClaimOutcome>) -> &'static str {
+    match outcome {
+        None => "not_claimed",
+        Some(ClaimOutcome::Granted) => "granted",
+        Some(ClaimOutcome::Finished(Finished::Unknown)) => "unknown",
+        Some(ClaimOutcome::Finished(_)) => "replayed",
+        Some(ClaimOutcome::Held) => "held",
+        Some(ClaimOutcome::OtherRequest) => "other_request",
+        Some(ClaimOutcome::Withdrawn) => "withdrawn",
+        Some(ClaimOutcome::Expired) => "expired",
+        Some(ClaimOutcome::NotIssued { .. }) => "not_issued",
+        Some(ClaimOutcome::Full) => "full",
+        Some(ClaimOutcome::Done) => "done",
+    }
+}
+
+fn answer_to(outcome: ClaimOutcome) -> Result<Response, Problem> {
+    match outcome {
+        ClaimOutcome::Finished(Finished::Answered(answer)) => Ok(replay(answer)),
+        ClaimOutcome::Finished(Finished::AnsweredAtLength { status }) => {
+            let message = format!(
+                "the request ran and was answered with status {status}; the answer was too long \
+                 to be kept"
+            );
+            let problem = Problem::unknown(StatusCode::CONFLICT, "answer_not_kept", message);
+            Err(Problem { outcome: RunOutcome::Run, ..problem })
+        }
+        ClaimOutcome::Finished(Finished::Unknown) => {
+            let message = "an earlier attempt was sent and its answer lost; it is never sent \
+                           again under this key. Find out from the service whether it ran";
+            Err(Problem::unknown(StatusCode::CONFLICT, "outcome_unknown", message))
+        }
+        ClaimOutcome::Held => {
+            let message = "another attempt holds this key and has not ended, or was lost; ask \
+                           again later with the same key";
+            let problem = Problem::unknown(StatusCode::CONFLICT, "in_progress", message);
+            Err(problem.with_retry_after(HELD_RETRY_AFTER))
+        }
+        ClaimOutcome::Expired => {
+            let message = "the key is older than what is kept, so whether it ran is unknown; it \
+                           is not run";
+            Err(Problem::unknown(StatusCode::GONE, "key_expired", message))
+        }
+        ClaimOutcome::OtherRequest => {
+            let message = "the key was used for another request; choose a new one";
+            Err(Problem::not_run(StatusCode::UNPROCESSABLE_ENTITY, "key_reused", message))
+        }
+        ClaimOutcome::NotIssued { epoch } => {
+            let message = format!("the key's epoch has not begun; the current one is {epoch}");
+            Err(Problem::not_run(StatusCode::BAD_REQUEST, "key_not_issued", message))
+        }
+        ClaimOutcome::Full => {
+            let message = "too many keys are held; try again later with the same key";
+            Err(Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "keys_full", message)
+                .with_retry_after(Duration::from_secs(5)))
+        }
+        ClaimOutcome::Granted | ClaimOutcome::Withdrawn | ClaimOutcome::Done => {
+            let message = "the key could not be claimed; send the request again";
+            Err(Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "not_claimed", message))
+        }
+    }
+}
+
+fn replay(answer: Answer) -> Response {
+    let mut response = answer.body.into_response();
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    response.headers_mut().clear();
+    for pair in answer.headers {
+        let name = HeaderName::from_bytes(pair.name.as_bytes());
+        let value = HeaderValue::from_bytes(&pair.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    response.headers_mut().insert(REPLAYED, HeaderValue::from_static("true"));
+    response
+}
--- /dev/null
+++ b/src/runtime/gateway/headers.rs
@@ -0,0 +1,75 @@
+//! Knows which headers end here and which the system's instances add.
+
+use warp::http::{HeaderMap, HeaderName, HeaderValue, header};
+
+/// The key of a non-idempotent request.
+pub(super) const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// The milliseconds that are left for an answer.
+pub(super) const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
+/// Marks an answer that was recorded for an earlier attempt.
+pub(super) const REPLAYED: HeaderName = HeaderName::from_static("x-bulrushspan-replayed");
+/// The cluster key, on a forwarded request.
+pub(super) const PEER_KEY: HeaderName = HeaderName::from_static("x-bulrushspan-key");
+/// The region that a forwarded request comes from.
+pub(super) const PEER_REGION: HeaderName = HeaderName::from_static("x-bulrushspan-region");
+/// The class of a forwarded request.
+pub(super) const PEER_CLASS: HeaderName = HeaderName::from_static("x-bulrushspan-class");
+/// The fingerprint of a forwarded request.
+pub(super) const PEER_FINGERPRINT: HeaderName =
+    HeaderName::from_static("x-bulrushspan-fingerprint");
+/// Says that a forwarded request was not run, and why.
+pub(super) const REFUSAL: HeaderName = HeaderName::from_static("x-bulrushspan-refusal");
+/// Says that the outcome of a forwarded request is unknown, and why.
+pub(super) const OUTCOME: HeaderName = HeaderName::from_static("x-bulrushspan-outcome");
+
+/// Headers of the system's own begin like this; nobody else may set them.
+const OWN_PREFIX: &str = "x-bulrushspan-";
+
+const HOP_BY_HOP: [HeaderName; 9] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+];
+
+/// Returns the headers that go on: no hop-by-hop ones, none that the
+/// `Connection` header names, none of the system's own.
+pub(super) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let mut kept = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        let ends = HOP_BY_HOP.contains(name)
+            || named.iter().any(|named| named == name.as_str())
+            || name.as_str().starts_with(OWN_PREFIX);
+        if !ends {
+            kept.append(name.clone(), value.clone());
+        }
+    }
+    kept
+}
+
+/// Returns a header's text.
+pub(super) fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+/// Returns a header's whole number.
+pub(super) fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    text(headers, name)?.trim().parse().ok()
+}
+
+/// Returns a header value, or an empty one where the text can't be one.
+pub(super) fn value(text: &str) -> HeaderValue {
+    HeaderValue::from_str(text).unwrap_or_else(|_| HeaderValue::from_static(""))
+}
--- /dev/null
+++ b/src/runtime/gateway/mod.rs
@@ -0,0 +1,143 @@
+//! Takes callers' requests to upstreams and answers back.
+
+mod answer;
+mod attempt;
+mod body;
+mod call;
+mod callers;
+mod claim;
+mod headers;
+mod links;
+mod offer;
+mod problem;
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use xtra::Address;
+
+pub(super) use self::callers::{caller_routes, forward_routes};
+use self::links::Links;
+use super::{
+    clock::Clock, control_client::ControlClient, desk::Desk, metrics::Metrics, view::View,
+};
+use crate::{
+    core::{
+        admission::{RetryBudget, Ticket},
+        control::{Holder, InstanceName, RegionName, ServiceName},
+    },
+    settings::Settings,
+};
+
+/// Takes callers' requests to upstreams and answers back. Clones share all
+/// state.
+#[derive(Clone)]
+pub(super) struct Gateway {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    me: Holder,
+    region: RegionName,
+    settings: Arc<Settings>,
+    clock: Clock,
+    view: View,
+    control: ControlClient,
+    desk: Address<Desk>,
+    metrics: Metrics,
+    cluster_key: String,
+    http: reqwest::Client,
+    links: Links,
+    retries: BTreeMap<ServiceName, Mutex<RetryBudget>>,
+    /// Requests forwarded to each instance that are not answered yet.
+    forwarded: Mutex<BTreeMap<InstanceName, u32>>,
+    tickets: AtomicU64,
+}
+
+/// Holds what a [`Gateway`] works with.
+pub(super) struct GatewayParts {
+    pub(super) me: Holder,
+    pub(super) settings: Arc<Settings>,
+    pub(super) clock: Clock,
+    pub(super) view: View,
+    pub(super) control: ControlClient,
+    pub(super) desk: Address<Desk>,
+    pub(super) metrics: Metrics,
+    pub(super) cluster_key: String,
+}
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const POOL_IDLE: Duration = Duration::from_secs(60);
+
+impl Gateway {
+    /// Returns a gateway.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the HTTP client can't be set up.
+    pub(super) fn new(parts: GatewayParts) -> Result<Self, reqwest::Error> {
+        let topology = &parts.settings.topology;
+        let region = topology.region_of_instance(&parts.me.instance).cloned().unwrap_or_default();
+        let budget = |percent| Mutex::new(RetryBudget::new(percent));
+        let retries = topology
+            .services
+            .iter()
+            .map(|(name, service)| (name.clone(), budget(service.retry_percent)))
+            .collect();
+        // Requests are sent again by this module alone, by its own rules.
+        let http = reqwest::Client::builder()
+            .retry(reqwest::retry::never())
+            .redirect(reqwest::redirect::Policy::none())
+            .no_proxy()
+            .connect_timeout(CONNECT_TIMEOUT)
+            .pool_idle_timeout(POOL_IDLE)
+            .tcp_nodelay(true)
+            .http1_only()
+            .build()?;
+        let links = Links::new(&parts.settings, &region);
+        let shared = Shared {
+            me: parts.me,
+            region,
+            settings: parts.settings,
+            clock: parts.clock,
+            view: parts.view,
+            control: parts.control,
+            desk: parts.desk,
+            metrics: parts.metrics,
+            cluster_key: parts.cluster_key,
+            http,
+            links,
+            retries,
+            forwarded: Mutex::default(),
+            tickets: AtomicU64::new(1),
+        };
+        Ok(Self { shared: Arc::new(shared) })
+    }
+
+    fn ticket(&self) -> Ticket {
+        self.shared.tickets.fetch_add(1, Ordering::Relaxed)
+    }
+
+    fn now(&self) -> Duration {
+        self.shared.clock.now()
+    }
+
+    fn note_request(&self, service: &str) {
+        if let Some(budget) = self.shared.retries.get(service) {
+            budget.lock().unwrap_or_else(|error| error.into_inner()).note_request();
+        }
+    }
+
+    fn may_retry(&self, service: &str) -> bool {
+        self.shared
+            .retries
+            .get(service)
+            .is_some_and(|budget| budget.lock().unwrap_or_else(|error| error.into_inner()).take())
+    }
+}
--- /dev/null
+++ b/src/runtime/gateway/offer.rs
@@ -0,0 +1,91 @@
+//! Gets a slot from this instance's own admission and gives it back.
+
+use tokio::sync::oneshot;
+use xtra::Address;
+
+use super::{Gateway, call::Call, problem::Problem};
+use crate::{
+    core::{
+        admission::{Finish, RefusalReason, Ticket, Waiting},
+        control::{ServiceName, UpstreamName},
+    },
+    runtime::desk::{Admitted, Desk, FinishRequest, OfferRequest},
+};
+
+/// Holds a place: in the queue, and then in a slot. It is given back when the
+/// guard goes, whichever way that happens.
+pub(super) struct Slot {
+    desk: Address<Desk>,
+    service: ServiceName,
+    ticket: Ticket,
+    finish: Finish,
+}
+
+impl Slot {
+    /// Says how the request ended. Without a word it counts as cancelled.
+    pub(super) fn set_finish(&mut self, finish: Finish) {
+        self.finish = finish;
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let desk = self.desk.clone();
+        let (service, ticket, finish) = (self.service.clone(), self.ticket, self.finish);
+        // The runtime may be shutting down, and its slots with it.
+        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+            runtime.spawn(async move {
+                desk.send(FinishRequest { service, ticket, finish }).await.ok();
+            });
+        }
+    }
+}
+
+impl Gateway {
+    /// Waits for a slot of an upstream that this instance owns.
+    pub(super) async fn take_slot(&self, call: &Call) -> Result<(Slot, UpstreamName), Problem> {
+        let crashed = call.crashed(&self.shared.view.followed().policy)?;
+        let ticket = self.ticket();
+        let waiting = Waiting::new(ticket, call.class, call.deadline).with_suspicion(crashed);
+        let (reply, admitted) = oneshot::channel();
+        let mut slot = Slot {
+            desk: self.shared.desk.clone(),
+            service: call.service.clone(),
+            ticket,
+            finish: Finish::Unsent,
+        };
+        let service = call.service.clone();
+        self.shared.desk.send(OfferRequest { service, waiting, reply }).await.ok();
+        match admitted.await {
+            Ok(Admitted::To(upstream)) => {
+                // Between the grant and now the process may have been frozen.
+                if !self.shared.view.has_lease() {
+                    return Err(self.refused(call, RefusalReason::NoLease.name()));
+                }
+                slot.set_finish(Finish::Cancelled);
+                Ok((slot, upstream))
+            }
+            Ok(Admitted::Refused { reason, retry_after }) => {
+                Err(self.refused(call, reason.name()).with_retry_after(retry_after))
+            }
+            Err(_) => Err(self.refused(call, RefusalReason::NoUpstream.name())),
+        }
+    }
+
+    /// Returns the problem of a request that was not run, and counts it.
+    pub(super) fn refused(&self, call: &Call, reason: &str) -> Problem {
+        let labels = &[call.service.as_str(), reason];
+        self.shared.metrics.refused.with_label_values(labels).inc();
+        let message = match reason {
+            "no_upstream" => "no upstream takes work at present; try again",
+            "queue_full" => "too many requests wait; try again after the time given",
+            "too_late" => "the answer would come after the deadline; try again later",
+            "no_lease" => return Problem::no_lease(),
+            "link_full" => "the link between the regions is full; try again",
+            "unreachable" => "the upstream could not be reached; try again",
+            "shed" => "the upstream sheds load; try again after the time given",
+            _ => "the request was not run; try again",
+        };
+        Problem::not_run(warp::http::StatusCode::SERVICE_UNAVAILABLE, reason, message)
+    }
+}
--- /dev/null
+++ b/src/runtime/instance.rs
@@ -0,0 +1,516 @@
+//! Starts and stops one instance.
+
+use std::{
+    collections::BTreeMap, error::Error, fmt, fs, net::SocketAddr, path::Path, sync::Arc,
+    time::Duration,
+};
+
+use tokio::{
+    net::TcpListener,
+    sync::{oneshot, watch},
+    task::JoinHandle,
+};
+use tracing::info;
+use xtra::{Address, Mailbox};
+
+use super::{
+    clock::Clock,
+    control_client::ControlClient,
+    desk::{DESK_TICK, Desk, IsIdle, LeaveAll, OwnsNothing, TickDesk},
+    follower::{Follower, say_gone},
+    founding::{first_state, join_until_voter},
+    gateway::{Gateway, GatewayParts, caller_routes, forward_routes},
+    metrics::Metrics,
+    operators::Operators,
+    peers::Peers,
+    platform::follow_platform,
+    replica::{Deliver, Probe, Query, Replica, Submit, TICK, Tick, Watch},
+    view::View,
+};
+use crate::{
+    core::control::{Command, Holder, InstanceName},
+    net::{
+        ClusterClient, ClusterError, ClusterHandlers, HttpLimits, serve_cluster, serve_http,
+        wire::ProbeReply,
+    },
+    settings::{InstanceSettings, Settings},
+    storage::{Identity, Store, StoreError},
+};
+
+/// Runs one instance: the entry role, and the control role where the settings
+/// give it a data folder.
+#[derive(Debug)]
+pub struct Instance {
+    stopping: watch::Sender<bool>,
+    stopped: JoinHandle<()>,
+    failed: Option<oneshot::Receiver<()>>,
+}
+
+/// Says why an instance can't start.
+#[derive(Debug)]
+pub enum InstanceError {
+    /// The settings name no such instance.
+    Unknown {
+        /// The instance.
+        instance: InstanceName,
+        /// The instances there are.
+        known: Vec<InstanceName>,
+    },
+    /// A key or token file can't be used.
+    KeyFile {
+        /// The file or folder.
+        path: String,
+        /// What is wrong.
+        what: String,
+    },
+    /// An address can't be listened on.
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the operating system said.
+        source: std::io::Error,
+    },
+    /// The data folder can't be used.
+    Store(StoreError),
+    /// The HTTP client can't be set up.
+    Http(reqwest::Error),
+    /// The metrics can't be set up.
+    Metrics(prometheus::Error),
+    /// The control state on the disk can't be read.
+    State(rmp_serde::decode::Error),
+}
+
+impl fmt::Display for InstanceError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unknown { instance, known } => write!(
+                f,
+                "the settings have no instance `{instance}`; use one of: {}",
+                known.join(", ")
+            ),
+            Self::KeyFile { path, what } => write!(f, "{path}: {what}"),
+            Self::Listen { address, source } => {
+                write!(f, "can't listen on {address}: {source}; free the address or change it")
+            }
+            Self::Store(error) => error.fmt(f),
+            Self::Http(error) => write!(f, "can't set up the HTTP client: {error}"),
+            Self::Metrics(error) => write!(f, "can't set up the metrics: {error}"),
+            Self::State(error) => write!(f, "can't read the control state: {error}"),
+        }
+    }
+}
+
+impl Error for InstanceError {}
+
+/// The shortest cluster key or operator's token.
+const KEY_MIN_BYTES: usize = 16;
+const IDLE_PAUSE: Duration = Duration::from_millis(20);
+
+/// Holds the listeners of an instance.
+struct Listeners {
+    callers: TcpListener,
+    operators: TcpListener,
+    cluster: TcpListener,
+    forward: TcpListener,
+}
+
+impl Instance {
+    /// Starts the instance that `name` is in the settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a key file, an address or the data folder can't
+    /// be used.
+    pub async fn start(settings: Arc<Settings>, name: &str) -> Result<Self, InstanceError> {
+        let Some(mine) = settings.instances.get(name) else {
+            let known = settings.instances.keys().cloned().collect();
+            return Err(InstanceError::Unknown { instance: name.to_owned(), known });
+        };
+        let cluster_key = read_key(&settings.cluster_key_file)?;
+        let tokens = read_tokens(&settings)?;
+        let listeners = Listeners {
+            callers: listen(mine.callers).await?,
+            operators: listen(mine.operators).await?,
+            cluster: listen(mine.cluster).await?,
+            forward: listen(mine.forward).await?,
+        };
+        let clock = Clock::new();
+        let metrics = Metrics::new().map_err(InstanceError::Metrics)?;
+        let me = Holder::new(name, rand::random());
+        let clients = control_clients(&settings, &cluster_key);
+        let control = ControlClient::new(clients.clone());
+        let view = View::new(settings.clone(), clock);
+        let (stopping, stopping_seen) = watch::channel(false);
+        let (cluster_stop, cluster_stopped) = oneshot::channel();
+        let replica = start_replica(ReplicaParts {
+            settings: &settings,
+            name,
+            mine,
+            clock,
+            metrics: &metrics,
+            control: &control,
+            clients: &clients,
+            cluster: (listeners.cluster, cluster_key.clone(), cluster_stopped),
+        })
+        .await?;
+        let desk = Desk::new(me.clone(), settings.clone(), clock, control.clone(), metrics.clone());
+        let desk = xtra::spawn_tokio(desk, Mailbox::unbounded());
+        tokio::spawn(tick(desk.clone(), DESK_TICK, || TickDesk));
+        if let Some(source) = settings.platform.clone() {
+            tokio::spawn(follow_platform(source, settings.clone(), desk.clone()));
+        }
+        let gateway = Gateway::new(GatewayParts {
+            me: me.clone(),
+            settings: settings.clone(),
+            clock,
+            view: view.clone(),
+            control: control.clone(),
+            desk: desk.clone(),
+            metrics: metrics.clone(),
+            cluster_key,
+        })
+        .map_err(InstanceError::Http)?;
+        let follower = Follower {
+            me: me.clone(),
+            settings: settings.clone(),
+            clock,
+            control: control.clone(),
+            view: view.clone(),
+            desk: desk.clone(),
+            metrics: metrics.clone(),
+            stopping: stopping_seen.clone(),
+        };
+        tokio::spawn(follower.run());
+        let operators = Operators {
+            clock,
+            control: control.clone(),
+            view: view.clone(),
+            gateway: gateway.clone(),
+            metrics,
+            tokens: Arc::new(tokens),
+        };
+        let stop = Stop {
+            me,
+            settings: settings.clone(),
+            clock,
+            control,
+            view,
+            desk,
+            stopping: stopping_seen,
+            cluster_stop,
+        };
+        let stopped = tokio::spawn(stop.serve(
+            (listeners.callers, listeners.operators, listeners.forward),
+            gateway,
+            operators,
+        ));
+        info!(instance = name, callers = %mine.callers, "started");
+        Ok(Self { stopping, stopped, failed: replica })
+    }
+
+    /// Begins a planned stop. Requests in flight finish.
+    pub fn stop(&self) {
+        self.stopping.send(true).ok();
+    }
+
+    /// Waits until the instance has stopped. Returns whether it stopped as
+    /// planned; it fails when its data folder does.
+    pub async fn stopped(&mut self) -> bool {
+        let failed = async {
+            match &mut self.failed {
+                // The sender goes without a word when the replica just ends.
+                Some(failed) => match failed.await {
+                    Ok(()) => {}
+                    Err(_) => std::future::pending().await,
+                },
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            _ = &mut self.stopped => true,
+            () = failed => false,
+        }
+    }
+}
+
+/// Holds what a planned stop needs.
+struct Stop {
+    me: Holder,
+    settings: Arc<Settings>,
+    clock: Clock,
+    control: ControlClient,
+    view: View,
+    desk: Address<Desk>,
+    stopping: watch::Receiver<bool>,
+    cluster_stop: oneshot::Sender<()>,
+}
+
+impl Stop {
+    /// Serves until a stop is asked for, and then stops in order: first no
+    /// look-up names this instance, then callers' kept look-ups run out, then
+    /// requests in flight end, then the upstreams pass to others.
+    async fn serve(
+        mut self,
+        (callers, operators, forward): (TcpListener, TcpListener, TcpListener),
+        gateway: Gateway,
+        operator_routes: Operators,
+    ) {
+        let (callers_stop, callers_stopped) = oneshot::channel::<()>();
+        let (forward_stop, forward_stopped) = oneshot::channel::<()>();
+        let limits = HttpLimits::default();
+        let caller_service = warp::service(caller_routes(gateway.clone()));
+        let callers =
+            tokio::spawn(serve_http(callers, caller_service, limits, ended(callers_stopped)));
+        let forward_service = warp::service(forward_routes(gateway));
+        let forward =
+            tokio::spawn(serve_http(forward, forward_service, limits, ended(forward_stopped)));
+        let operator_service = warp::service(operator_routes.routes());
+        let operators =
+            tokio::spawn(serve_http(operators, operator_service, limits, std::future::pending()));
+        if self.stopping.wait_for(|stopping| *stopping).await.is_err() {
+            return;
+        }
+        let begun = self.clock.now();
+        info!("stops: leaves look-ups and finishes what is in flight");
+        let limit = self.settings.timing.stop_limit;
+        let in_order = async {
+            tokio::time::sleep(self.settings.topology.look_up_ttl).await;
+            callers_stop.send(()).ok();
+            callers.await.ok();
+            self.hand_over().await;
+            forward_stop.send(()).ok();
+            forward.await.ok();
+        };
+        let whole = tokio::time::timeout(limit, in_order).await.is_ok();
+        say_gone(&self.control, self.me.clone(), &self.view).await;
+        self.cluster_stop.send(()).ok();
+        operators.abort();
+        let took_ms = self.clock.now().saturating_sub(begun).as_millis() as u64;
+        info!(whole, took_ms, "stopped");
+    }
+
+    /// Gives up all upstreams. Requests in flight are waited for; the word of
+    /// the control replicas that others own them only for a lease, for without
+    /// it the upstreams pass on when the lease is known to have run out.
+    async fn hand_over(&self) {
+        self.desk.send(LeaveAll).await.ok();
+        while !self.desk.send(IsIdle).await.unwrap_or(true) {
+            tokio::time::sleep(IDLE_PAUSE).await;
+        }
+        let until = self.clock.now() + self.settings.timing.lease;
+        while self.clock.now() < until && !self.desk.send(OwnsNothing).await.unwrap_or(true) {
+            tokio::time::sleep(IDLE_PAUSE).await;
+        }
+    }
+}
+
+async fn ended(receiver: oneshot::Receiver<()>) {
+    receiver.await.ok();
+}
+
+struct ReplicaParts<'a> {
+    settings: &'a Arc<Settings>,
+    name: &'a str,
+    mine: &'a InstanceSettings,
+    clock: Clock,
+    metrics: &'a Metrics,
+    control: &'a ControlClient,
+    clients: &'a BTreeMap<InstanceName, ClusterClient>,
+    cluster: (TcpListener, String, oneshot::Receiver<()>),
+}
+
+/// Starts the control replica, if the instance has one, and the listener that
+/// other instances call. Returns what tells of a failed data folder.
+async fn start_replica(
+    parts: ReplicaParts<'_>,
+) -> Result<Option<oneshot::Receiver<()>>, InstanceError> {
+    let (listener, key, stopped) = parts.cluster;
+    let slot: ReplicaSlot = Arc::default();
+    let Some(folder) = &parts.mine.data_folder else {
+        let handlers = handlers(slot, None);
+        tokio::spawn(serve_cluster(listener, key, handlers, ended(stopped)));
+        return Ok(None);
+    };
+    let fresh = Identity::new(rand::random());
+    let opened = Store::<Command>::open(folder, fresh).map_err(InstanceError::Store)?;
+    let (mut store, durable) = opened;
+    let id = store.identity().replica;
+    tokio::spawn(serve_cluster(listener, key, handlers(slot.clone(), Some(id)), ended(stopped)));
+    let (fail, failed) = oneshot::channel();
+    let others: BTreeMap<InstanceName, ClusterClient> = parts
+        .clients
+        .iter()
+        .filter(|(name, _)| *name != parts.name)
+        .map(|(name, client)| (name.clone(), client.clone()))
+        .collect();
+    let peers = Peers::new(&others);
+    let (settings, clock) = (parts.settings.clone(), parts.clock);
+    let (metrics, control) = (parts.metrics.clone(), parts.control.clone());
+    let name = parts.name.to_owned();
+    if let Some(durable) = durable {
+        let joined = durable.members().1.is_voter(id);
+        let replica = Replica::new(settings, clock, metrics, store, durable, peers, fail)
+            .map_err(InstanceError::State)?;
+        run_replica(replica, &slot);
+        if !joined {
+            tokio::spawn(join_until_voter(control, name, id));
+        }
+        return Ok(Some(failed));
+    }
+    // To be founded a replica has to hear from the others, which may start
+    // much later; this instance serves meanwhile what it can.
+    tokio::spawn(async move {
+        let durable = first_state((&name, id), &others).await;
+        let joined = durable.members().1.is_voter(id);
+        let founded = store.found(&durable).is_ok();
+        match Replica::new(settings, clock, metrics, store, durable, peers, fail) {
+            Ok(replica) if founded => run_replica(replica, &slot),
+            _ => return,
+        }
+        if !joined {
+            join_until_voter(control, name, id).await;
+        }
+    });
+    Ok(Some(failed))
+}
+
+type ReplicaSlot = Arc<std::sync::OnceLock<Address<Replica>>>;
+
+fn run_replica(replica: Replica, slot: &ReplicaSlot) {
+    let address = xtra::spawn_tokio(replica, Mailbox::unbounded());
+    slot.set(address.clone()).ok();
+    tokio::spawn(tick(address, TICK, || Tick));
+}
+
+/// Sends an actor the same message again and again until it is gone.
+async fn tick<A, M>(address: Address<A>, every: Duration, message: impl Fn() -> M)
+where
+    A: xtra::Handler<M>,
+    M: Send + 'static,
+{
+    let mut interval = tokio::time::interval(every);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        if address.send(message()).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Returns what an instance does with the calls of others. Before its replica
+/// runs, or where there is none, only a probe of a replica to be is answered.
+fn handlers(slot: ReplicaSlot, id: Option<u64>) -> ClusterHandlers {
+    let none = || ClusterError::Refused("there is no control replica here".to_owned());
+    let replica = move || slot.get().cloned().ok_or_else(none);
+    let lost = |_| ClusterError::NoAnswer("the replica dropped the call".to_owned());
+    ClusterHandlers {
+        replicate: {
+            let replica = replica.clone();
+            Arc::new(move |messages| {
+                let replica = replica();
+                Box::pin(async move {
+                    let sent = replica?.send(Deliver(messages)).await;
+                    sent.map_err(|_| ClusterError::NoAnswer("the replica stopped".to_owned()))
+                })
+            })
+        },
+        submit: {
+            let replica = replica.clone();
+            Arc::new(move |request| {
+                let replica = replica();
+                Box::pin(async move {
+                    let (reply, answer) = oneshot::channel();
+                    replica?.send(Submit(request, reply)).await.ok();
+                    answer.await.map_err(lost)
+                })
+            })
+        },
+        watch: {
+            let replica = replica.clone();
+            Arc::new(move |request| {
+                let replica = replica();
+                Box::pin(async move {
+                    let (reply, answer) = oneshot::channel();
+                    replica?.send(Watch(request, reply)).await.ok();
+                    answer.await.map_err(lost)
+                })
+            })
+        },
+        query: {
+            let replica = replica.clone();
+            Arc::new(move |request| {
+                let replica = replica();
+                Box::pin(async move {
+                    let (reply, answer) = oneshot::channel();
+                    replica?.send(Query(request, reply)).await.ok();
+                    answer.await.map_err(lost)
+                })
+            })
+        },
+        probe: Arc::new(move || {
+            let replica = replica();
+            Box::pin(async move {
+                match (replica, id) {
+                    (Ok(replica), _) => replica
+                        .send(Probe)
+                        .await
+                        .map_err(|_| ClusterError::NoAnswer("the replica stopped".to_owned())),
+                    (Err(_), Some(replica)) => Ok(ProbeReply { replica, members: None, commit: 0 }),
+                    (Err(error), None) => Err(error),
+                }
+            })
+        }),
+    }
+}
+
+fn control_clients(settings: &Settings, key: &str) -> BTreeMap<InstanceName, ClusterClient> {
+    settings
+        .control_instances()
+        .into_iter()
+        .map(|(name, mine)| (name.clone(), ClusterClient::new(mine.cluster, key.to_owned())))
+        .collect()
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, InstanceError> {
+    TcpListener::bind(address).await.map_err(|source| InstanceError::Listen { address, source })
+}
+
+fn read_key(path: &Path) -> Result<String, InstanceError> {
+    let shown = path.display().to_string();
+    let problem = |what: String| InstanceError::KeyFile { path: shown.clone(), what };
+    let text = fs::read_to_string(path)
+        .map_err(|error| problem(format!("{error}; write a secret of its own into this file")))?;
+    let key = text.trim().to_owned();
+    if key.len() < KEY_MIN_BYTES || !key.bytes().all(|byte| byte.is_ascii_graphic()) {
+        let what = format!(
+            "the secret must have at least {KEY_MIN_BYTES} printable characters without spaces"
+        );
+        return Err(problem(what));
+    }
+    Ok(key)
+}
+
+fn read_tokens(settings: &Settings) -> Result<BTreeMap<String, String>, InstanceError> {
+    let mut tokens = BTreeMap::new();
+    for (name, path) in &settings.operator_tokens {
+        tokens.insert(read_key(path)?, name.clone());
+    }
+    Ok(tokens)
+}
+
+/// Waits for what the operating system sends to stop a process.
+///
+/// # Errors
+///
+/// Returns an error when signals can't be listened for.
+pub async fn stop_signal() -> std::io::Result<()> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/runtime/metrics.rs
@@ -0,0 +1,161 @@
+//! Counts what the system does.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
+};
+
+/// Holds the metrics of one instance. Clones count together.
+#[derive(Clone, Debug)]
+pub(super) struct Metrics {
+    registry: Registry,
+    /// Requests of callers, by service and by what became of them.
+    pub(super) requests: IntCounterVec,
+    /// Look-ups, by what became of them.
+    pub(super) look_ups: IntCounterVec,
+    /// Requests that were not run, by service and reason.
+    pub(super) refused: IntCounterVec,
+    /// Second offers of a request, by service.
+    pub(super) retries: IntCounterVec,
+    /// Claims, by outcome.
+    pub(super) claims: IntCounterVec,
+    /// The time from a caller's request to the head of its answer.
+    pub(super) latency: HistogramVec,
+    /// The time that a claim took.
+    pub(super) claim_time: Histogram,
+    /// The time from hearing that an upstream leaves until nothing ran there.
+    pub(super) drain_time: Histogram,
+    /// The slots in use, by service.
+    pub(super) slots_used: IntGaugeVec,
+    /// The slots that may be used, by service.
+    pub(super) slots_usable: IntGaugeVec,
+    /// The requests that wait, by service.
+    pub(super) waiting: IntGaugeVec,
+    /// Bytes over links between regions, by destination.
+    pub(super) link_bytes: IntCounterVec,
+    /// The version that this instance has in force.
+    pub(super) version: IntGauge,
+    /// The revision that this instance has in force.
+    pub(super) revision: IntGauge,
+    /// Whether this instance holds its lease.
+    pub(super) lease: IntGauge,
+    /// Whether this instance's replica leads.
+    pub(super) leads: IntGauge,
+    /// The version that this instance's replica has applied.
+    pub(super) replica_version: IntGauge,
+    /// The claims that this instance's replica holds.
+    pub(super) claims_held: IntGauge,
+    /// How often this instance's replica became leader.
+    pub(super) elections: IntCounter,
+}
+
+/// The upper bounds of the latency histogram, in seconds.
+const LATENCY_BOUNDS_S: [f64; 14] =
+    [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 60.0];
+
+impl Metrics {
+    /// Returns metrics with a registry of their own.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when two metrics share a name, which a test rules out.
+    pub(super) fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let made = Self {
+            requests: IntCounterVec::new(
+                opts("requests_total", "Requests of callers, by service and outcome."),
+                &["service", "outcome"],
+            )?,
+            look_ups: IntCounterVec::new(
+                opts("look_ups_total", "Look-ups, by outcome."),
+                &["outcome"],
+            )?,
+            refused: IntCounterVec::new(
+                opts("refused_total", "Requests that were not run, by service and reason."),
+                &["service", "reason"],
+            )?,
+            retries: IntCounterVec::new(
+                opts("retries_total", "Second offers of a request, by service."),
+                &["service"],
+            )?,
+            claims: IntCounterVec::new(opts("claims_total", "Claims, by outcome."), &["outcome"])?,
+            latency: HistogramVec::new(
+                seconds("latency_seconds", "Time to the head of an answer, by service."),
+                &["service"],
+            )?,
+            claim_time: Histogram::with_opts(seconds("claim_seconds", "Time of a claim."))?,
+            drain_time: Histogram::with_opts(seconds("drain_seconds", "Time of a drain."))?,
+            slots_used: IntGaugeVec::new(opts("slots_used", "Slots in use."), &["service"])?,
+            slots_usable: IntGaugeVec::new(
+                opts("slots_usable", "Slots that may be used."),
+                &["service"],
+            )?,
+            waiting: IntGaugeVec::new(opts("waiting", "Requests that wait."), &["service"])?,
+            link_bytes: IntCounterVec::new(
+                opts("link_bytes_total", "Bytes sent to another region."),
+                &["to"],
+            )?,
+            version: IntGauge::with_opts(opts("version", "The version in force here."))?,
+            revision: IntGauge::with_opts(opts("revision", "The revision in force here."))?,
+            lease: IntGauge::with_opts(opts("lease", "1 while this instance holds its lease."))?,
+            leads: IntGauge::with_opts(opts("leads", "1 while this instance's replica leads."))?,
+            replica_version: IntGauge::with_opts(opts(
+                "replica_version",
+                "The version applied by this instance's replica.",
+            ))?,
+            claims_held: IntGauge::with_opts(opts("claims_held", "Claims held."))?,
+            elections: IntCounter::with_opts(opts("elections_total", "Elections won."))?,
+            registry,
+        };
+        made.register()?;
+        Ok(made)
+    }
+
+    fn register(&self) -> Result<(), prometheus::Error> {
+        let registry = &self.registry;
+        let counters = [
+            &self.requests,
+            &self.look_ups,
+            &self.refused,
+            &self.retries,
+            &self.claims,
+            &self.link_bytes,
+        ];
+        for counter in counters {
+            registry.register(Box::new(counter.clone()))?;
+        }
+        for gauge in [&self.slots_used, &self.slots_usable, &self.waiting] {
+            registry.register(Box::new(gauge.clone()))?;
+        }
+        let gauges = [
+            &self.version,
+            &self.revision,
+            &self.lease,
+            &self.leads,
+            &self.replica_version,
+            &self.claims_held,
+        ];
+        for gauge in gauges {
+            registry.register(Box::new(gauge.clone()))?;
+        }
+        registry.register(Box::new(self.latency.clone()))?;
+        registry.register(Box::new(self.claim_time.clone()))?;
+        registry.register(Box::new(self.drain_time.clone()))?;
+        registry.register(Box::new(self.elections.clone()))
+    }
+
+    /// Returns all metrics as text.
+    pub(super) fn text(&self) -> String {
+        let mut buffer = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut buffer).ok();
+        String::from_utf8_lossy(&buffer).into_owned()
+    }
+}
+
+fn opts(name: &str, help: &str) -> Opts {
+    Opts::new(name, help).namespace("bulrushspan")
+}
+
+fn seconds(name: &str, help: &str) -> HistogramOpts {
+    HistogramOpts::new(name, help).namespace("bulrushspan").buckets(LATENCY_BOUNDS_S.to_vec())
+}
--- /dev/null
+++ b/src/runtime/operators.rs
@@ -0,0 +1,457 @@
+//! Serves the administration API.
+
+use std::{
+    collections::BTreeMap, convert::Infallible, future::Future, net::IpAddr, sync::Arc,
+    time::Duration,
+};
+
+use ipnet::IpNet;
+use serde::{Deserialize, Serialize};
+use subtle::ConstantTimeEq;
+use warp::{
+    Filter, Rejection,
+    http::{HeaderMap, StatusCode, header},
+    reply::{Reply, Response},
+};
+
+use super::{
+    clock::Clock, control_client::ControlClient, gateway::Gateway, metrics::Metrics, view::View,
+};
+use crate::{
+    core::{
+        claims::ClaimEpoch,
+        control::{
+            AuditFilter, Change, ChangeMeta, ChangeOutcome, ChangeRequest, Command, Outcome,
+            Preset, PresetName, RegionName, Revision, Version,
+        },
+        steering::LookUp,
+    },
+    net::{
+        PeerAddr,
+        wire::{QueryReply, QueryRequest},
+    },
+    settings::Settings,
+};
+
+/// Answers a look-up.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct LookUpAnswer {
+    /// The client block.
+    pub block: IpNet,
+    /// Its home region.
+    pub home: RegionName,
+    /// The region that serves it.
+    pub region: RegionName,
+    /// The entry instances to use, the first one first.
+    pub instances: Vec<OfferedInstance>,
+    /// How long the answer may be kept.
+    pub ttl_ms: u64,
+    /// The revision that the answer rests on.
+    pub revision: Revision,
+    /// What keys of non-idempotent requests must begin with.
+    pub key_epoch: ClaimEpoch,
+}
+
+/// Names an entry instance to a caller.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct OfferedInstance {
+    /// Its name.
+    pub name: String,
+    /// Where it listens for callers.
+    pub address: String,
+}
+
+impl LookUpAnswer {
+    pub(super) fn new(found: LookUp, settings: &Settings, key_epoch: ClaimEpoch) -> Self {
+        let offered = found.instances.into_iter().filter_map(|name| {
+            let address = settings.instances.get(&name)?.callers.to_string();
+            Some(OfferedInstance { name, address })
+        });
+        Self {
+            block: found.block,
+            home: found.home,
+            region: found.region,
+            instances: offered.collect(),
+            ttl_ms: settings.topology.look_up_ttl.as_millis() as u64,
+            revision: found.revision,
+            key_epoch,
+        }
+    }
+}
+
+/// Answers a change.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ChangeAnswer {
+    /// The id under which the change can be sent again.
+    pub change_id: String,
+    /// What became of the change.
+    #[serde(flatten)]
+    pub outcome: ChangeOutcome,
+    /// Whether every live instance has it in force; absent when the request
+    /// did not ask to wait.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub in_force_everywhere: Option<bool>,
+    /// The instances that may still follow an earlier version.
+    #[serde(skip_serializing_if = "Vec::is_empty", default)]
+    pub lagging: Vec<String>,
+}
+
+/// Serves the administration API.
+#[derive(Clone)]
+pub(super) struct Operators {
+    pub(super) clock: Clock,
+    pub(super) control: ControlClient,
+    pub(super) view: View,
+    pub(super) gateway: Gateway,
+    pub(super) metrics: Metrics,
+    /// The operators' names by token.
+    pub(super) tokens: Arc<BTreeMap<String, String>>,
+}
+
+#[derive(Deserialize)]
+struct NamedPreset {
+    name: PresetName,
+}
+
+#[derive(Deserialize)]
+struct WaitQuery {
+    wait_ms: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct ClientQuery {
+    client: String,
+}
+
+#[derive(Serialize)]
+struct ApiError {
+    error: &'static str,
+    message: String,
+}
+
+const QUERY_WITHIN: Duration = Duration::from_secs(5);
+const CHANGE_WITHIN: Duration = Duration::from_secs(10);
+const WAIT_PAUSE: Duration = Duration::from_millis(20);
+const WAIT_MAX: Duration = Duration::from_secs(60);
+/// The largest body of a request to the API: a change of many blocks.
+const BODY_MAX_BYTES: u64 = 16 * 1024 * 1024;
+
+/// Says who asks and from where.
+struct Asker {
+    actor: String,
+    origin: String,
+    headers: HeaderMap,
+}
+
+impl Operators {
+    /// Returns what operators can ask.
+    pub(super) fn routes(self) -> impl Filter<Extract = (impl Reply,), Error = Infallible> + Clone {
+        let open = self.clone().open_routes();
+        let reads = self.clone().read_routes();
+        let changes = self.change_routes();
+        open.or(reads).unify().or(changes).unify().recover(explain).unify()
+    }
+
+    /// Returns what needs no token: health and metrics.
+    fn open_routes(self) -> impl Filter<Extract = (Response,), Error = Rejection> + Clone {
+        let health = warp::path!("health").map(|| warp::reply().into_response());
+        let view = self.view.clone();
+        let ready = warp::path!("ready").map(move || {
+            let status =
+                if view.has_lease() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+            status.into_response()
+        });
+        let metrics = self.metrics.clone();
+        let metrics = warp::path!("metrics").map(move || metrics.text().into_response());
+        warp::get().and(health.or(ready).unify().or(metrics).unify())
+    }
+
+    fn read_routes(self) -> impl Filter<Extract = (Response,), Error = Rejection> + Clone {
+        let status = self
+            .asked(warp::path!("v1" / "status").and(warp::get()), |api, _| async move {
+                api.query(QueryRequest::Status).await
+            });
+        let presets = self
+            .asked(warp::path!("v1" / "presets").and(warp::get()), |api, _| async move {
+                api.query(QueryRequest::Presets).await
+            });
+        let audit = self.asked_with(
+            warp::path!("v1" / "audit").and(warp::get()).and(warp::query::<AuditFilter>()),
+            |api, _, filter| async move { api.query(QueryRequest::Audit(filter)).await },
+        );
+        let look_up = self.asked_with(
+            warp::path!("v1" / "lookup").and(warp::get()).and(warp::query::<ClientQuery>()),
+            |api, _, query: ClientQuery| async move { api.look_up(&query.client) },
+        );
+        status.or(presets).unify().or(audit).unify().or(look_up).unify()
+    }
+
+    fn change_routes(self) -> impl Filter<Extract = (Response,), Error = Rejection> + Clone {
+        let put_preset = self.change(
+            warp::path!("v1" / "presets" / String)
+                .and(warp::put())
+                .and(warp::body::content_length_limit(BODY_MAX_BYTES))
+                .and(warp::body::json())
+                .map(|name, preset: Preset| Change::PutPreset { name, preset }),
+        );
+        let use_preset = self.change(
+            warp::path!("v1" / "preset-in-force")
+                .and(warp::put())
+                .and(warp::body::content_length_limit(BODY_MAX_BYTES))
+                .and(warp::body::json())
+                .map(|named: NamedPreset| Change::UsePreset { name: named.name }),
+        );
+        let drain = self.change(
+            warp::path!("v1" / "upstreams" / String / "drain")
+                .and(warp::post())
+                .map(|upstream| Change::DrainUpstream { upstream }),
+        );
+        let restore = self.change(
+            warp::path!("v1" / "upstreams" / String / "restore")
+                .and(warp::post())
+                .map(|upstream| Change::RestoreUpstream { upstream }),
+        );
+        let leave = self.change(
+            warp::path!("v1" / "instances" / String / "leave")
+                .and(warp::post())
+                .map(|instance| Change::LeaveInstance { instance }),
+        );
+        let join = self.change(
+            warp::path!("v1" / "instances" / String / "join")
+                .and(warp::post())
+                .map(|instance| Change::JoinInstance { instance }),
+        );
+        let blocks = self.change(
+            warp::path!("v1" / "blocks")
+                .and(warp::put())
+                .and(warp::body::content_length_limit(BODY_MAX_BYTES))
+                .and(warp::body::json())
+                .map(|blocks: BTreeMap<IpNet, RegionName>| Change::PutBlocks {
+                    blocks: blocks.into_iter().collect(),
+                }),
+        );
+        put_preset
+            .or(use_preset)
+            .unify()
+            .or(drain)
+            .unify()
+            .or(restore)
+            .unify()
+            .or(leave)
+            .unify()
+            .or(join)
+            .unify()
+            .or(blocks)
+            .unify()
+    }
+
+    /// Runs a route for an operator whose token is known.
+    fn asked<F, R, Fut>(
+        &self,
+        route: F,
+        run: R,
+    ) -> impl Filter<Extract = (Response,), Error = Rejection> + Clone + use<F, R, Fut>
+    where
+        F: Filter<Extract = (), Error = Rejection> + Clone + Send + Sync + 'static,
+        R: Fn(Self, Asker) -> Fut + Clone + Send + Sync + 'static,
+        Fut: Future<Output = Response> + Send + 'static,
+    {
+        self.asked_with(route.map(|| ()), move |api, asker, ()| run(api, asker))
+    }
+
+    fn asked_with<F, T, R, Fut>(
+        &self,
+        route: F,
+        run: R,
+    ) -> impl Filter<Extract = (Response,), Error = Rejection> + Clone + use<F, T, R, Fut>
+    where
+        F: Filter<Extract = (T,), Error = Rejection> + Clone + Send + Sync + 'static,
+        T: Send + 'static,
+        R: Fn(Self, Asker, T) -> Fut + Clone + Send + Sync + 'static,
+        Fut: Future<Output = Response> + Send + 'static,
+    {
+        let api = self.clone();
+        route.and(warp::header::headers_cloned()).and(warp::ext::get::<PeerAddr>()).then(
+            move |value: T, headers: HeaderMap, peer: PeerAddr| {
+                let (api, run) = (api.clone(), run.clone());
+                async move {
+                    match api.asker(headers, peer) {
+                        Some(asker) => run(api, asker, value).await,
+                        None => refuse_token(),
+                    }
+                }
+            },
+        )
+    }
+
+    fn change<F>(
+        &self,
+        route: F,
+    ) -> impl Filter<Extract = (Response,), Error = Rejection> + Clone + use<F>
+    where
+        F: Filter<Extract = (Change,), Error = Rejection> + Clone + Send + Sync + 'static,
+    {
+        let with_wait = route
+            .and(warp::query::<WaitQuery>())
+            .map(|change: Change, wait: WaitQuery| (change, wait));
+        self.asked_with(with_wait, |api, asker, (change, wait)| async move {
+            api.make_change(asker, change, wait).await
+        })
+    }
+
+    fn asker(&self, headers: HeaderMap, PeerAddr(peer): PeerAddr) -> Option<Asker> {
+        let shown = headers.get(header::AUTHORIZATION)?.to_str().ok()?.strip_prefix("Bearer ")?;
+        // Every token is compared, each in constant time, so that the time
+        // taken tells nothing.
+        let mut actor = None;
+        for (token, name) in self.tokens.iter() {
+            if bool::from(token.as_bytes().ct_eq(shown.as_bytes())) {
+                actor = Some(name.clone());
+            }
+        }
+        Some(Asker { actor: actor?, origin: peer.ip().to_string(), headers })
+    }
+
+    fn look_up(&self, client: &str) -> Response {
+        let Ok(client) = client.parse::<IpAddr>() else {
+            let message = format!("`client` is `{client}`; give an IP address");
+            return api_error(StatusCode::BAD_REQUEST, "bad_client", message);
+        };
+        match self.gateway.look_up_address(client) {
+            Ok(answer) => warp::reply::json(&answer).into_response(),
+            Err(problem) => problem.into_response(),
+        }
+    }
+
+    async fn query(&self, request: QueryRequest) -> Response {
+        match self.control.query(&request, QUERY_WITHIN).await {
+            Some(QueryReply::Status(status)) => warp::reply::json(&status).into_response(),
+            Some(QueryReply::Presets(presets)) => warp::reply::json(&presets).into_response(),
+            Some(QueryReply::Audit(records)) => warp::reply::json(&records).into_response(),
+            _ => {
+                let message = "no control replica could make sure that it leads; nothing is \
+                               shown rather than something old. Try again";
+                api_error(StatusCode::SERVICE_UNAVAILABLE, "no_leader", message.to_owned())
+            }
+        }
+    }
+
+    async fn make_change(&self, asker: Asker, change: Change, wait: WaitQuery) -> Response {
+        let meta = match self.meta(&asker) {
+            Ok(meta) => meta,
+            Err(response) => return *response,
+        };
+        let change_id = meta.change_id.clone();
+        let command = Command::Change(ChangeRequest { change, meta });
+        let outcome = match self.control.submit(command, CHANGE_WITHIN).await {
+            Ok(Outcome::Change(outcome)) => outcome,
+            Ok(_) => {
+                let message = "the control replicas answered something else".to_owned();
+                return api_error(StatusCode::BAD_GATEWAY, "internal", message);
+            }
+            Err(error) => {
+                let message = format!(
+                    "{error}; send the change again with `X-Change-Id: {change_id}`, and it is \
+                     made once at most"
+                );
+                return api_error(StatusCode::SERVICE_UNAVAILABLE, "not_known", message);
+            }
+        };
+        self.answer_change(change_id, outcome, wait).await
+    }
+
+    fn meta(&self, asker: &Asker) -> Result<ChangeMeta, Box<Response>> {
+        let header = |name: &str| asker.headers.get(name).and_then(|value| value.to_str().ok());
+        let refuse = |message: &str| {
+            Box::new(api_error(StatusCode::BAD_REQUEST, "bad_header", message.to_owned()))
+        };
+        let change_id = header("x-change-id").filter(|id| !id.is_empty() && id.len() <= 128);
+        let change_id = change_id.ok_or_else(|| {
+            refuse("`X-Change-Id` is missing; choose an id of up to 128 characters and keep it for resends")
+        })?;
+        let expected = header("x-expected-revision").and_then(|text| text.parse().ok());
+        let expected_revision = expected.ok_or_else(|| {
+            refuse("`X-Expected-Revision` is missing; give the revision that you saw")
+        })?;
+        Ok(ChangeMeta {
+            change_id: change_id.to_owned(),
+            expected_revision,
+            actor: asker.actor.clone(),
+            origin: asker.origin.clone(),
+            at_unix_ms: self.clock.unix_ms(),
+        })
+    }
+
+    async fn answer_change(
+        &self,
+        change_id: String,
+        outcome: ChangeOutcome,
+        wait: WaitQuery,
+    ) -> Response {
+        let status = match &outcome {
+            ChangeOutcome::Accepted { .. } => StatusCode::OK,
+            ChangeOutcome::Conflict { .. } => StatusCode::CONFLICT,
+            ChangeOutcome::Rejected { .. } => StatusCode::UNPROCESSABLE_ENTITY,
+        };
+        let mut answer =
+            ChangeAnswer { change_id, outcome, in_force_everywhere: None, lagging: Vec::new() };
+        if let (ChangeOutcome::Accepted { version, .. }, Some(wait_ms)) =
+            (&answer.outcome, wait.wait_ms)
+        {
+            let within = Duration::from_millis(wait_ms).min(WAIT_MAX);
+            let lagging = self.wait_in_force(*version, within).await;
+            answer.in_force_everywhere = Some(lagging.as_ref().is_some_and(Vec::is_empty));
+            answer.lagging = lagging.unwrap_or_default();
+        }
+        let mut response = warp::reply::json(&answer).into_response();
+        *response.status_mut() = status;
+        response
+    }
+
+    /// Waits until every live instance has a version in force or its lease
+    /// is out. Returns the instances that still lag at the end, or nothing
+    /// when no leader could tell.
+    async fn wait_in_force(&self, version: Version, within: Duration) -> Option<Vec<String>> {
+        let until = self.clock.now() + within;
+        loop {
+            let request = QueryRequest::Lagging { version };
+            let left = until.saturating_sub(self.clock.now());
+            match self.control.query(&request, left).await {
+                Some(QueryReply::Lagging { instances, settled }) => {
+                    if instances.is_empty() && settled {
+                        return Some(instances);
+                    }
+                    if self.clock.now() >= until {
+                        return settled.then_some(instances);
+                    }
+                }
+                _ if self.clock.now() >= until => return None,
+                _ => {}
+            }
+            tokio::time::sleep(WAIT_PAUSE).await;
+        }
+    }
+}
+
+fn refuse_token() -> Response {
+    let message = "the bearer token is missing or unknown; send one of the operators' tokens";
+    api_error(StatusCode::UNAUTHORIZED, "unauthorized", message.to_owned())
+}
+
+fn api_error(status: StatusCode, error: &'static str, message: String) -> Response {
+    let mut response = warp::reply::json(&ApiError { error, message }).into_response();
+    *response.status_mut() = status;
+    response
+}
+
+async fn explain(rejection: Rejection) -> Result<Response, Infallible> {
+    if rejection.is_not_found() {
+        let message = "there is no such path; docs/OPERATING.md lists them".to_owned();
+        return Ok(api_error(StatusCode::NOT_FOUND, "no_such_path", message));
+    }
+    if let Some(error) = rejection.find::<warp::filters::body::BodyDeserializeError>() {
+        return Ok(api_error(StatusCode::BAD_REQUEST, "bad_body", error.to_string()));
+    }
+    let message = "the request is not in the form that this path takes".to_owned();
+    Ok(api_error(StatusCode::BAD_REQUEST, "bad_request", message))
+}
--- /dev/null
+++ b/src/runtime/platform.rs
@@ -0,0 +1,74 @@
+//! Reads the platform's list of live and leaving instances.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use tracing::{info, warn};
+use xtra::Address;
+
+use super::desk::{Desk, PlatformLeaving};
+use crate::settings::{PlatformSource, Settings};
+
+/// Holds the platform's list. It lags, so its word that an upstream leaves
+/// counts, and its silence about one does not.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PlatformList {
+    /// The listed upstreams.
+    pub instances: Vec<ListedInstance>,
+}
+
+/// Holds one line of the platform's list.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ListedInstance {
+    /// The upstream.
+    pub name: String,
+    /// `live` or `leaving`.
+    pub state: String,
+}
+
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Reads the list again and again.
+pub(super) async fn follow_platform(
+    source: PlatformSource,
+    settings: Arc<Settings>,
+    desk: Address<Desk>,
+) {
+    let client = reqwest::Client::new();
+    let mut last = Some(BTreeSet::new());
+    let mut interval = tokio::time::interval(settings.timing.platform_interval);
+    loop {
+        interval.tick().await;
+        let leaving = read(&source, &client).await.map(|list| list.leaving());
+        match (&leaving, &last) {
+            (None, Some(_)) => warn!("the platform's list can't be read; the last one counts"),
+            (Some(now), Some(before)) if now != before => info!(leaving = ?now, "upstreams leave"),
+            _ => {}
+        }
+        if let Some(leaving) = &leaving {
+            desk.send(PlatformLeaving(leaving.clone())).await.ok();
+        }
+        last = leaving;
+    }
+}
+
+async fn read(source: &PlatformSource, client: &reqwest::Client) -> Option<PlatformList> {
+    match source {
+        PlatformSource::File(path) => {
+            let bytes = tokio::fs::read(path).await.ok()?;
+            serde_json::from_slice(&bytes).ok()
+        }
+        PlatformSource::Http(url) => {
+            let answer = client.get(url).timeout(READ_TIMEOUT).send().await.ok()?;
+            answer.error_for_status().ok()?.json().await.ok()
+        }
+    }
+}
+
+impl PlatformList {
+    /// Returns the upstreams that are leaving.
+    pub fn leaving(&self) -> BTreeSet<String> {
+        let leaving = self.instances.iter().filter(|listed| listed.state == "leaving");
+        leaving.map(|listed| listed.name.clone()).collect()
+    }
+}
--- /dev/null
+++ b/src/runtime/view.rs
@@ -0,0 +1,133 @@
+//! Holds what an instance follows, for all its tasks to read.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, RwLock},
+    time::Duration,
+};
+
+use super::clock::Clock;
+use crate::{
+    core::{
+        control::{InstanceName, LoadReport, Policy, PolicyEdit, RegionName},
+        steering::Steering,
+    },
+    net::wire::Update,
+    settings::Settings,
+};
+
+/// Holds what an instance follows. Clones share it.
+#[derive(Clone, Debug)]
+pub(super) struct View {
+    settings: Arc<Settings>,
+    clock: Clock,
+    inner: Arc<RwLock<Inner>>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    followed: Arc<Followed>,
+    lease_until: Duration,
+    loads: Arc<BTreeMap<InstanceName, LoadReport>>,
+}
+
+/// Holds one version of the policy with the steering that it leads to.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Followed {
+    /// The policy.
+    pub(super) policy: Policy,
+    /// Answers look-ups under it.
+    pub(super) steering: Steering,
+}
+
+impl View {
+    pub(super) fn new(settings: Arc<Settings>, clock: Clock) -> Self {
+        Self { settings, clock, inner: Arc::default() }
+    }
+
+    /// Returns the version that is followed.
+    pub(super) fn followed(&self) -> Arc<Followed> {
+        self.read(|inner| inner.followed.clone())
+    }
+
+    /// Returns the last load reports of all instances.
+    pub(super) fn loads(&self) -> Arc<BTreeMap<InstanceName, LoadReport>> {
+        self.read(|inner| inner.loads.clone())
+    }
+
+    /// Returns until when the lease holds.
+    pub(super) fn lease_until(&self) -> Duration {
+        self.read(|inner| inner.lease_until)
+    }
+
+    /// Tells whether the lease holds.
+    pub(super) fn has_lease(&self) -> bool {
+        self.clock.now() < self.lease_until()
+    }
+
+    fn read<T>(&self, look: impl FnOnce(&Inner) -> T) -> T {
+        look(&self.inner.read().unwrap_or_else(|error| error.into_inner()))
+    }
+
+    /// Extends the lease; it is never shortened.
+    pub(super) fn extend_lease(&self, until: Duration) {
+        let mut inner = self.inner.write().unwrap_or_else(|error| error.into_inner());
+        inner.lease_until = inner.lease_until.max(until);
+    }
+
+    pub(super) fn set_loads(&self, loads: BTreeMap<InstanceName, LoadReport>) {
+        let mut inner = self.inner.write().unwrap_or_else(|error| error.into_inner());
+        inner.loads = Arc::new(loads);
+    }
+
+    /// Takes over an update and tells whether anything changed. What is older
+    /// than the version that is followed is passed over.
+    pub(super) fn update(&self, update: Update) -> bool {
+        let current = self.followed();
+        let next = match update {
+            Update::Deltas(deltas) if deltas.is_empty() => return false,
+            Update::Deltas(deltas) => {
+                let mut next = Followed::clone(&current);
+                for delta in &deltas {
+                    if next.policy.advance(delta) {
+                        self.steer(&mut next, &delta.edits);
+                    }
+                }
+                next
+            }
+            Update::Whole(policy) => self.whole(*policy),
+        };
+        if next.policy.version <= current.policy.version {
+            return false;
+        }
+        let mut inner = self.inner.write().unwrap_or_else(|error| error.into_inner());
+        inner.followed = Arc::new(next);
+        true
+    }
+
+    fn whole(&self, policy: Policy) -> Followed {
+        let default_region = self.settings.default_region.clone();
+        let steering = Steering::new(&policy, default_region, |name| self.region_of(name));
+        Followed { policy, steering }
+    }
+
+    fn steer(&self, next: &mut Followed, edits: &[PolicyEdit]) {
+        if next.steering.blocks_len() == 0 {
+            *next = self.whole(next.policy.clone());
+            return;
+        }
+        for edit in edits {
+            match edit {
+                PolicyEdit::Blocks(blocks) => next.steering.put_blocks(blocks),
+                PolicyEdit::Instance(..) | PolicyEdit::Leaving(..) => {
+                    next.steering.set_instances(&next.policy, |name| self.region_of(name));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn region_of(&self, instance: &InstanceName) -> Option<RegionName> {
+        self.settings.topology.region_of_instance(instance).cloned()
+    }
+}
