--- /dev/null
+++ b/src/settings/parse.rs
@@ -0,0 +1,436 @@
+//! Turns the text of a settings file into [`Settings`].
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    fs,
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+use ipnet::IpNet;
+use jsonc_parser::{CollectOptions, ParseOptions, ast::Value, common::Ranged, parse_to_ast};
+
+use super::{
+    Finding, Findings, InstanceSettings, PlatformSource, Settings, Timing, check,
+    finding::Gathered,
+    reader::{Reader, members},
+};
+use crate::core::control::{
+    Link, Preset, Region, RegionName, RequestClass, Service, ShiftRule, Topology, Upstream, Zone,
+};
+
+/// The largest settings file.
+const FILE_MAX_BYTES: usize = 64 * 1024 * 1024;
+/// The longest duration that settings may name.
+const DAY_MS: u64 = 24 * 60 * 60 * 1000;
+
+/// Reads and checks a settings file. Paths in it are relative to its folder.
+///
+/// # Errors
+///
+/// Returns all findings, each with its place.
+pub fn load(path: &Path) -> Result<Settings, Findings> {
+    let file = path.display().to_string();
+    let text = fs::read_to_string(path).map_err(|error| {
+        let text = format!("can't be read: {error}; name a settings file that can");
+        Findings { file: file.clone(), list: vec![Finding { line: 1, column: 1, text }] }
+    })?;
+    let folder = path.parent().unwrap_or(Path::new("")).to_owned();
+    parse(&file, &text, &folder)
+}
+
+/// Checks the text of a settings file. `file` names it in findings, `folder`
+/// is what paths in it are relative to.
+///
+/// # Errors
+///
+/// Returns all findings, each with its place.
+pub fn parse(file: &str, text: &str, folder: &Path) -> Result<Settings, Findings> {
+    if text.len() > FILE_MAX_BYTES {
+        let text =
+            format!("the file has over {FILE_MAX_BYTES} bytes; add blocks by command instead");
+        let finding = Finding { line: 1, column: 1, text };
+        return Err(Findings { file: file.to_owned(), list: vec![finding] });
+    }
+    let gathered = RefCell::new(Gathered::default());
+    let parsed = parse_to_ast(text, &CollectOptions::default(), &options());
+    let settings = match &parsed {
+        Ok(parsed) => match &parsed.value {
+            Some(value) => read_settings(value, folder, &gathered),
+            None => {
+                gathered.borrow_mut().add(0, "the file is empty; see examples/ for a whole one");
+                None
+            }
+        },
+        Err(error) => {
+            let text = format!("not JSON with comments: {}; mend the syntax here", error.kind());
+            gathered.borrow_mut().add(error.range().start, text);
+            None
+        }
+    };
+    let gathered = gathered.into_inner();
+    match settings {
+        Some(settings) if gathered.is_empty() => Ok(settings),
+        _ => Err(gathered.into_findings(file, text)),
+    }
+}
+
+fn options() -> ParseOptions {
+    ParseOptions {
+        allow_comments: true,
+        allow_loose_object_property_names: false,
+        allow_trailing_commas: true,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+    }
+}
+
+fn read_settings(
+    value: &Value<'_>,
+    folder: &Path,
+    findings: &RefCell<Gathered>,
+) -> Option<Settings> {
+    let reader = Reader::new(value, "the file", findings)?;
+    let timing_value = reader.optional("timing");
+    let (timing, mut topology) = read_timing(timing_value, findings);
+    read_regions(&reader, &mut topology);
+    read_links(&reader, &mut topology);
+    read_services(&reader, &mut topology);
+    let instances = read_instances(&reader, &mut topology, folder);
+    let blocks = read_blocks(&reader, &topology);
+    let presets = read_presets(&reader, &topology);
+    let first_preset = reader.text("first_preset");
+    let default_region = reader.text("default_region");
+    let cluster_key_file = reader.text("cluster_key_file").map(|path| folder.join(path));
+    let operator_tokens = read_tokens(&reader, folder);
+    let platform = reader.optional("platform").and_then(|v| read_platform(v, folder, findings));
+    if let Some(name) = first_preset.as_ref().filter(|name| !presets.contains_key(*name)) {
+        reader.note("first_preset", format!("there is no preset `{name}`; use one of `presets`"));
+    }
+    if let Some(name) = default_region.as_ref().filter(|n| !topology.regions.contains_key(*n)) {
+        reader.note("default_region", unknown("region", name));
+    }
+    check::whole(&reader, &topology, &instances, timing);
+    reader.finish();
+    Some(Settings {
+        cluster_key_file: cluster_key_file?,
+        operator_tokens,
+        instances,
+        topology,
+        default_region: default_region?,
+        blocks,
+        presets,
+        first_preset: first_preset?,
+        platform,
+        timing,
+    })
+}
+
+fn unknown(what: &str, name: &str) -> String {
+    format!("`{name}` is no {what} of this file; name one that is")
+}
+
+fn read_timing(value: Option<&Value<'_>>, findings: &RefCell<Gathered>) -> (Timing, Topology) {
+    let empty = Value::Object(jsonc_parser::ast::Object {
+        range: jsonc_parser::common::Range::new(0, 0),
+        properties: Vec::new(),
+    });
+    let reader = Reader::new(value.unwrap_or(&empty), "`timing`", findings)
+        .or_else(|| Reader::new(&empty, "`timing`", findings));
+    let millis = |name: &'static str, default: u64| {
+        let read = reader.as_ref().map(|reader| reader.number_or(name, default, 1, DAY_MS));
+        Duration::from_millis(read.unwrap_or(default))
+    };
+    let timing = Timing {
+        lease: millis("lease_ms", 3_000),
+        drift_margin: millis("drift_margin_ms", 300),
+        election: millis("election_ms", 1_000),
+        heartbeat: millis("heartbeat_ms", 200),
+        watch_hold: millis("watch_hold_ms", 750),
+        platform_interval: millis("platform_interval_ms", 1_000),
+        stop_limit: millis("stop_limit_ms", 300_000),
+        cancel_hold: millis("cancel_hold_ms", 250),
+    };
+    let topology = Topology {
+        look_up_ttl: millis("look_up_ttl_ms", 5_000),
+        claim_epoch: millis("claim_epoch_ms", 600_000),
+        suspect_kept: millis("suspect_kept_ms", 600_000),
+        ..Topology::default()
+    };
+    if let Some(reader) = reader {
+        reader.finish();
+    }
+    (timing, topology)
+}
+
+fn read_regions(reader: &Reader<'_, '_>, topology: &mut Topology) {
+    for value in reader.list("regions") {
+        let Some(region) = Reader::new(value, "a region", reader.findings()) else { continue };
+        let name = region.text("name");
+        let zones = region.list("zones").iter().filter_map(|zone| {
+            let name = zone.as_string_lit().map(|literal| literal.value.to_string());
+            if name.is_none() {
+                region
+                    .findings()
+                    .borrow_mut()
+                    .add(zone.start(), "an availability zone must be a text");
+            }
+            Some((name?, zone.start()))
+        });
+        let zones: Vec<(String, usize)> = zones.collect();
+        region.finish();
+        let Some(name) = name else { continue };
+        for (zone, place) in &zones {
+            let held = topology.zones.insert(zone.clone(), Zone { region: name.clone() });
+            if held.is_some() {
+                let text = format!("availability zone `{zone}` is named twice; keep one");
+                reader.findings().borrow_mut().add(*place, text);
+            }
+        }
+        let described = Region { zones: zones.into_iter().map(|(zone, _)| zone).collect() };
+        if topology.regions.insert(name.clone(), described).is_some() {
+            let text = format!("region `{name}` is named twice; keep one");
+            reader.findings().borrow_mut().add(value.start(), text);
+        }
+    }
+}
+
+fn read_links(reader: &Reader<'_, '_>, topology: &mut Topology) {
+    for value in reader.optional_list("links") {
+        let Some(link) = Reader::new(value, "a link", reader.findings()) else { continue };
+        let ends = (link.text("from"), link.text("to"));
+        let delay_ms = link.number("delay_ms", 0, 60_000);
+        let cap_mbit = link.number("cap_mbit", 1, 1_000_000);
+        let reserve_permille = link.number_or("reserve_permille", 100, 0, 999) as u32;
+        let (Some(from), Some(to)) = ends else { continue };
+        for (member, name) in [("from", &from), ("to", &to)] {
+            if !topology.regions.contains_key(name) {
+                link.note(member, unknown("region", name));
+            }
+        }
+        if from == to {
+            link.note("to", "a link joins two regions; name another one");
+        }
+        link.finish();
+        let (Some(delay_ms), Some(cap_mbit)) = (delay_ms, cap_mbit) else { continue };
+        let delay = Duration::from_millis(delay_ms);
+        let described = Link { delay, cap_mbit, reserve_permille };
+        if topology.links.insert((from.clone(), to.clone()), described).is_some() {
+            let text = format!("the link from `{from}` to `{to}` is described twice; keep one");
+            reader.findings().borrow_mut().add(value.start(), text);
+        }
+    }
+}
+
+fn read_services(reader: &Reader<'_, '_>, topology: &mut Topology) {
+    for value in reader.list("services") {
+        let Some(service) = Reader::new(value, "a service", reader.findings()) else { continue };
+        let name = service.text("name");
+        let slots = service.number("slots", 1, 100_000).unwrap_or(1) as u32;
+        let connections = service.number("connections", 1, 1_000_000).unwrap_or(1) as u32;
+        if connections < slots {
+            service.note("connections", "fewer connections than slots; give at least as many");
+        }
+        let mut described = Service {
+            upstreams: BTreeMap::new(),
+            deadline: Duration::from_millis(service.number_or("deadline_ms", 10_000, 1, DAY_MS)),
+            queue_max: service.number_or("queue_max", 64, 0, 1_000_000) as usize,
+            routes: read_routes(&service),
+            body_max_bytes: service.number_or("body_max_bytes", 64 << 20, 0, 1 << 40),
+            retry_percent: service.number_or("retry_percent", 10, 0, 100) as u32,
+            shed_means_not_run: service.flag_or("shed_means_not_run", false),
+        };
+        for value in service.list("upstreams") {
+            read_upstream(value, &service, topology, &mut described, slots, connections);
+        }
+        service.finish();
+        let Some(name) = name else { continue };
+        if topology.services.insert(name.clone(), described).is_some() {
+            let text = format!("service `{name}` is described twice; keep one");
+            reader.findings().borrow_mut().add(value.start(), text);
+        }
+    }
+}
+
+fn read_routes(service: &Reader<'_, '_>) -> Vec<(String, RequestClass)> {
+    let mut routes = Vec::new();
+    for value in service.optional_list("routes") {
+        let Some(route) = Reader::new(value, "a route", service.findings()) else { continue };
+        let prefix = route.text("prefix");
+        let class = route.text("class");
+        let found = class
+            .as_ref()
+            .and_then(|name| RequestClass::ALL.into_iter().find(|class| class.name() == name));
+        if let (Some(name), None) = (&class, found) {
+            let known = RequestClass::ALL.map(RequestClass::name).join(", ");
+            route.note("class", format!("`{name}` is no class; use one of: {known}"));
+        }
+        route.finish();
+        routes.extend(prefix.zip(found));
+    }
+    routes.sort_by_key(|(prefix, _)| std::cmp::Reverse(prefix.len()));
+    routes
+}
+
+fn read_upstream(
+    value: &Value<'_>,
+    service: &Reader<'_, '_>,
+    topology: &Topology,
+    described: &mut Service,
+    slots: u32,
+    connections: u32,
+) {
+    let Some(reader) = Reader::new(value, "an upstream", service.findings()) else { return };
+    let name = reader.text("name");
+    let address = reader.parsed("address", "an address and port, as in 10.0.0.7:8080");
+    let zone = reader.text("zone");
+    if let Some(zone) = zone.as_ref().filter(|zone| !topology.zones.contains_key(*zone)) {
+        reader.note("zone", unknown("availability zone", zone));
+    }
+    let taken =
+        |name: &String| described.upstreams.contains_key(name) || topology.upstream(name).is_some();
+    if let Some(name) = name.as_ref().filter(|name| taken(name)) {
+        reader.note("name", format!("upstream `{name}` is described twice; rename one"));
+    }
+    reader.finish();
+    if let (Some(name), Some(address), Some(zone)) = (name, address, zone) {
+        described.upstreams.insert(name, Upstream { address, zone, slots, connections });
+    }
+}
+
+fn read_instances(
+    reader: &Reader<'_, '_>,
+    topology: &mut Topology,
+    folder: &Path,
+) -> BTreeMap<String, InstanceSettings> {
+    let mut instances = BTreeMap::new();
+    for value in reader.list("instances") {
+        let Some(instance) = Reader::new(value, "an instance", reader.findings()) else { continue };
+        let form = "an address and port, as in 10.0.0.7:8080";
+        let name = instance.text("name");
+        let zone = instance.text("zone");
+        let callers = instance.parsed("callers", form);
+        let operators = instance.parsed("operators", form);
+        let cluster = instance.parsed("cluster", form);
+        let forward = instance.parsed("forward", form);
+        let data_folder = instance.optional_text("data_folder").map(|path| folder.join(path));
+        if let Some(zone) = zone.as_ref().filter(|zone| !topology.zones.contains_key(*zone)) {
+            instance.note("zone", unknown("availability zone", zone));
+        }
+        instance.finish();
+        let (Some(name), Some(zone)) = (name, zone) else { continue };
+        topology.instance_zones.insert(name.clone(), zone.clone());
+        let (Some(callers), Some(operators)) = (callers, operators) else { continue };
+        let (Some(cluster), Some(forward)) = (cluster, forward) else { continue };
+        let described =
+            InstanceSettings { zone, callers, operators, cluster, forward, data_folder };
+        if instances.insert(name.clone(), described).is_some() {
+            let text = format!("instance `{name}` is described twice; rename one");
+            reader.findings().borrow_mut().add(value.start(), text);
+        }
+    }
+    instances
+}
+
+fn read_blocks(reader: &Reader<'_, '_>, topology: &Topology) -> BTreeMap<IpNet, RegionName> {
+    let mut blocks = BTreeMap::new();
+    for value in reader.optional_list("blocks") {
+        let Some(block) = Reader::new(value, "a block", reader.findings()) else { continue };
+        let net: Option<IpNet> = block.parsed("block", "a network, as in 10.1.0.0/16");
+        let region = block.text("region");
+        if let Some(name) = region.as_ref().filter(|name| !topology.regions.contains_key(*name)) {
+            block.note("region", unknown("region", name));
+        }
+        if let Some(net) = net.filter(|net| net.trunc() != *net) {
+            let text = format!("`{net}` has bits beyond its prefix; write {}", net.trunc());
+            block.note("block", text);
+        }
+        if let (Some(net), Some(region)) = (net, &region)
+            && blocks.insert(net.trunc(), region.clone()).is_some()
+        {
+            block.note("block", format!("block `{net}` stands here twice; keep one"));
+        }
+        block.finish();
+    }
+    blocks
+}
+
+fn read_presets(reader: &Reader<'_, '_>, topology: &Topology) -> BTreeMap<String, Preset> {
+    let regions: Vec<RegionName> = topology.regions.keys().cloned().collect();
+    let mut presets = BTreeMap::new();
+    for (name, value) in reader.map("presets") {
+        let Some(preset) = Reader::new(value, "a preset", reader.findings()) else { continue };
+        let mut shares = BTreeMap::new();
+        for (home, row) in preset.map("shares") {
+            let row =
+                members(row, &home, reader.findings()).into_iter().filter_map(|(to, share)| {
+                    let number =
+                        share.as_number_lit().and_then(|literal| literal.value.parse().ok());
+                    if number.is_none() {
+                        let text =
+                            format!("the share of `{to}` must be a whole number of permille");
+                        reader.findings().borrow_mut().add(share.start(), text);
+                    }
+                    Some((to, number?))
+                });
+            shares.insert(home, row.collect());
+        }
+        let shift =
+            preset.value("shift").and_then(|v| Reader::new(v, "a shift", reader.findings()));
+        let rule = shift.as_ref().map(|shift| ShiftRule {
+            cap_permille: shift.number("cap_permille", 1, 1000).unwrap_or(1) as u32,
+            interval_ms: shift.number("interval_ms", 1, DAY_MS).unwrap_or(DAY_MS),
+            headroom_permille: shift.number_or("headroom_permille", 100, 0, 999) as u32,
+        });
+        if let Some(shift) = shift {
+            shift.finish();
+        }
+        let place = preset.place("shares");
+        preset.finish();
+        let Some(rule) = rule else { continue };
+        let described = Preset { shares, shift: rule };
+        for text in described.findings(&regions, topology.look_up_ttl) {
+            reader.findings().borrow_mut().add(place, format!("preset `{name}`: {text}"));
+        }
+        presets.insert(name, described);
+    }
+    presets
+}
+
+fn read_tokens(reader: &Reader<'_, '_>, folder: &Path) -> BTreeMap<String, PathBuf> {
+    let mut tokens = BTreeMap::new();
+    let mut seen = BTreeSet::new();
+    for (name, value) in reader.map("operator_token_files") {
+        let Some(path) = value.as_string_lit() else {
+            reader.findings().borrow_mut().add(value.start(), "name a file, as in \"…\"");
+            continue;
+        };
+        if !seen.insert(path.value.to_string()) {
+            let text = "two operators share a file; the audit trail could not tell them apart";
+            reader.findings().borrow_mut().add(value.start(), text);
+        }
+        tokens.insert(name, folder.join(path.value.as_ref()));
+    }
+    tokens
+}
+
+fn read_platform(
+    value: &Value<'_>,
+    folder: &Path,
+    findings: &RefCell<Gathered>,
+) -> Option<PlatformSource> {
+    let reader = Reader::new(value, "`platform`", findings)?;
+    let file = reader.optional_text("file").map(|path| PlatformSource::File(folder.join(path)));
+    let http = reader.optional_text("url").map(PlatformSource::Http);
+    if file.is_some() == http.is_some() {
+        reader.note("file", "`platform` takes `file` or `url`; give one of them");
+    }
+    reader.finish();
+    file.or(http)
+}
--- /dev/null
+++ b/src/settings/reader.rs
@@ -0,0 +1,206 @@
+//! Reads typed values from a parsed settings file and notes every finding.
+
+use std::{cell::RefCell, fmt::Display, str::FromStr};
+
+use jsonc_parser::{
+    ast::{Array, Object, Value},
+    common::Ranged,
+};
+
+use super::finding::Gathered;
+
+/// Reads the members of one object.
+pub(super) struct Reader<'a, 'b> {
+    object: &'b Object<'a>,
+    /// How the settings name the object.
+    what: &'static str,
+    known: RefCell<Vec<&'static str>>,
+    findings: &'b RefCell<Gathered>,
+}
+
+impl<'a, 'b> Reader<'a, 'b> {
+    /// Returns a reader of `value`, or notes that it is no object.
+    pub(super) fn new(
+        value: &'b Value<'a>,
+        what: &'static str,
+        findings: &'b RefCell<Gathered>,
+    ) -> Option<Self> {
+        let Some(object) = value.as_object() else {
+            findings
+                .borrow_mut()
+                .add(value.start(), format!("{what} must be an object, as in {{ … }}"));
+            return None;
+        };
+        Some(Self { object, what, known: RefCell::default(), findings })
+    }
+
+    /// Returns the findings, for readers of what is inside.
+    pub(super) fn findings(&self) -> &'b RefCell<Gathered> {
+        self.findings
+    }
+
+    /// Returns the place of a member, or of the object without it.
+    pub(super) fn place(&self, name: &str) -> usize {
+        self.object.get(name).map_or(self.object.start(), |prop| prop.value.start())
+    }
+
+    /// Notes a finding at a member.
+    pub(super) fn note(&self, name: &str, text: impl Into<String>) {
+        self.findings.borrow_mut().add(self.place(name), text);
+    }
+
+    fn get(&self, name: &'static str) -> Option<&'b Value<'a>> {
+        self.known.borrow_mut().push(name);
+        self.object.get(name).map(|prop| &prop.value)
+    }
+
+    fn required(&self, name: &'static str) -> Option<&'b Value<'a>> {
+        let value = self.get(name);
+        if value.is_none() {
+            self.note(name, format!("{} lacks `{name}`; add it", self.what));
+        }
+        value
+    }
+
+    /// Reads a value that must be there.
+    pub(super) fn value(&self, name: &'static str) -> Option<&'b Value<'a>> {
+        self.required(name)
+    }
+
+    /// Reads a value that may be absent.
+    pub(super) fn optional(&self, name: &'static str) -> Option<&'b Value<'a>> {
+        self.get(name)
+    }
+
+    /// Reads a text that must be there.
+    pub(super) fn text(&self, name: &'static str) -> Option<String> {
+        self.text_of(name, self.required(name)?)
+    }
+
+    /// Reads a text that may be absent.
+    pub(super) fn optional_text(&self, name: &'static str) -> Option<String> {
+        self.text_of(name, self.get(name)?)
+    }
+
+    fn text_of(&self, name: &str, value: &Value<'_>) -> Option<String> {
+        let text = value.as_string_lit().map(|literal| literal.value.to_string());
+        match text {
+            Some(text) if text.is_empty() => {
+                self.note(name, format!("`{name}` is empty; give a text"));
+                None
+            }
+            Some(text) => Some(text),
+            None => {
+                self.note(name, format!("`{name}` must be a text, as in \"…\""));
+                None
+            }
+        }
+    }
+
+    /// Reads a text that must be there and says something in a known form.
+    pub(super) fn parsed<T>(&self, name: &'static str, form: &str) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        let text = self.text(name)?;
+        match text.parse() {
+            Ok(parsed) => Some(parsed),
+            Err(error) => {
+                self.note(name, format!("`{name}` is `{text}`: {error}; give {form}"));
+                None
+            }
+        }
+    }
+
+    /// Reads a whole number within bounds, or its default.
+    pub(super) fn number_or(&self, name: &'static str, default: u64, min: u64, max: u64) -> u64 {
+        match self.get(name) {
+            Some(value) => self.number_of(name, value, min, max).unwrap_or(default),
+            None => default,
+        }
+    }
+
+    /// Reads a whole number within bounds that must be there.
+    pub(super) fn number(&self, name: &'static str, min: u64, max: u64) -> Option<u64> {
+        self.number_of(name, self.required(name)?, min, max)
+    }
+
+    fn number_of(&self, name: &str, value: &Value<'_>, min: u64, max: u64) -> Option<u64> {
+        let number = value.as_number_lit().and_then(|literal| literal.value.parse().ok());
+        let Some(number) = number else {
+            self.note(name, format!("`{name}` must be a whole number from {min} to {max}"));
+            return None;
+        };
+        if !(min..=max).contains(&number) {
+            self.note(name, format!("`{name}` is {number}; give {min} to {max}"));
+            return None;
+        }
+        Some(number)
+    }
+
+    /// Reads a truth value, or its default.
+    pub(super) fn flag_or(&self, name: &'static str, default: bool) -> bool {
+        let Some(value) = self.get(name) else { return default };
+        let flag = value.as_boolean_lit().map(|literal| literal.value);
+        if flag.is_none() {
+            self.note(name, format!("`{name}` must be true or false"));
+        }
+        flag.unwrap_or(default)
+    }
+
+    /// Reads a list that must be there.
+    pub(super) fn list(&self, name: &'static str) -> &'b [Value<'a>] {
+        self.required(name).map_or(&[], |value| self.list_of(name, value))
+    }
+
+    /// Reads a list that may be absent.
+    pub(super) fn optional_list(&self, name: &'static str) -> &'b [Value<'a>] {
+        self.get(name).map_or(&[], |value| self.list_of(name, value))
+    }
+
+    fn list_of(&self, name: &str, value: &'b Value<'a>) -> &'b [Value<'a>] {
+        let list: Option<&'b Array<'a>> = value.as_array();
+        if list.is_none() {
+            self.note(name, format!("`{name}` must be a list, as in [ … ]"));
+        }
+        list.map_or(&[], |list| &list.elements)
+    }
+
+    /// Reads the members of an object that serves as a map.
+    pub(super) fn map(&self, name: &'static str) -> Vec<(String, &'b Value<'a>)> {
+        let Some(value) = self.required(name) else { return Vec::new() };
+        members(value, name, self.findings)
+    }
+
+    /// Notes the members that were never asked for.
+    pub(super) fn finish(self) {
+        let known = self.known.into_inner();
+        for prop in &self.object.properties {
+            let name = prop.name.as_str();
+            if !known.contains(&name) {
+                let text = format!(
+                    "{} has no member `{name}`; remove it or use one of: {}",
+                    self.what,
+                    known.join(", ")
+                );
+                self.findings.borrow_mut().add(prop.start(), text);
+            }
+        }
+    }
+}
+
+/// Lists the members of an object that serves as a map.
+pub(super) fn members<'a, 'b>(
+    value: &'b Value<'a>,
+    what: &str,
+    findings: &RefCell<Gathered>,
+) -> Vec<(String, &'b Value<'a>)> {
+    let Some(object) = value.as_object() else {
+        findings
+            .borrow_mut()
+            .add(value.start(), format!("`{what}` must be an object, as in {{ … }}"));
+        return Vec::new();
+    };
+    object.properties.iter().map(|prop| (prop.name.as_str().to_owned(), &prop.value)).collect()
+}
--- /dev/null
+++ b/src/storage/store.rs
@@ -0,0 +1,297 @@
+//! Opens, reads and writes the data folder.
+
+use std::{
+    fs::{self, File, OpenOptions},
+    io::{self, Write},
+    marker::PhantomData,
+    path::{Path, PathBuf},
+};
+
+use fs4::fs_std::FileExt;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+use super::{
+    Identity, StoreError,
+    record::{self, Found},
+};
+use crate::core::replication::{
+    Ballot, Durable, Entry, LogIndex, Members, Outputs, Snapshot, Term,
+};
+
+/// Keeps a replica's durable state in a data folder that it locks.
+#[derive(Debug)]
+pub struct Store<C> {
+    folder: PathBuf,
+    identity: Identity,
+    log: Option<File>,
+    log_bytes: u64,
+    /// Held for its lock.
+    _lock: File,
+    command: PhantomData<fn() -> C>,
+}
+
+#[derive(Deserialize, Serialize)]
+enum LogRecord<C> {
+    Base { index: LogIndex, term: Term, members: Members },
+    Ballot(Ballot),
+    Entry(Entry<C>),
+}
+
+impl<C: Clone + Serialize + DeserializeOwned> Store<C> {
+    /// Opens a data folder and reads what it holds. A folder that holds no
+    /// identity gets `fresh`. Without a log the replica is not founded yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the folder is in use, can't be read or written,
+    /// or is damaged other than by a write that was cut short.
+    pub fn open(folder: &Path, fresh: Identity) -> Result<(Self, Option<Durable<C>>), StoreError> {
+        fs::create_dir_all(folder).map_err(StoreError::io(folder))?;
+        let lock = lock(folder)?;
+        let identity = read_identity(folder, fresh)?;
+        let mut store = Self {
+            folder: folder.to_owned(),
+            identity,
+            log: None,
+            log_bytes: 0,
+            _lock: lock,
+            command: PhantomData,
+        };
+        let durable = store.recover()?;
+        Ok((store, durable))
+    }
+
+    /// Returns who the replica is.
+    pub fn identity(&self) -> Identity {
+        self.identity
+    }
+
+    /// Returns the length of the log.
+    pub fn log_bytes(&self) -> u64 {
+        self.log_bytes
+    }
+
+    /// Writes the first state of a replica.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the state can't be made durable.
+    pub fn found(&mut self, durable: &Durable<C>) -> Result<(), StoreError> {
+        self.rewrite(durable)?;
+        self.identity.founded = true;
+        write_identity(&self.folder, &self.identity)
+    }
+
+    /// Makes the durable part of a step's outputs durable. `durable` is the
+    /// state after the step.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when it can't. The replica must then stop: after a
+    /// failed sync the operating system may drop what was written.
+    pub fn save(&mut self, outputs: &Outputs<C>, durable: &Durable<C>) -> Result<(), StoreError> {
+        if let Some(snapshot) = &outputs.snapshot {
+            self.write_snapshot(snapshot)?;
+            return self.rewrite(durable);
+        }
+        let mut buffer = Vec::new();
+        if let Some(ballot) = outputs.ballot {
+            self.encode(&mut buffer, &LogRecord::Ballot(ballot))?;
+        }
+        for entry in &outputs.entries {
+            self.encode(&mut buffer, &LogRecord::Entry(entry.clone()))?;
+        }
+        if buffer.is_empty() {
+            return Ok(());
+        }
+        self.append(&buffer)
+    }
+
+    fn encode(&self, buffer: &mut Vec<u8>, record: &LogRecord<C>) -> Result<(), StoreError> {
+        record::write(buffer, record).map_err(|what| StoreError::Encode { what })
+    }
+
+    fn append(&mut self, buffer: &[u8]) -> Result<(), StoreError> {
+        let path = self.log_path();
+        let Some(log) = &mut self.log else {
+            let source = io::Error::other("the replica is not founded");
+            return Err(StoreError::Io { path, source });
+        };
+        log.write_all(buffer).map_err(StoreError::io(&path))?;
+        log.sync_data().map_err(StoreError::io(&path))?;
+        self.log_bytes += buffer.len() as u64;
+        Ok(())
+    }
+
+    /// Replaces the log by one that begins at the snapshot.
+    fn rewrite(&mut self, durable: &Durable<C>) -> Result<(), StoreError> {
+        let snapshot = &durable.snapshot;
+        let mut buffer = Vec::new();
+        let base = LogRecord::Base {
+            index: snapshot.index,
+            term: snapshot.term,
+            members: snapshot.members.clone(),
+        };
+        self.encode(&mut buffer, &base)?;
+        self.encode(&mut buffer, &LogRecord::Ballot(durable.ballot))?;
+        for entry in &durable.entries {
+            self.encode(&mut buffer, &LogRecord::Entry(entry.clone()))?;
+        }
+        replace_file(&self.folder, LOG, &buffer)?;
+        self.open_log(buffer.len() as u64)
+    }
+
+    fn open_log(&mut self, length: u64) -> Result<(), StoreError> {
+        let path = self.log_path();
+        let log = OpenOptions::new().append(true).open(&path).map_err(StoreError::io(&path))?;
+        self.log = Some(log);
+        self.log_bytes = length;
+        Ok(())
+    }
+
+    fn write_snapshot(&self, snapshot: &Snapshot) -> Result<(), StoreError> {
+        let mut buffer = Vec::new();
+        record::write(&mut buffer, snapshot).map_err(|what| StoreError::Encode { what })?;
+        replace_file(&self.folder, SNAPSHOT, &buffer)
+    }
+
+    fn recover(&mut self) -> Result<Option<Durable<C>>, StoreError> {
+        let path = self.log_path();
+        let Some(bytes) = read_if_there(&path)? else {
+            if self.identity.founded {
+                return Err(StoreError::corrupt(path, 0, "the replica's log is gone"));
+            }
+            return Ok(None);
+        };
+        let (mut durable, length) = replay(&path, &bytes)?;
+        if length < bytes.len() {
+            cut(&path, length)?;
+        }
+        // A crash may fall between the writes of a snapshot and of the log
+        // that begins at it. The log before it is still there, then, and is
+        // compacted as the node itself would.
+        if let Some(snapshot) = self.read_snapshot()? {
+            if snapshot.index > durable.snapshot.index {
+                durable.compact(snapshot);
+            } else {
+                durable.snapshot.data = snapshot.data;
+            }
+        } else if durable.snapshot.index > 0 {
+            let what = "the log begins at a snapshot, but there is none";
+            return Err(StoreError::corrupt(path, 0, what));
+        }
+        self.open_log(length as u64)?;
+        Ok(Some(durable))
+    }
+
+    fn read_snapshot(&self) -> Result<Option<Snapshot>, StoreError> {
+        let path = self.folder.join(SNAPSHOT);
+        let Some(bytes) = read_if_there(&path)? else { return Ok(None) };
+        let Found::Record { body, .. } = record::read(&bytes, 0) else {
+            return Err(StoreError::corrupt(path, 0, "the snapshot is not whole"));
+        };
+        let decoded = record::decode(body);
+        decoded.map(Some).map_err(|what| StoreError::corrupt(path, 0, what))
+    }
+
+    fn log_path(&self) -> PathBuf {
+        self.folder.join(LOG)
+    }
+}
+
+const LOCK: &str = "LOCK";
+const IDENTITY: &str = "identity";
+const SNAPSHOT: &str = "snapshot";
+const LOG: &str = "log";
+
+fn lock(folder: &Path) -> Result<File, StoreError> {
+    let path = folder.join(LOCK);
+    let opened = OpenOptions::new().create(true).truncate(false).write(true).open(&path);
+    let file = opened.map_err(StoreError::io(&path))?;
+    let locked = FileExt::try_lock_exclusive(&file).map_err(StoreError::io(&path))?;
+    if !locked {
+        return Err(StoreError::Locked { path });
+    }
+    Ok(file)
+}
+
+fn read_identity(folder: &Path, fresh: Identity) -> Result<Identity, StoreError> {
+    let path = folder.join(IDENTITY);
+    let Some(bytes) = read_if_there(&path)? else {
+        write_identity(folder, &fresh)?;
+        return Ok(fresh);
+    };
+    let Found::Record { body, .. } = record::read(&bytes, 0) else {
+        return Err(StoreError::corrupt(path, 0, "the identity is not whole"));
+    };
+    record::decode(body).map_err(|what| StoreError::corrupt(path, 0, what))
+}
+
+fn write_identity(folder: &Path, identity: &Identity) -> Result<(), StoreError> {
+    let mut buffer = Vec::new();
+    record::write(&mut buffer, identity).map_err(|what| StoreError::Encode { what })?;
+    replace_file(folder, IDENTITY, &buffer)
+}
+
+/// Reads the log and returns the state with the length that is whole.
+fn replay<C>(path: &Path, bytes: &[u8]) -> Result<(Durable<C>, usize), StoreError>
+where
+    C: Clone + DeserializeOwned,
+{
+    let mut durable = Durable::new(Members::default());
+    let mut offset = 0;
+    loop {
+        match record::read(bytes, offset) {
+            Found::Record { body, next } => {
+                let decoded = record::decode(body);
+                let decoded =
+                    decoded.map_err(|what| StoreError::corrupt(path, offset as u64, what))?;
+                replay_record(&mut durable, decoded);
+                offset = next;
+            }
+            // The first record was written with the file, by a rename: it is
+            // never cut short.
+            Found::Torn | Found::End if offset == 0 => {
+                return Err(StoreError::corrupt(path, 0, "the log has no beginning"));
+            }
+            Found::End | Found::Torn => return Ok((durable, offset)),
+            Found::Damaged(what) => return Err(StoreError::corrupt(path, offset as u64, what)),
+        }
+    }
+}
+
+fn replay_record<C: Clone>(durable: &mut Durable<C>, record: LogRecord<C>) {
+    match record {
+        LogRecord::Base { index, term, members } => {
+            durable.snapshot = Snapshot { index, term, members, data: Vec::new() };
+        }
+        LogRecord::Ballot(ballot) => durable.ballot = ballot,
+        LogRecord::Entry(entry) => durable.put(entry),
+    }
+}
+
+fn read_if_there(path: &Path) -> Result<Option<Vec<u8>>, StoreError> {
+    match fs::read(path) {
+        Ok(bytes) => Ok(Some(bytes)),
+        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+        Err(error) => Err(StoreError::io(path)(error)),
+    }
+}
+
+fn cut(path: &Path, length: usize) -> Result<(), StoreError> {
+    let file = OpenOptions::new().write(true).open(path).map_err(StoreError::io(path))?;
+    file.set_len(length as u64).map_err(StoreError::io(path))?;
+    file.sync_all().map_err(StoreError::io(path))
+}
+
+/// Writes a whole file so that a crash leaves the old or the new one.
+fn replace_file(folder: &Path, name: &str, bytes: &[u8]) -> Result<(), StoreError> {
+    let path = folder.join(name);
+    let staged = folder.join(format!("{name}.new"));
+    let mut file = File::create(&staged).map_err(StoreError::io(&staged))?;
+    file.write_all(bytes).map_err(StoreError::io(&staged))?;
+    file.sync_all().map_err(StoreError::io(&staged))?;
+    fs::rename(&staged, &path).map_err(StoreError::io(&path))?;
+    let parent = File::open(folder).map_err(StoreError::io(folder))?;
+    parent.sync_all().map_err(StoreError::io(folder))
+}
--- /dev/null
+++ b/tests/it/main.rs
@@ -0,0 +1,1 @@
+//! Focused tests of the core, with virtual time.
--- /dev/null
+++ b/tests/models/main.rs
@@ -0,0 +1,1 @@
+//! Model checking of the core.
--- /dev/null
+++ b/tests/processes/deployment.rs
@@ -0,0 +1,389 @@
+//! Starts, kills and freezes the processes of one deployment.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    path::{Path, PathBuf},
+    process::{Child, Command, Output, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
+    time::{Duration, Instant},
+};
+
+use serde_json::Value;
+
+/// Runs the processes of one deployment and ends them when it goes.
+pub struct Deployment {
+    folder: PathBuf,
+    address: String,
+    processes: BTreeMap<String, Child>,
+    pub instances: Vec<String>,
+    pub upstreams: Vec<String>,
+    pub http: reqwest::Client,
+}
+
+const TOKEN: &str = "token-of-the-first-operator";
+pub const OTHER_TOKEN: &str = "token-of-the-other-operator";
+/// Bounds every wait; no verdict depends on how fast the machine is.
+const WAIT_MAX: Duration = Duration::from_secs(60);
+const PAUSE: Duration = Duration::from_millis(50);
+const SLOTS: u32 = 4;
+
+static DEPLOYMENTS: AtomicU32 = AtomicU32::new(1);
+
+impl Deployment {
+    /// Starts two regions with five instances, three of them control
+    /// replicas, and four upstreams.
+    pub fn start() -> Self {
+        Self::start_with("")
+    }
+
+    /// Starts the same with further timing settings.
+    pub fn start_with(timing: &str) -> Self {
+        let number = DEPLOYMENTS.fetch_add(1, Ordering::Relaxed);
+        let pid = std::process::id();
+        // Each deployment has a loopback address of its own, so ports never
+        // clash.
+        let address = format!("127.{}.{}.{}", 10 + number, pid / 200 % 200, 1 + pid % 200);
+        let folder = std::env::temp_dir().join(format!("bulrushspan-test-{pid}-{number}"));
+        fs::create_dir_all(&folder).unwrap();
+        let mut deployment = Self {
+            folder,
+            address,
+            processes: BTreeMap::new(),
+            instances: ["n1", "n2", "n3", "s1", "s2"].map(str::to_owned).to_vec(),
+            upstreams: ["u1", "u2", "u3", "u4"].map(str::to_owned).to_vec(),
+            http: reqwest::Client::builder().no_proxy().build().unwrap(),
+        };
+        deployment.write_files(timing);
+        for name in deployment.upstreams.clone() {
+            deployment.start_upstream(&name);
+        }
+        for name in deployment.instances.clone() {
+            deployment.start_instance(&name);
+        }
+        deployment
+    }
+
+    fn write_files(&self, timing: &str) {
+        fs::write(self.folder.join("cluster.key"), "a-cluster-key-for-tests").unwrap();
+        fs::write(self.folder.join("first.token"), TOKEN).unwrap();
+        fs::write(self.folder.join("other.token"), OTHER_TOKEN).unwrap();
+        fs::write(self.folder.join("platform.json"), r#"{"instances": []}"#).unwrap();
+        fs::write(self.folder.join("settings.jsonc"), self.settings(timing)).unwrap();
+    }
+
+    fn settings(&self, timing: &str) -> String {
+        let address = &self.address;
+        let instances: Vec<String> = (0..self.instances.len())
+            .map(|at| {
+                let name = &self.instances[at];
+                let zone = ["north-a", "north-b", "north-a", "south-a", "south-b"][at];
+                let port = 7000 + 10 * at;
+                let replica = ["n1", "n2", "s1"].contains(&name.as_str());
+                let data =
+                    if replica { format!(r#", "data_folder": "{name}""#) } else { String::new() };
+                format!(
+                    r#"{{"name": "{name}", "zone": "{zone}", "callers": "{address}:{}", "operators": "{address}:{}", "cluster": "{address}:{}", "forward": "{address}:{}"{data}}}"#,
+                    port, port + 1, port + 2, port + 3
+                )
+            })
+            .collect();
+        let upstreams: Vec<String> = (0..self.upstreams.len())
+            .map(|at| {
+                let zone = ["north-a", "north-b", "south-a", "south-b"][at];
+                format!(
+                    r#"{{"name": "{}", "address": "{address}:{}", "zone": "{zone}"}}"#,
+                    self.upstreams[at],
+                    8000 + at
+                )
+            })
+            .collect();
+        format!(
+            r#"{{
+                "cluster_key_file": "cluster.key",
+                "operator_token_files": {{"first": "first.token", "other": "other.token"}},
+                "platform": {{"file": "platform.json"}},
+                "regions": [
+                    {{"name": "north", "zones": ["north-a", "north-b"]}},
+                    {{"name": "south", "zones": ["south-a", "south-b"]}}
+                ],
+                "links": [
+                    {{"from": "north", "to": "south", "delay_ms": 1, "cap_mbit": 1000}},
+                    {{"from": "south", "to": "north", "delay_ms": 1, "cap_mbit": 1000}}
+                ],
+                "instances": [{}],
+                "services": [{{
+                    "name": "orders", "slots": {SLOTS}, "connections": 100, "deadline_ms": 5000,
+                    "upstreams": [{}]
+                }}],
+                "default_region": "north",
+                "blocks": [
+                    {{"block": "10.1.0.0/16", "region": "north"}},
+                    {{"block": "10.2.0.0/16", "region": "south"}}
+                ],
+                "presets": {{
+                    "ordinary": {{
+                        "shares": {{"north": {{"north": 1000}}, "south": {{"south": 1000}}}},
+                        "shift": {{"cap_permille": 100, "interval_ms": 1000}}
+                    }},
+                    "peak": {{
+                        "shares": {{"north": {{"north": 700, "south": 300}}, "south": {{"south": 1000}}}},
+                        "shift": {{"cap_permille": 100, "interval_ms": 1000}}
+                    }}
+                }},
+                "first_preset": "ordinary",
+                "timing": {{"look_up_ttl_ms": 1000{timing}}}
+            }}"#,
+            instances.join(", "),
+            upstreams.join(", ")
+        )
+    }
+
+    pub fn settings_file(&self) -> PathBuf {
+        self.folder.join("settings.jsonc")
+    }
+
+    pub fn data_folder(&self, instance: &str) -> PathBuf {
+        self.folder.join(instance)
+    }
+
+    pub fn record_file(&self, upstream: &str) -> PathBuf {
+        self.folder.join(format!("{upstream}.record"))
+    }
+
+    pub fn write_platform_list(&self, text: &str) {
+        fs::write(self.folder.join("platform.json"), text).unwrap();
+    }
+
+    pub fn start_instance(&mut self, name: &str) {
+        let settings = self.settings_file();
+        let args = ["serve", "--settings", path_text(&settings), "--instance", name];
+        self.spawn(name, &args);
+    }
+
+    pub fn start_upstream(&mut self, name: &str) {
+        let at = self.upstreams.iter().position(|known| known == name).unwrap();
+        let listen = format!("{}:{}", self.address, 8000 + at);
+        let record = self.record_file(name);
+        let slots = SLOTS.to_string();
+        let args = [
+            "stand-in",
+            "--name",
+            name,
+            "--listen",
+            &listen,
+            "--slots",
+            &slots,
+            "--record",
+            path_text(&record),
+        ];
+        self.spawn(name, &args);
+    }
+
+    fn spawn(&mut self, name: &str, args: &[&str]) {
+        let log = self.folder.join(format!("{name}.log"));
+        let log = fs::OpenOptions::new().create(true).append(true).open(log).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_bulrushspan"))
+            .args(args)
+            .env("RUST_LOG", "info")
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        self.processes.insert(name.to_owned(), child);
+    }
+
+    /// Kills a process without warning.
+    pub fn kill(&mut self, name: &str) {
+        let mut child = self.processes.remove(name).unwrap();
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+
+    /// Sends a signal to a process.
+    pub fn signal(&self, name: &str, signal: &str) {
+        let pid = self.processes[name].id().to_string();
+        let sent = Command::new("kill").args(["-s", signal, &pid]).status().unwrap();
+        assert!(sent.success());
+    }
+
+    /// Waits until a process has ended and returns its exit status.
+    pub fn wait_ended(&mut self, name: &str) -> Option<i32> {
+        let mut child = self.processes.remove(name).unwrap();
+        let until = Instant::now() + WAIT_MAX;
+        while Instant::now() < until {
+            if let Some(status) = child.try_wait().unwrap() {
+                return status.code();
+            }
+            std::thread::sleep(PAUSE);
+        }
+        child.kill().ok();
+        child.wait().ok();
+        panic!("{name} did not end within {WAIT_MAX:?}");
+    }
+
+    pub fn log_of(&self, name: &str) -> String {
+        fs::read_to_string(self.folder.join(format!("{name}.log"))).unwrap_or_default()
+    }
+
+    /// Runs a command of an operator.
+    pub fn command(&self, args: &[&str]) -> Output {
+        let settings = self.settings_file();
+        Command::new(env!("CARGO_BIN_EXE_bulrushspan"))
+            .args(args)
+            .args(["--settings", path_text(&settings)])
+            .output()
+            .unwrap()
+    }
+
+    /// Runs a command that must go well, again until it does, and returns the
+    /// JSON that it prints.
+    pub fn json(&self, args: &[&str]) -> Value {
+        let args: Vec<&str> = args.iter().copied().chain(["--json"]).collect();
+        self.wait_for(&format!("{args:?}"), || {
+            let output = self.command(&args);
+            let value = serde_json::from_slice(&output.stdout).ok();
+            value.filter(|_| output.status.success())
+        })
+    }
+
+    /// Waits until `look` returns something.
+    pub fn wait_for<T>(&self, what: &str, mut look: impl FnMut() -> Option<T>) -> T {
+        let until = Instant::now() + WAIT_MAX;
+        loop {
+            if let Some(seen) = look() {
+                return seen;
+            }
+            if Instant::now() > until {
+                let logs: Vec<String> = self
+                    .instances
+                    .iter()
+                    .map(|name| format!("--- {name}\n{}", self.log_of(name)))
+                    .collect();
+                panic!("waited {WAIT_MAX:?} in vain for: {what}\n{}", logs.join("\n"));
+            }
+            std::thread::sleep(PAUSE);
+        }
+    }
+
+    /// Waits until all given instances are live and every upstream has an
+    /// owner among them.
+    pub fn wait_ready(&self, live: &[&str]) {
+        self.wait_for(&format!("{live:?} ready"), || {
+            let output = self.command(&["status", "--json"]);
+            let status: Value = serde_json::from_slice(&output.stdout).ok()?;
+            let is_live = |name: &&str| status["instances"][name]["state"]["state"] == "live";
+            let owned = |name: &String| {
+                let owner = status["owners"][name]["owner"]["instance"].as_str();
+                owner.is_some_and(|owner| live.contains(&owner))
+            };
+            let ready = live.iter().all(is_live)
+                && self.upstreams.iter().all(owned)
+                && status["in_force_everywhere"] == true
+                && status["key_epoch"].as_u64() > Some(0);
+            ready.then_some(())
+        });
+    }
+
+    pub fn wait_all_ready(&self) {
+        let all: Vec<&str> = self.instances.iter().map(String::as_str).collect();
+        self.wait_ready(&all);
+    }
+
+    /// Returns the instance whose replica leads.
+    pub fn leader(&self) -> String {
+        self.wait_for("a leader", || {
+            let output = self.command(&["status", "--json"]);
+            let status: Value = serde_json::from_slice(&output.stdout).ok()?;
+            let replicas = status["replicas"].as_array()?;
+            let leader = replicas.iter().find(|replica| replica["leads"] == true)?;
+            Some(leader["instance"].as_str()?.to_owned())
+        })
+    }
+
+    pub fn callers_url(&self, instance: &str) -> String {
+        format!("http://{}:{}", self.address, self.port_of(instance))
+    }
+
+    pub fn operators_url(&self, instance: &str) -> String {
+        format!("http://{}:{}", self.address, self.port_of(instance) + 1)
+    }
+
+    fn port_of(&self, instance: &str) -> usize {
+        7000 + 10 * self.instances.iter().position(|known| known == instance).unwrap()
+    }
+
+    /// Asks for a look-up.
+    pub async fn look_up(&self, instance: &str, client: &str) -> Option<Value> {
+        let url = format!("{}/lookup?client={client}", self.callers_url(instance));
+        self.http.get(url).send().await.ok()?.error_for_status().ok()?.json().await.ok()
+    }
+
+    /// Waits until an instance has a revision in force, as its look-ups say.
+    pub async fn wait_revision(&self, instance: &str, revision: u64) {
+        let until = Instant::now() + WAIT_MAX;
+        loop {
+            let answer = self.look_up(instance, "10.2.0.1").await;
+            let seen = answer.as_ref().and_then(|answer| answer["revision"].as_u64());
+            if seen >= Some(revision) {
+                return;
+            }
+            assert!(Instant::now() < until, "{instance} shows {seen:?}, not {revision}");
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// Sends a booking and returns the status and the body.
+    pub async fn book(&self, instance: &str, key: &str, query: &str) -> Option<(u16, Value)> {
+        let url = format!("{}/services/orders/bookings{query}", self.callers_url(instance));
+        let request = self.http.post(url).header("idempotency-key", key).body("a booking");
+        let answer = request.send().await.ok()?;
+        let status = answer.status().as_u16();
+        Some((status, answer.json().await.ok()?))
+    }
+
+    /// Returns the current epoch of keys.
+    pub fn key_epoch(&self) -> u64 {
+        self.json(&["status"])["key_epoch"].as_u64().unwrap()
+    }
+
+    /// Counts the runs of each key by the upstreams' own records.
+    pub fn runs_by_key(&self) -> BTreeMap<String, u32> {
+        let mut runs = BTreeMap::new();
+        for line in self.record_lines() {
+            let words: Vec<&str> = line.split('\t').collect();
+            if words.len() == 4 && words[0] == "run" && !words[2].is_empty() {
+                *runs.entry(words[2].to_owned()).or_insert(0) += 1;
+            }
+        }
+        runs
+    }
+
+    /// Returns the lines of all upstreams' records.
+    pub fn record_lines(&self) -> Vec<String> {
+        self.upstreams
+            .iter()
+            .flat_map(|name| {
+                let text = fs::read_to_string(self.record_file(name)).unwrap_or_default();
+                text.lines().map(str::to_owned).collect::<Vec<_>>()
+            })
+            .collect()
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        for child in self.processes.values_mut() {
+            child.kill().ok();
+            child.wait().ok();
+        }
+        if !std::thread::panicking() {
+            fs::remove_dir_all(&self.folder).ok();
+        }
+    }
+}
+
+pub fn path_text(path: &Path) -> &str {
+    path.to_str().unwrap()
+}
--- /dev/null
+++ b/tests/processes/main.rs
@@ -0,0 +1,4 @@
+//! Runs whole deployments as separate processes on loopback.
+
+mod deployment;
+mod whole_path;
