--- /dev/null
+++ b/tests/models/explore.rs
@@ -0,0 +1,57 @@
+//! Breadth-first search for a state that breaks an invariant.
+
+use std::{
+    cell::Cell,
+    hash::{Hash, Hasher},
+};
+
+use pathfinding::directed::bfs::bfs;
+
+/// Says what a search found.
+pub struct Explored<S> {
+    /// How many states were expanded.
+    pub states: usize,
+    /// The shortest way to a state that breaks an invariant.
+    pub violation: Option<Vec<S>>,
+}
+
+/// A state with its distance from the start, which does not tell states
+/// apart.
+#[derive(Clone)]
+struct Placed<S> {
+    state: S,
+    depth: u32,
+}
+
+impl<S: PartialEq> PartialEq for Placed<S> {
+    fn eq(&self, other: &Self) -> bool {
+        self.state == other.state
+    }
+}
+
+impl<S: Eq> Eq for Placed<S> {}
+
+impl<S: Hash> Hash for Placed<S> {
+    fn hash<H: Hasher>(&self, hasher: &mut H) {
+        self.state.hash(hasher);
+    }
+}
+
+/// Visits every state within `depth` steps of `start`.
+pub fn explore<S: Clone + Eq + Hash>(
+    start: S,
+    depth: u32,
+    successors: impl Fn(&S) -> Vec<S>,
+    is_violated: impl Fn(&S) -> bool,
+) -> Explored<S> {
+    let states = Cell::new(0);
+    let next = |placed: &Placed<S>| {
+        states.set(states.get() + 1);
+        let found = if placed.depth < depth { successors(&placed.state) } else { Vec::new() };
+        let depth = placed.depth + 1;
+        found.into_iter().map(move |state| Placed { state, depth }).collect::<Vec<_>>()
+    };
+    let path = bfs(&Placed { state: start, depth: 0 }, next, |p| is_violated(&p.state));
+    let violation = path.map(|path| path.into_iter().map(|placed| placed.state).collect());
+    Explored { states: states.get(), violation }
+}
--- /dev/null
+++ b/tests/models/ownership.rs
@@ -0,0 +1,379 @@
+//! Ownership of one upstream under every order of events within small
+//! bounds: leases, crashes, freezes, late answers, a change of leader, and
+//! clocks that run at different rates.
+
+use std::{
+    collections::BTreeMap,
+    hash::{Hash, Hasher},
+    rc::Rc,
+    time::Duration,
+};
+
+use sha2::{Digest, Sha256};
+
+use bulrushspan::core::{
+    admission::{Admission, AdmissionConfig, Finish, Offer, Waiting},
+    claims::ClaimLimits,
+    control::{
+        Command, ControlLimits, ControlState, Holder, LoadReport, Outcome, PlanInputs, Policy,
+        Region, RequestClass, Seed, Service, Session, Sessions, SessionsConfig, Topology, Upstream,
+        Zone, plan,
+    },
+};
+
+use super::explore::{Explored, explore};
+
+/// No delta is kept: every answer carries the whole policy.
+const LIMITS: ControlLimits = ControlLimits {
+    answers_max: 0,
+    audit_max: 0,
+    recent_max: 0,
+    claims: ClaimLimits { epochs_kept: 1, claims_max: 0 },
+};
+/// One unit of time of the model.
+const UNIT: Duration = Duration::from_secs(1);
+const LEASE: Duration = Duration::from_secs(3);
+const DEADLINE: Duration = Duration::from_secs(4);
+const START: Duration = Duration::from_secs(10);
+
+#[derive(Clone, Debug)]
+struct World {
+    now: Duration,
+    margin: Duration,
+    state: Rc<ControlState>,
+    sessions: Rc<Sessions>,
+    entries: BTreeMap<String, Rc<Entry>>,
+    /// Answers of a leader under way to an entry.
+    grants: Vec<Grant>,
+    /// When each request that runs on the upstream began.
+    running: Vec<(Duration, String, u64)>,
+    left: Budget,
+    fault: Option<Fault>,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    holder: Holder,
+    /// Its clock, which may run slow.
+    clock: Duration,
+    admission: Admission,
+    tickets: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Grant {
+    to: Holder,
+    asked: Duration,
+    policy: Rc<Policy>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Budget {
+    ticks: u32,
+    slow_ticks: u32,
+    requests: u32,
+    restarts: u32,
+    leaders: u32,
+    /// Answers of the leader that are late.
+    delays: u32,
+}
+
+/// A fault that is planted to show that the model finds it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Fault {
+    /// A new leader counts leases that it did not grant as run out.
+    ImpatientLeader,
+    /// A new owner does not wait for the former one's requests.
+    Unsettled,
+}
+
+/// A state with the digest of all that it holds, by which states are told
+/// apart.
+#[derive(Clone, Debug)]
+struct Digested {
+    digest: [u8; 32],
+    world: World,
+}
+
+impl Digested {
+    fn new(world: World) -> Self {
+        Self { digest: Sha256::digest(format!("{world:?}")).into(), world }
+    }
+}
+
+impl PartialEq for Digested {
+    fn eq(&self, other: &Self) -> bool {
+        self.digest == other.digest
+    }
+}
+
+impl Eq for Digested {}
+
+impl Hash for Digested {
+    fn hash<H: Hasher>(&self, hasher: &mut H) {
+        self.digest.hash(hasher);
+    }
+}
+
+fn topology() -> Topology {
+    let upstream = Upstream {
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: "a".to_owned(),
+        slots: 1,
+        connections: 1,
+    };
+    let service = Service {
+        upstreams: BTreeMap::from([("u".to_owned(), upstream)]),
+        deadline: DEADLINE,
+        queue_max: 0,
+        routes: Vec::new(),
+        body_max_bytes: 0,
+        retry_percent: 0,
+        shed_means_not_run: false,
+    };
+    Topology {
+        regions: BTreeMap::from([("r".to_owned(), Region { zones: vec!["a".to_owned()] })]),
+        zones: BTreeMap::from([("a".to_owned(), Zone { region: "r".to_owned() })]),
+        services: BTreeMap::from([("s".to_owned(), service)]),
+        instance_zones: ["e1", "e2"].map(|name| (name.to_owned(), "a".to_owned())).into(),
+        claim_epoch: Duration::from_secs(1_000_000),
+        suspect_kept: Duration::from_secs(1_000_000),
+        ..Topology::default()
+    }
+}
+
+impl World {
+    /// Returns a world in which one entry owns the upstream.
+    fn new(left: Budget, margin: Duration, fault: Option<Fault>) -> Self {
+        let config = SessionsConfig { lease: LEASE, drift_margin: margin };
+        let entries =
+            ["e1", "e2"].map(|name| (name.to_owned(), Rc::new(Entry::new(name, 1, START))));
+        let mut world = Self {
+            now: START,
+            margin,
+            state: Rc::default(),
+            sessions: Rc::new(Sessions::new(config, Duration::ZERO)),
+            entries: entries.into(),
+            grants: Vec::new(),
+            running: Vec::new(),
+            left,
+            fault,
+        };
+        let seed = Seed {
+            presets: Vec::new(),
+            in_force: "p".into(),
+            blocks: vec![("10.0.0.0/8".parse().unwrap(), "r".to_owned())],
+        };
+        world.apply(Command::Seed(seed));
+        for name in ["e1", "e2", "e1"] {
+            world = world.watch(name).hear(0);
+        }
+        world
+    }
+
+    fn apply(&mut self, command: Command) -> Outcome {
+        Rc::make_mut(&mut self.state).apply(command, &topology(), &LIMITS)
+    }
+
+    fn successors(&self) -> Vec<Self> {
+        let mut next: Vec<Self> = (0..self.grants.len()).map(|at| self.clone().hear(at)).collect();
+        for name in self.entries.keys() {
+            let waits = self.grants.iter().any(|grant| grant.to.instance == *name);
+            if !waits {
+                next.push(self.clone().watch(name).hear(self.grants.len()));
+            }
+            if !waits && self.left.delays > 0 {
+                let mut world = self.clone();
+                world.left.delays -= 1;
+                next.push(world.watch(name));
+            }
+            if self.left.requests > 0 {
+                next.push(self.clone().request(name));
+            }
+            if self.left.restarts > 0 {
+                next.push(self.clone().restart(name));
+            }
+        }
+        if self.left.ticks > 0 {
+            next.push(self.clone().tick(None));
+            if self.left.slow_ticks > 0 {
+                next.extend(self.entries.keys().map(|name| self.clone().tick(Some(name))));
+            }
+        }
+        if self.left.leaders > 0 {
+            next.push(self.clone().change_leader());
+        }
+        next
+    }
+
+    /// Lets a unit of time pass, for all but one clock.
+    fn tick(mut self, slow: Option<&str>) -> Self {
+        self.left.ticks -= 1;
+        self.now += UNIT;
+        for (name, entry) in &mut self.entries {
+            if slow == Some(name) {
+                self.left.slow_ticks -= 1;
+            } else {
+                Rc::make_mut(entry).clock += UNIT;
+            }
+        }
+        // An upstream gives a request up at its deadline.
+        let now = self.now;
+        let (ended, running) =
+            self.running.clone().into_iter().partition(|(began, _, _)| *began + DEADLINE <= now);
+        self.running = running;
+        for (_, name, ticket) in Vec::<(Duration, String, u64)>::from_iter(ended) {
+            if let Some(entry) = self.entries.get_mut(&name) {
+                let entry = Rc::make_mut(entry);
+                entry.admission.finish("s", ticket, Finish::Done, entry.clock);
+            }
+        }
+        self.plan()
+    }
+
+    /// An entry asks, and the leader grants; the answer is under way.
+    fn watch(mut self, name: &str) -> Self {
+        let entry = &self.entries[name];
+        let session =
+            Session { granted: self.now, version: 0, stopping: false, load: LoadReport::default() };
+        Rc::make_mut(&mut self.sessions).grant(entry.holder.clone(), session);
+        let mut world = self.plan();
+        let policy = Rc::new(world.state.policy().clone());
+        let asked = world.entries[name].clock;
+        let to = world.entries[name].holder.clone();
+        world.grants.push(Grant { to, asked, policy });
+        world
+    }
+
+    fn hear(mut self, at: usize) -> Self {
+        let mut grant = self.grants.remove(at);
+        let Some(entry) = self.entries.get_mut(&grant.to.instance) else { return self };
+        if entry.holder != grant.to {
+            return self;
+        }
+        let entry = Rc::make_mut(entry);
+        if self.fault == Some(Fault::Unsettled) {
+            let policy = Rc::make_mut(&mut grant.policy);
+            policy.owners.values_mut().for_each(|held| held.unsettled = false);
+        }
+        entry.admission.set_lease(grant.asked + LEASE);
+        entry.admission.follow(&grant.policy, &topology(), entry.clock);
+        self
+    }
+
+    /// Lets the leader propose until it has nothing more to propose.
+    fn plan(mut self) -> Self {
+        loop {
+            let (state, topology) = (self.state.clone(), topology());
+            let commands = plan(&PlanInputs {
+                state: &state,
+                topology: &topology,
+                sessions: &self.sessions,
+                now: self.now,
+                unix_ms: 0,
+                last_shift: Duration::ZERO,
+            });
+            if commands.is_empty() {
+                return self;
+            }
+            for command in commands {
+                self.apply(command);
+            }
+        }
+    }
+
+    fn request(mut self, name: &str) -> Self {
+        self.left.requests -= 1;
+        let now = self.now;
+        let Some(entry) = self.entries.get_mut(name) else { return self };
+        let entry = Rc::make_mut(entry);
+        entry.tickets += 1;
+        let ticket = entry.tickets;
+        entry.admission.poll(entry.clock);
+        let waiting = Waiting::new(ticket, RequestClass::Booking, entry.clock + DEADLINE);
+        if let Some(Offer::Dispatch { .. }) = entry.admission.offer("s", waiting, entry.clock) {
+            self.running.push((now, name.to_owned(), ticket));
+        }
+        self
+    }
+
+    /// A process dies and another one starts in its place; what it sent runs
+    /// on.
+    fn restart(mut self, name: &str) -> Self {
+        self.left.restarts -= 1;
+        let former = &self.entries[name];
+        let entry = Entry::new(name, former.holder.incarnation + 1, former.clock);
+        self.entries.insert(name.to_owned(), Rc::new(entry));
+        self
+    }
+
+    fn change_leader(mut self) -> Self {
+        self.left.leaders -= 1;
+        let config = SessionsConfig { lease: LEASE, drift_margin: self.margin };
+        let began = match self.fault {
+            Some(Fault::ImpatientLeader) => Duration::ZERO,
+            _ => self.now,
+        };
+        self.sessions = Rc::new(Sessions::new(config, began));
+        self
+    }
+
+    fn is_over(&self) -> bool {
+        self.running.len() > 1
+    }
+}
+
+impl Entry {
+    fn new(name: &str, incarnation: u64, clock: Duration) -> Self {
+        let holder = Holder::new(name, incarnation);
+        let config = AdmissionConfig { cancel_hold: Duration::ZERO };
+        let admission = Admission::new(holder.clone(), &topology(), config);
+        Self { holder, clock, admission, tickets: 0 }
+    }
+}
+
+fn check(world: World, depth: u32) -> Explored<Digested> {
+    let successors = |at: &Digested| at.world.successors().into_iter().map(Digested::new).collect();
+    explore(Digested::new(world), depth, successors, |at| at.world.is_over())
+}
+
+const USUAL: Budget =
+    Budget { ticks: 5, slow_ticks: 2, requests: 2, restarts: 1, leaders: 1, delays: 1 };
+
+#[test]
+fn an_upstream_never_gets_more_than_its_slots() {
+    let explored = check(World::new(USUAL, UNIT, None), 6);
+    assert!(explored.violation.is_none(), "{:#?}", explored.violation);
+    println!("ownership: {} states", explored.states);
+    insta::assert_snapshot!("ownership", explored.states);
+}
+
+#[test]
+fn a_takeover_never_gives_more_than_the_slots() {
+    let left = Budget { ticks: 9, restarts: 0, leaders: 0, delays: 0, ..USUAL };
+    let explored = check(World::new(left, UNIT, None), 10);
+    assert!(explored.violation.is_none(), "{:#?}", explored.violation);
+    println!("takeover: {} states", explored.states);
+    insta::assert_snapshot!("takeover", explored.states);
+}
+
+#[test]
+fn a_missing_drift_margin_is_found() {
+    let left = Budget { restarts: 0, leaders: 0, delays: 0, ..USUAL };
+    let world = World::new(left, Duration::ZERO, Some(Fault::Unsettled));
+    assert!(check(world, 9).violation.is_some());
+}
+
+#[test]
+fn an_impatient_leader_is_found() {
+    let left = Budget { slow_ticks: 0, restarts: 0, delays: 0, ..USUAL };
+    let world = World::new(left, UNIT, Some(Fault::ImpatientLeader));
+    assert!(check(world, 9).violation.is_some());
+}
+
+#[test]
+fn a_new_owner_that_does_not_wait_is_found() {
+    let left = Budget { slow_ticks: 0, restarts: 0, leaders: 0, delays: 0, ..USUAL };
+    let world = World::new(left, UNIT, Some(Fault::Unsettled));
+    assert!(check(world, 10).violation.is_some());
+}
