Take a free slot of one's own before forwarding

Cause: a request was forwarded by load reports up to 0.75 s old even when the instance that got it had a free slot by its own exact count. The count of refusals now counts answers, not attempts.

--- a/examples/steering.rs
+++ b/examples/steering.rs
@@ -301,6 +301,10 @@
             return self.offer_two(entry, request, hops, now);
         }
         if self.way == Way::Owned && hops == 0 {
+            let waiting = Waiting::new(request.ticket, request.class, request.deadline);
+            if let Some(upstream) = self.pools[entry].offer_now(&waiting, now) {
+                return self.start(entry, upstream, request, now);
+            }
             let order = self.order(entry);
             match order.first() {
                 Some(first) if *first != entry => return self.forward(*first, request, 1, now),
--- a/src/core/admission/desk.rs
+++ b/src/core/admission/desk.rs
@@ -200,6 +200,16 @@
         self.pools.get_mut(service).map(|pool| pool.offer(waiting, now))
     }
 
+    /// Offers a request that is not to wait.
+    pub fn offer_now(
+        &mut self,
+        service: &str,
+        waiting: &Waiting,
+        now: Duration,
+    ) -> Option<UpstreamName> {
+        self.pools.get_mut(service)?.offer_now(waiting, now)
+    }
+
     /// Takes back a request that waits.
     pub fn withdraw(&mut self, service: &str, ticket: Ticket) -> bool {
         self.pools.get_mut(service).is_some_and(|pool| pool.withdraw(ticket))
--- a/src/core/admission/pool.rs
+++ b/src/core/admission/pool.rs
@@ -196,6 +196,17 @@
         self.queue_up(waiting, now)
     }
 
+    /// Offers a request that is not to wait. Returns the upstream that it may
+    /// be sent to, if a slot is free and nothing waits for it.
+    pub fn offer_now(&mut self, waiting: &Waiting, now: Duration) -> Option<UpstreamName> {
+        if now >= self.lease_until || !self.queue.is_empty() {
+            return None;
+        }
+        let upstream = self.choose(waiting, now)?;
+        self.start(waiting, &upstream, now);
+        Some(upstream)
+    }
+
     fn queue_up(&mut self, waiting: Waiting, now: Duration) -> Offer {
         let wait = self.expected_wait(waiting.class, now);
         if now + wait + self.times.mean(waiting.class) > waiting.deadline {
--- a/src/core/control/plan.rs
+++ b/src/core/control/plan.rs
@@ -214,7 +214,7 @@
             .iter()
             .min_by_key(|(holder, count)| (is_far(inputs, holder, upstream), **count))?;
         let (far, best_far) = (is_far(inputs, owner, upstream), is_far(inputs, best, upstream));
-        let better = best_far < far || (best_far == far && owned >= *fewest + 2);
+        let better = (far && !best_far) || (best_far == far && owned >= *fewest + 2);
         let action = AssignmentAction::HandOver((*best).clone());
         better.then(|| assignment(name, Some(held), action))
     })
--- a/src/runtime/desk.rs
+++ b/src/runtime/desk.rs
@@ -53,6 +53,8 @@
 pub(super) struct OfferRequest {
     pub(super) service: ServiceName,
     pub(super) waiting: Waiting,
+    /// Whether it may wait.
+    pub(super) may_wait: bool,
     pub(super) reply: oneshot::Sender<Admitted>,
 }
 /// Gives up a request: takes it back if it waits, ends it if it runs.
@@ -175,6 +177,12 @@
     async fn handle(&mut self, message: OfferRequest, _ctx: &mut Context<Self>) {
         let ticket = message.waiting.ticket;
         let now = self.clock.now();
+        if !message.may_wait {
+            if let Some(to) = self.admission.offer_now(&message.service, &message.waiting, now) {
+                message.reply.send(Admitted::To(to)).ok();
+            }
+            return;
+        }
         match self.admission.offer(&message.service, message.waiting, now) {
             Some(Offer::Dispatch { upstream }) => {
                 message.reply.send(Admitted::To(upstream)).ok();
--- a/src/runtime/gateway/attempt.rs
+++ b/src/runtime/gateway/attempt.rs
@@ -15,7 +15,7 @@
         end_to_end, number, value,
     },
     links::Meter,
-    offer::Slot,
+    offer::{Slot, refused},
     problem::{Problem, ProblemBody},
 };
 use crate::{
@@ -35,11 +35,11 @@
 
 impl Gateway {
     /// Sends a request to an upstream that this instance owns.
-    pub(super) async fn run_here(&self, call: &Call) -> Result<Incoming, Problem> {
-        let (slot, upstream) = self.take_slot(call).await?;
+    pub(super) async fn run_here(&self, call: &Call, may_wait: bool) -> Result<Incoming, Problem> {
+        let (slot, upstream) = self.take_slot(call, may_wait).await?;
         let topology = &self.shared.settings.topology;
         let Some((service, described)) = topology.upstream(&upstream) else {
-            return Err(self.refused(call, "no_upstream"));
+            return Err(refused("no_upstream"));
         };
         let url = format!("http://{}{}", described.address, call.path);
         let mut headers = end_to_end(&call.headers);
@@ -67,7 +67,7 @@
             let retry_after = seconds.map(Duration::from_secs);
             slot.set_finish(Finish::Shed { retry_after });
             if call.is_idempotent() || (shed_means_not_run && retry_after.is_some()) {
-                let problem = self.refused(call, "shed");
+                let problem = refused("shed");
                 return Err(match retry_after {
                     Some(wait) => problem.with_retry_after(wait),
                     None => problem,
@@ -87,7 +87,7 @@
         debug!(%upstream, %error, "an attempt failed");
         if error.is_connect() {
             slot.set_finish(Finish::NotConnected);
-            return self.refused(call, "unreachable");
+            return refused("unreachable");
         }
         if error.is_timeout() {
             let message = "the upstream did not answer before the deadline";
@@ -138,10 +138,10 @@
     ) -> Result<Incoming, Problem> {
         let meter = self.meter_to(&owner.region);
         if meter.as_ref().is_some_and(|meter| !meter.has_room(call.class)) {
-            return Err(self.refused(call, "link_full"));
+            return Err(refused("link_full"));
         }
         let Some(peer) = self.shared.settings.instances.get(&owner.holder.instance) else {
-            return Err(self.refused(call, "unreachable"));
+            return Err(refused("unreachable"));
         };
         if let Some(meter) = &meter {
             meter.pass(HEAD_BYTES).await;
@@ -156,7 +156,7 @@
             }
             Ok(answer) if answer.headers().contains_key(OUTCOME) => Err(unknown_of(answer).await),
             Ok(answer) => Ok(Incoming::through(answer)),
-            Err(error) if error.is_connect() => Err(self.refused(call, "unreachable")),
+            Err(error) if error.is_connect() => Err(refused("unreachable")),
             Err(error) if error.is_timeout() => {
                 let message = "no answer came before the deadline";
                 Err(Problem::unknown(StatusCode::GATEWAY_TIMEOUT, "deadline", message))
@@ -184,9 +184,9 @@
         let reason = body.as_ref().map_or("refused", |body| body.error.as_str());
         if reason == "crashes_upstreams" {
             let policy = &self.shared.view.followed().policy;
-            return call.crashed(policy).err().unwrap_or_else(|| self.refused(call, reason));
+            return call.crashed(policy).err().unwrap_or_else(|| refused(reason));
         }
-        let problem = self.refused(call, reason);
+        let problem = refused(reason);
         match body.and_then(|body| body.retry_after_ms) {
             Some(wait) => problem.with_retry_after(Duration::from_millis(wait)),
             None => problem,
--- a/src/runtime/gateway/callers.rs
+++ b/src/runtime/gateway/callers.rs
@@ -22,6 +22,7 @@
     call::{Arrived, Call},
     claim::{Claim, Claimed},
     headers::{PEER_CLASS, PEER_FINGERPRINT, PEER_KEY, PEER_REGION, text},
+    offer::refused,
     problem::Problem,
 };
 use crate::{
@@ -195,6 +196,11 @@
             Err(_) => "unknown",
         };
         let metrics = &self.shared.metrics;
+        if let Err(problem) = answer
+            && problem.is_not_run()
+        {
+            metrics.refused.with_label_values(&[service, &problem.error]).inc();
+        }
         metrics.requests.with_label_values(&[service, outcome]).inc();
         let took = self.now().saturating_sub(begun);
         metrics.latency.with_label_values(&[service]).observe(took.as_secs_f64());
@@ -205,7 +211,7 @@
     async fn run_to_end(&self, call: Call) -> Result<Response, Problem> {
         self.note_request(&call.service);
         if !self.shared.view.has_lease() {
-            return Err(self.refused(&call, "no_lease"));
+            return Err(refused("no_lease"));
         }
         call.crashed(&self.shared.view.followed().policy)?;
         if call.is_idempotent() {
@@ -266,26 +272,32 @@
         answer
     }
 
-    /// Offers a request to owners in turn until one runs it.
+    /// Offers a request to owners in turn until one runs it. A free slot of
+    /// this instance's own comes first: its own count is exact and costs no
+    /// hop. Where the request waits, if it has to, goes by the load reports.
     async fn run_offers(&self, call: &Call) -> Result<Incoming, Problem> {
         let owners = self.owners_for(call);
-        let mut last = self.refused(call, "no_upstream");
+        if owners.iter().any(|owner| owner.holder == self.shared.me) {
+            match self.run_here(call, false).await {
+                Err(problem) if passes_on(&problem) => {}
+                ended => return ended,
+            }
+        }
+        let mut last = refused("no_upstream");
         for (number, owner) in owners.iter().take(OFFERS_MAX).enumerate() {
+            if !call.body.is_whole() || !self.may_offer_again(call, number) {
+                break;
+            }
             if number > 0 {
-                if !call.body.is_whole() || !self.may_offer_again(call, number) {
-                    break;
-                }
                 self.shared.metrics.retries.with_label_values(&[call.service.as_str()]).inc();
             }
             let answer = if owner.holder == self.shared.me {
-                self.run_here(call).await
+                self.run_here(call, true).await
             } else {
                 self.run_through(call, owner).await
             };
             match answer {
-                Err(problem) if problem.is_not_run() && problem.error != "crashes_upstreams" => {
-                    last = problem;
-                }
+                Err(problem) if passes_on(&problem) => last = problem,
                 ended => return ended,
             }
         }
@@ -342,9 +354,9 @@
     async fn run_for_peer(&self, call: &Call, region: &String) -> Result<Response, Problem> {
         let meter = self.meter_to(region);
         if meter.as_ref().is_some_and(|meter| !meter.has_room(call.class)) {
-            return Err(self.refused(call, "link_full"));
+            return Err(refused("link_full"));
         }
-        let incoming = self.run_here(call).await?;
+        let incoming = self.run_here(call, true).await?;
         if let Some(meter) = &meter {
             meter.pass(HEAD_BYTES).await;
         }
@@ -357,6 +369,11 @@
     }
 }
 
+/// Tells whether another owner may be offered a request.
+fn passes_on(problem: &Problem) -> bool {
+    problem.is_not_run() && problem.error != "crashes_upstreams"
+}
+
 fn class_named(name: &str) -> Option<RequestClass> {
     RequestClass::ALL.into_iter().find(|class| class.name() == name)
 }
--- a/src/runtime/gateway/offer.rs
+++ b/src/runtime/gateway/offer.rs
@@ -42,8 +42,13 @@
 }
 
 impl Gateway {
-    /// Waits for a slot of an upstream that this instance owns.
-    pub(super) async fn take_slot(&self, call: &Call) -> Result<(Slot, UpstreamName), Problem> {
+    /// Takes a slot of an upstream that this instance owns, and waits for one
+    /// if the request may.
+    pub(super) async fn take_slot(
+        &self,
+        call: &Call,
+        may_wait: bool,
+    ) -> Result<(Slot, UpstreamName), Problem> {
         let crashed = call.crashed(&self.shared.view.followed().policy)?;
         let ticket = self.ticket();
         let waiting = Waiting::new(ticket, call.class, call.deadline).with_suspicion(crashed);
@@ -55,37 +60,35 @@
             finish: Finish::Unsent,
         };
         let service = call.service.clone();
-        self.shared.desk.send(OfferRequest { service, waiting, reply }).await.ok();
+        self.shared.desk.send(OfferRequest { service, waiting, may_wait, reply }).await.ok();
         match admitted.await {
             Ok(Admitted::To(upstream)) => {
                 // Between the grant and now the process may have been frozen.
                 if !self.shared.view.has_lease() {
-                    return Err(self.refused(call, RefusalReason::NoLease.name()));
+                    return Err(refused(RefusalReason::NoLease.name()));
                 }
                 slot.set_finish(Finish::Cancelled);
                 Ok((slot, upstream))
             }
             Ok(Admitted::Refused { reason, retry_after }) => {
-                Err(self.refused(call, reason.name()).with_retry_after(retry_after))
+                Err(refused(reason.name()).with_retry_after(retry_after))
             }
-            Err(_) => Err(self.refused(call, RefusalReason::NoUpstream.name())),
+            Err(_) => Err(refused(RefusalReason::NoUpstream.name())),
         }
     }
+}
 
-    /// Returns the problem of a request that was not run, and counts it.
-    pub(super) fn refused(&self, call: &Call, reason: &str) -> Problem {
-        let labels = &[call.service.as_str(), reason];
-        self.shared.metrics.refused.with_label_values(labels).inc();
-        let message = match reason {
-            "no_upstream" => "no upstream takes work at present; try again",
-            "queue_full" => "too many requests wait; try again after the time given",
-            "too_late" => "the answer would come after the deadline; try again later",
-            "no_lease" => return Problem::no_lease(),
-            "link_full" => "the link between the regions is full; try again",
-            "unreachable" => "the upstream could not be reached; try again",
-            "shed" => "the upstream sheds load; try again after the time given",
-            _ => "the request was not run; try again",
-        };
-        Problem::not_run(warp::http::StatusCode::SERVICE_UNAVAILABLE, reason, message)
-    }
+/// Returns the problem of a request that was not run.
+pub(super) fn refused(reason: &str) -> Problem {
+    let message = match reason {
+        "no_upstream" => "no upstream takes work at present; try again",
+        "queue_full" => "too many requests wait; try again after the time given",
+        "too_late" => "the answer would come after the deadline; try again later",
+        "no_lease" => return Problem::no_lease(),
+        "link_full" => "the link between the regions is full; try again",
+        "unreachable" => "the upstream could not be reached; try again",
+        "shed" => "the upstream sheds load; try again after the time given",
+        _ => "the request was not run; try again",
+    };
+    Problem::not_run(warp::http::StatusCode::SERVICE_UNAVAILABLE, reason, message)
 }
