Do not queue at home because its last report was old

Cause: of owners that the reports call equally free, the home instance came first, though a free slot of its own had just been tried in vain; and the comparison never took done requests off its count of forwarded ones, so that after 0.75 s every other owner looked full. A trace of requests over 200 ms showed the queues at instances with one upstream while neighbours were idle. Ruled out: unfair classes (bookings did not wait; look-ups did, in turn).

--- a/examples/steering.rs
+++ b/examples/steering.rs
@@ -98,7 +98,8 @@
     running: BTreeMap<UpstreamName, u32>,
     reported: BTreeMap<UpstreamName, u32>,
     loads: BTreeMap<InstanceName, LoadReport>,
-    sent: BTreeMap<InstanceName, u32>,
+    /// What each entry forwarded to each other one and is not done.
+    sent: Vec<BTreeMap<InstanceName, u32>>,
     waiting: BTreeMap<u64, Request>,
     events: BTreeMap<(Duration, u64), Event>,
     sequence: u64,
@@ -150,7 +151,7 @@
             running: BTreeMap::new(),
             reported: BTreeMap::new(),
             loads: BTreeMap::new(),
-            sent: BTreeMap::new(),
+            sent: Vec::new(),
             waiting: BTreeMap::new(),
             events: BTreeMap::new(),
             sequence: 0,
@@ -160,6 +161,7 @@
             hop,
             drained: None,
         };
+        sim.sent = vec![BTreeMap::new(); sim.entries.len()];
         sim.share_out();
         sim.at(Duration::ZERO, Event::Arrive);
         sim.at(Duration::ZERO, Event::Report);
@@ -335,15 +337,22 @@
     }
 
     fn forward(&mut self, to: usize, request: Request, hops: u32, now: Duration) {
-        *self.sent.entry(self.entries[to].0.clone()).or_insert(0) += 1;
+        *self.sent[request.home].entry(self.entries[to].0.clone()).or_insert(0) += 1;
         self.at(now + self.hop, Event::Offer { entry: to, request, hops });
     }
 
     fn order(&self, entry: usize) -> Vec<usize> {
         let me = Holder::new(self.entries[entry].0.clone(), 1);
         let (name, region) = (self.service_name, &self.entries[entry].1);
-        let choices =
-            choose_owners(&me, &self.policy, self.topology, name, region, &self.loads, &self.sent);
+        let choices = choose_owners(
+            &me,
+            &self.policy,
+            self.topology,
+            name,
+            region,
+            &self.loads,
+            &self.sent[entry],
+        );
         let local = choices.iter().filter(|choice| choice.region == *region);
         local
             .filter_map(|choice| {
@@ -418,6 +427,11 @@
         {
             self.tally.drain = Some(now - FAULT_AT);
         }
+        if entry != request.home
+            && let Some(sent) = self.sent[request.home].get_mut(&self.entries[entry].0)
+        {
+            *sent = sent.saturating_sub(1);
+        }
         if self.alive[entry] {
             let back = if entry == request.home { Duration::ZERO } else { self.hop };
             self.tally.done += 1;
@@ -460,7 +474,6 @@
             let first = self.service.upstreams.keys().next().unwrap().clone();
             self.reported.insert(first, 0);
         }
-        self.sent.clear();
         for (entry, (name, _)) in self.entries.iter().enumerate() {
             let mut load = self.pools[entry].load(now);
             if self.trouble == Trouble::FalseReport && entry == 0 {
--- a/src/core/steering/owners.rs
+++ b/src/core/steering/owners.rs
@@ -41,7 +41,11 @@
         let name = &choice.holder.instance;
         let load = loads.get(name).and_then(|report| report.services.get(service));
         let load = load.copied().unwrap_or_default();
-        pressure_permille(load, choice.slots, sent.get(name).copied().unwrap_or(0))
+        let sent = sent.get(name).copied().unwrap_or(0);
+        let pressure = pressure_permille(load, choice.slots, sent);
+        // A free slot of this instance's own was tried before, so whatever
+        // its last report says, there is none.
+        if choice.holder == *me { pressure.max(FULL_PERMILLE) } else { pressure }
     };
     choices.sort_by_cached_key(|choice| {
         (
@@ -59,10 +63,13 @@
 /// that expect one count as equal but for the steps of a quarter.
 fn pressure_permille(load: RegionLoad, slots: u32, sent: u32) -> u32 {
     let ahead = load.used_slots + load.waiting + sent;
-    let permille = 1000 * ahead / slots.max(1);
-    if permille < 1000 { permille / 250 * 250 } else { permille }
+    let permille = FULL_PERMILLE * ahead / slots.max(1);
+    if permille < FULL_PERMILLE { permille / 250 * 250 } else { permille }
 }
 
+/// The pressure of an owner all of whose slots are taken.
+const FULL_PERMILLE: u32 = 1000;
+
 fn owners_of(
     policy: &Policy,
     topology: &Topology,
