Refuse what would wait too long

Cause: with all slots taken, requests queued up to 64 deep at each instance, and the callers' p99 was the queue's length, not the work's. Ruled out: the work done fell with it.

--- a/examples/steering.rs
+++ b/examples/steering.rs
@@ -57,7 +57,7 @@
 enum Event {
     Arrive,
     Offer { entry: usize, request: Request, hops: u32 },
-    Done { entry: usize, upstream: UpstreamName, request: Request, began: Duration },
+    Done { entry: usize, upstream: UpstreamName, request: Request, work: Duration },
     Report,
     Fault,
     Poll { entry: usize },
@@ -78,6 +78,8 @@
     refused: u64,
     arrived: u64,
     over_max: u32,
+    /// The time that upstreams worked for requests that were answered.
+    work: Duration,
     drain: Option<Duration>,
     reports: (u64, u64),
 }
@@ -125,7 +127,11 @@
             .keys()
             .map(|name| (name.clone(), topology.region_of_instance(name).unwrap().clone()))
             .collect();
-        let config = PoolConfig { queue_max: service.queue_max, cancel_hold: CANCEL_HOLD };
+        let config = PoolConfig {
+            queue_max: service.queue_max,
+            wait_max: service.wait_max,
+            cancel_hold: CANCEL_HOLD,
+        };
         let pools = entries
             .iter()
             .map(|_| {
@@ -222,8 +228,8 @@
             match event {
                 Event::Arrive => self.arrive(now),
                 Event::Offer { entry, request, hops } => self.offer(entry, request, hops, now),
-                Event::Done { entry, upstream, request, began } => {
-                    self.done(entry, upstream, request, began, now)
+                Event::Done { entry, upstream, request, work } => {
+                    self.done(entry, upstream, request, work, now)
                 }
                 Event::Report => self.report(now),
                 Event::Fault => self.fault(now),
@@ -406,8 +412,9 @@
         self.tally.over_max = self.tally.over_max.max(running.saturating_sub(described.slots));
         let far = self.topology.instance_zones[&self.entries[entry].0] != described.zone;
         let there = if far { self.hop } else { Duration::ZERO };
-        let end = now + 2 * there + Duration::from_secs_f64(time / 1000.0);
-        self.at(end, Event::Done { entry, upstream, request, began: now });
+        let work = Duration::from_secs_f64(time / 1000.0);
+        let end = now + 2 * there + work;
+        self.at(end, Event::Done { entry, upstream, request, work });
     }
 
     fn done(
@@ -415,7 +422,7 @@
         entry: usize,
         upstream: UpstreamName,
         request: Request,
-        _began: Duration,
+        work: Duration,
         now: Duration,
     ) {
         if let Some(running) = self.running.get_mut(&upstream) {
@@ -435,6 +442,7 @@
         if self.alive[entry] {
             let back = if entry == request.home { Duration::ZERO } else { self.hop };
             self.tally.done += 1;
+            self.tally.work += work;
             if request.class == RequestClass::Report {
                 self.tally.reports.0 += 1;
             }
@@ -543,9 +551,9 @@
 
 fn main() {
     println!(
-        "| deployment, service | load | trouble | way | p50 ms | p99 ms | completed % | refused % | most over slots | reports done % | drain s |"
+        "| deployment, service | load | trouble | way | p50 ms | p99 ms | completed % | work % of the slots | refused % | most over slots | reports done % | drain s |"
     );
-    println!("|---|---|---|---|---|---|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|");
     let part = std::env::args().nth(1).unwrap_or_default();
     let troubles = [
         Trouble::None,
@@ -582,14 +590,18 @@
                             Way::TwoChoices => "two-choices",
                             Way::Owned => "owned",
                         };
+                        let described = &settings.topology.services[service].upstreams;
+                        let slots: u32 = described.values().map(|upstream| upstream.slots).sum();
+                        let slot_seconds = f64::from(slots) * RUN.as_secs_f64();
                         let percent = |count: u64, of: u64| 100.0 * count as f64 / of.max(1) as f64;
                         let ms =
                             |quantile: f64| latency.value_at_quantile(quantile) as f64 / 1000.0;
                         println!(
-                            "| {cell} | {name} | {:.1} | {:.1} | {:.2} | {:.2} | {} | {:.1} | {} |",
+                            "| {cell} | {name} | {:.1} | {:.1} | {:.2} | {:.1} | {:.2} | {} | {:.1} | {} |",
                             ms(0.5),
                             ms(0.99),
                             percent(tally.done, tally.arrived),
+                            100.0 * tally.work.as_secs_f64() / slot_seconds,
                             percent(tally.refused, tally.arrived),
                             tally.over_max,
                             percent(tally.reports.0, tally.reports.1),
--- a/src/core/admission/desk.rs
+++ b/src/core/admission/desk.rs
@@ -54,7 +54,8 @@
     pub fn new(me: Holder, topology: &Topology, config: AdmissionConfig) -> Self {
         let pool = |service: &Service| {
             let cancel_hold = config.cancel_hold;
-            Pool::new(PoolConfig { queue_max: service.queue_max, cancel_hold })
+            let (queue_max, wait_max) = (service.queue_max, service.wait_max);
+            Pool::new(PoolConfig { queue_max, wait_max, cancel_hold })
         };
         let pools =
             topology.services.iter().map(|(name, service)| (name.clone(), pool(service))).collect();
--- a/src/core/admission/pool.rs
+++ b/src/core/admission/pool.rs
@@ -37,6 +37,8 @@
 pub struct PoolConfig {
     /// The most requests that wait.
     pub queue_max: usize,
+    /// The longest that a request is expected to wait.
+    pub wait_max: Duration,
     /// How long a slot counts as taken after its request was cancelled.
     pub cancel_hold: Duration,
 }
@@ -212,7 +214,7 @@
         if now + wait + self.times.mean(waiting.class) > waiting.deadline {
             return Offer::Refused { reason: RefusalReason::TooLate, retry_after: wait };
         }
-        if self.queue.len() >= self.config.queue_max {
+        if self.queue.len() >= self.config.queue_max || wait > self.config.wait_max {
             let retry_after = wait.max(RETRY_AFTER_MIN);
             return Offer::Refused { reason: RefusalReason::QueueFull, retry_after };
         }
--- a/src/core/control/topology.rs
+++ b/src/core/control/topology.rs
@@ -60,6 +60,9 @@
     /// The longest that a request may take, which is also what it gets when
     /// it names no deadline.
     pub deadline: Duration,
+    /// The longest that a request is expected to wait; beyond it, requests
+    /// are refused.
+    pub wait_max: Duration,
     /// The most requests that wait at one instance.
     pub queue_max: usize,
     /// The classes of requests by path prefix, the longest prefix first.
--- a/src/settings/parse.rs
+++ b/src/settings/parse.rs
@@ -237,9 +237,12 @@
         if connections < slots {
             service.note("connections", "fewer connections than slots; give at least as many");
         }
+        let deadline_ms = service.number_or("deadline_ms", 10_000, 1, DAY_MS);
+        let wait_max_ms = service.number_or("wait_max_ms", deadline_ms / 20, 0, DAY_MS);
         let mut described = Service {
             upstreams: BTreeMap::new(),
-            deadline: Duration::from_millis(service.number_or("deadline_ms", 10_000, 1, DAY_MS)),
+            deadline: Duration::from_millis(deadline_ms),
+            wait_max: Duration::from_millis(wait_max_ms),
             queue_max: service.number_or("queue_max", 64, 0, 1_000_000) as usize,
             routes: read_routes(&service),
             body_max_bytes: service.number_or("body_max_bytes", 64 << 20, 0, 1 << 40),
--- a/tests/models/ownership.rs
+++ b/tests/models/ownership.rs
@@ -125,6 +125,7 @@
     let service = Service {
         upstreams: BTreeMap::from([("u".to_owned(), upstream)]),
         deadline: DEADLINE,
+        wait_max: Duration::ZERO,
         queue_max: 0,
         routes: Vec::new(),
         body_max_bytes: 0,
