Count a version as in force as soon as its instance says so

Cause: an instance named its new version when it asked again, but the leader took note only when it answered that watch, up to watch_hold_ms (750 ms) later; and a read waited for the next heartbeat (200 ms) to be sure of the leadership. Ruled out: delivery (deltas go out with the commit).

--- a/src/core/control/sessions.rs
+++ b/src/core/control/sessions.rs
@@ -86,6 +86,14 @@
         *held = Session { version, ..session };
     }
 
+    /// Notes the version that a process has in force, without granting it
+    /// anything.
+    pub fn note_version(&mut self, holder: &Holder, version: Version) {
+        if let Some(session) = self.sessions.get_mut(holder) {
+            session.version = session.version.max(version);
+        }
+    }
+
     /// Notes that a process serves nothing any more and asks no more.
     pub fn end(&mut self, holder: Holder) {
         self.sessions.remove(&holder);
--- a/src/runtime/replica.rs
+++ b/src/runtime/replica.rs
@@ -639,6 +639,9 @@
 
     async fn handle(&mut self, Watch(request, reply): Watch, _ctx: &mut Context<Self>) {
         let arrived = self.clock.now();
+        if let Some(lead) = &mut self.lead {
+            lead.sessions.note_version(&request.holder, request.version);
+        }
         self.watchers.push(Watcher { request, arrived, reply });
         self.answer_waiting();
     }
@@ -647,9 +650,14 @@
 impl Handler<Query> for Replica {
     type Return = ();
 
-    async fn handle(&mut self, Query(request, reply): Query, _ctx: &mut Context<Self>) {
+    async fn handle(&mut self, Query(request, reply): Query, ctx: &mut Context<Self>) {
         let arrived = self.clock.now();
         self.readers.push(Reader { request, arrived, reply });
+        // A round that begins now makes sure of the leadership sooner than
+        // the next heartbeat would.
+        if self.lead.is_some() {
+            self.queue(Input::HeartbeatTimeout, None, ctx);
+        }
         self.answer_waiting();
     }
 }
