--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -44,7 +44,9 @@
     pub(super) body: Option<&'a T>,
 }
 
-const CALL_TIMEOUT: Duration = Duration::from_secs(70);
+/// An instance that is frozen takes connections and answers nothing; after this
+/// the next one is asked. It is longer than what `--wait` waits.
+const CALL_TIMEOUT: Duration = Duration::from_secs(15);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long `--wait` waits.
 pub(super) const WAIT_MS: u64 = 10_000;
--- /dev/null
+++ b/tests/it/admission.rs
@@ -0,0 +1,136 @@
+//! Slots, classes, drains, cold upstreams and links.
+
+use std::time::Duration;
+
+use bulrushspan::core::{
+    admission::{
+        Finish, LinkBucket, Offer, Pool, PoolConfig, PoolEvent, RefusalReason, RetryBudget, Slots,
+        Waiting,
+    },
+    control::{Link, RequestClass},
+};
+
+const LONG: Duration = Duration::from_secs(1_000);
+
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+fn pool(slots: u32) -> Pool {
+    let config = PoolConfig { queue_max: 50, wait_max: LONG, cancel_hold: ms(250) };
+    let mut pool = Pool::new(config);
+    pool.set_lease(LONG);
+    pool.own(&"u".to_owned(), Slots::new(1, slots));
+    pool
+}
+
+fn waiting(ticket: u64, class: RequestClass) -> Waiting {
+    Waiting::new(ticket, class, LONG)
+}
+
+#[test]
+fn nothing_is_sent_beyond_the_slots_or_the_lease() {
+    let mut pool = pool(2);
+    for ticket in 1..=2 {
+        let offer = pool.offer(waiting(ticket, RequestClass::Read), ms(0));
+        assert_eq!(offer, Offer::Dispatch { upstream: "u".to_owned() });
+    }
+    assert_eq!(pool.offer(waiting(3, RequestClass::Read), ms(0)), Offer::Queued);
+    pool.set_lease(ms(10));
+    let events = pool.finish(1, Finish::Done, ms(10));
+    let refused = |event: &PoolEvent| {
+        matches!(event, PoolEvent::Refused { ticket: 3, reason: RefusalReason::NoLease, .. })
+    };
+    assert!(events.iter().all(refused) && events.len() == 1, "{events:?}");
+}
+
+#[test]
+fn a_cancelled_request_keeps_its_slot_for_a_while() {
+    let mut pool = pool(1);
+    pool.offer(waiting(1, RequestClass::Read), ms(0));
+    pool.offer(waiting(2, RequestClass::Read), ms(0));
+    assert_eq!(pool.finish(1, Finish::Cancelled, ms(100)), []);
+    assert_eq!(pool.poll(ms(349)), []);
+    let upstream = "u".to_owned();
+    assert_eq!(pool.poll(ms(350)), [PoolEvent::Dispatch { ticket: 2, upstream }]);
+}
+
+#[test]
+fn urgent_requests_go_first_and_reports_still_end() {
+    let mut pool = pool(1);
+    pool.offer(waiting(0, RequestClass::Read), ms(0));
+    for ticket in 1..=40 {
+        let class = RequestClass::ALL[ticket as usize % 4];
+        assert_eq!(pool.offer(waiting(ticket, class), ms(0)), Offer::Queued);
+    }
+    let mut order = String::new();
+    let mut running = 0;
+    // Urgent requests stop coming; their last one keeps slots for ten seconds.
+    for turn in 1..=40 {
+        let now = Duration::from_secs(11) + ms(20 * turn);
+        for event in pool.finish(running, Finish::Done, now) {
+            let PoolEvent::Dispatch { ticket, .. } = event else { panic!("{event:?}") };
+            running = ticket;
+            order.push_str(&RequestClass::ALL[ticket as usize % 4].name()[..3]);
+            order.push(' ');
+        }
+    }
+    insta::assert_snapshot!("order", order);
+}
+
+#[test]
+fn a_shedding_upstream_is_left_alone_and_warmed_up() {
+    let mut pool = pool(8);
+    pool.offer(waiting(1, RequestClass::Read), ms(0));
+    pool.finish(1, Finish::Shed { retry_after: Some(ms(2_000)) }, ms(10));
+    let limits: Vec<(u64, u32)> = [100, 2_010, 3_010, 4_010]
+        .into_iter()
+        .map(|at| {
+            pool.poll(ms(at));
+            (at, pool.load(ms(at)).usable_slots)
+        })
+        .collect();
+    insta::assert_debug_snapshot!("limits", limits);
+}
+
+#[test]
+fn a_draining_upstream_gets_nothing_new() {
+    let mut pool = pool(4);
+    pool.offer(waiting(1, RequestClass::Read), ms(0));
+    pool.slots_mut("u").unwrap().set_draining(true, ms(1));
+    let offer = pool.offer(waiting(2, RequestClass::Read), ms(2));
+    assert!(matches!(offer, Offer::Refused { reason: RefusalReason::NoUpstream, .. }));
+    assert!(!pool.slots("u").unwrap().is_idle());
+    pool.finish(1, Finish::Done, ms(3));
+    assert!(pool.slots("u").unwrap().is_idle());
+}
+
+#[test]
+fn all_instances_of_a_region_together_keep_to_the_links_cap() {
+    let link = Link { delay: ms(55), cap_mbit: 300, reserve_permille: 100 };
+    let mut buckets = vec![LinkBucket::new(&link, 4); 4];
+    let mut sent_by_1_s = 0;
+    for bucket in &mut buckets {
+        loop {
+            let wait = bucket.take(64 * 1024, ms(0));
+            if wait >= Duration::from_secs(1) {
+                break;
+            }
+            sent_by_1_s += 64 * 1024;
+        }
+    }
+    let cap_bytes = 300 * 125_000 * 9 / 10;
+    // A chunk that begins before the second ends may pass after it.
+    assert!(sent_by_1_s <= cap_bytes + 4 * 64 * 1024, "{sent_by_1_s} of {cap_bytes}");
+}
+
+#[test]
+fn retries_stay_a_part_of_the_requests() {
+    let mut budget = RetryBudget::new(10);
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.note_request();
+        retries += usize::from(budget.take());
+    }
+    assert!(retries <= 101, "{retries}");
+}
--- /dev/null
+++ b/tests/it/control.rs
@@ -0,0 +1,131 @@
+//! The control state, command by command.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use bulrushspan::core::control::{
+    AuditFilter, Change, ChangeMeta, ChangeOutcome, ChangeRequest, Command, ControlLimits,
+    ControlState, Holder, LoadReport, Outcome, Preset, Region, Seed, Session, Sessions,
+    SessionsConfig, ShiftRule, Topology,
+};
+use bulrushspan::core::steering::Layout;
+
+fn preset(south: u32) -> Preset {
+    let row = BTreeMap::from([
+        ("north".to_owned(), 1000_u32.saturating_sub(south)),
+        ("south".to_owned(), south),
+    ]);
+    let shares = BTreeMap::from([
+        ("north".to_owned(), row),
+        ("south".to_owned(), [("south".to_owned(), 1000)].into()),
+    ]);
+    let shift = ShiftRule { cap_permille: 50, interval_ms: 1_000, headroom_permille: 0 };
+    Preset { shares, shift }
+}
+
+fn topology() -> Topology {
+    let regions = ["north", "south"].map(|name| (name.to_owned(), Region::default()));
+    Topology { regions: regions.into(), ..Topology::default() }
+}
+
+fn seeded() -> ControlState {
+    let mut state = ControlState::new();
+    let seed = Seed {
+        presets: vec![("ordinary".to_owned(), preset(0)), ("peak".to_owned(), preset(300))],
+        in_force: "ordinary".to_owned(),
+        blocks: Vec::new(),
+    };
+    state.apply(Command::Seed(seed), &topology(), &ControlLimits::default());
+    state
+}
+
+fn change(
+    state: &mut ControlState,
+    id: &str,
+    expected_revision: u64,
+    change: Change,
+) -> ChangeOutcome {
+    let meta = ChangeMeta {
+        change_id: id.to_owned(),
+        expected_revision,
+        actor: "ada".to_owned(),
+        origin: "127.0.0.1".to_owned(),
+        at_unix_ms: 7,
+    };
+    let command = Command::Change(ChangeRequest { change, meta });
+    match state.apply(command, &topology(), &ControlLimits::default()) {
+        Outcome::Change(outcome) => outcome,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn use_preset(name: &str) -> Change {
+    Change::UsePreset { name: name.to_owned() }
+}
+
+#[test]
+fn changes_are_made_once_on_the_revision_that_was_seen() {
+    let mut state = seeded();
+    let told = [
+        change(&mut state, "a", 1, use_preset("peak")),
+        change(&mut state, "b", 1, use_preset("ordinary")),
+        change(&mut state, "a", 1, use_preset("peak")),
+        change(&mut state, "a", 2, use_preset("ordinary")),
+        change(&mut state, "c", 2, use_preset("nothing")),
+        change(
+            &mut state,
+            "d",
+            2,
+            Change::PutPreset { name: "p".to_owned(), preset: preset(2000) },
+        ),
+    ];
+    insta::assert_debug_snapshot!("told", told);
+    insta::assert_debug_snapshot!("audit", AuditFilter::default().select(state.audit()));
+}
+
+#[test]
+fn a_resend_gets_its_first_answer_after_a_snapshot() {
+    let mut state = seeded();
+    let first = change(&mut state, "a", 1, use_preset("peak"));
+    let encoded = bulrushspan::net::wire::encode(&state).unwrap();
+    let mut restored: ControlState = bulrushspan::net::wire::decode(&encoded).unwrap();
+    assert_eq!(change(&mut restored, "a", 1, use_preset("peak")), first);
+}
+
+#[test]
+fn a_step_beyond_the_cap_is_not_applied() {
+    let mut state = seeded();
+    change(&mut state, "a", 1, use_preset("peak"));
+    for (points, applied) in [(51, false), (50, true)] {
+        let before = state.policy().layouts["north"].clone();
+        let row = before.with_moved(&"north".to_owned(), &"south".to_owned(), points);
+        let step = state.policy().shift_step + 1;
+        let rows: BTreeMap<String, Layout> = [("north".to_owned(), row)].into();
+        let command = Command::Shift { step, in_force: "peak".to_owned(), rows };
+        state.apply(command, &topology(), &ControlLimits::default());
+        assert_eq!(state.policy().layouts["north"] != before, applied, "{points}");
+    }
+    let stale = Command::Shift { step: 2, in_force: "ordinary".to_owned(), rows: BTreeMap::new() };
+    state.apply(stale, &topology(), &ControlLimits::default());
+    assert_eq!(state.policy().shift_step, 1);
+}
+
+#[test]
+fn a_version_is_in_force_as_soon_as_its_instance_says_so() {
+    let config =
+        SessionsConfig { lease: Duration::from_secs(3), drift_margin: Duration::from_millis(300) };
+    let mut sessions = Sessions::new(config, Duration::ZERO);
+    let holder = Holder::new("i1", 1);
+    let session = Session {
+        granted: Duration::from_secs(5),
+        version: 4,
+        stopping: false,
+        load: LoadReport::default(),
+    };
+    sessions.grant(holder.clone(), session);
+    let now = Duration::from_secs(6);
+    assert!(sessions.lagging(5, now).contains("i1"));
+    sessions.note_version(&holder, 5);
+    assert!(sessions.lagging(5, now).is_empty());
+    assert!(!sessions.is_expired(&holder, Duration::from_millis(8_300)));
+    assert!(sessions.is_expired(&holder, Duration::from_millis(8_301)));
+}
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -1,1 +1,8 @@
-//! Focused tests of the core, with virtual time.
+//! Focused tests of the core, with virtual time, and of what surrounds it.
+
+mod admission;
+mod control;
+mod settings;
+mod sizes;
+mod steering;
+mod storage;
--- /dev/null
+++ b/tests/it/sizes.rs
@@ -0,0 +1,81 @@
+//! The sizes that docs/CAPACITY.md counts with. A change here changes the
+//! arithmetic there.
+
+use std::collections::BTreeMap;
+
+use bulrushspan::{
+    core::{
+        claims::{Answer, ClaimCommand, ClaimKey, Finished},
+        control::{
+            Command, Holder, InstanceState, LoadReport, PolicyDelta, PolicyEdit, RegionLoad,
+        },
+        replication::{Entry, Envelope, Message, Payload},
+    },
+    net::wire::{Update, WatchReply, WatchRequest, encode},
+};
+
+fn report() -> LoadReport {
+    let load = RegionLoad { usable_slots: 28, used_slots: 20, waiting: 3 };
+    LoadReport { services: ["orders", "uploads"].map(|name| (name.to_owned(), load)).into() }
+}
+
+#[test]
+fn messages_and_records_keep_their_sizes() {
+    let key = ClaimKey { epoch: 1000, token: "0123456789abcdef0123456789abcdef".to_owned() };
+    let attempt = "port-of-spain-1/0123456789abcdef/123456".to_owned();
+    let fingerprint = "0123456789abcdef0123456789abcdef".to_owned();
+    let begin = Command::Claim(ClaimCommand::Begin {
+        key: key.clone(),
+        fingerprint,
+        attempt: attempt.clone(),
+    });
+    let answer = Answer { status: 200, headers: Vec::new(), body: vec![1; 1024] };
+    let finished = Finished::Answered(answer);
+    let finish = Command::Claim(ClaimCommand::Finish { key, attempt, finished });
+    let watch = WatchRequest {
+        holder: Holder::new("port-of-spain-1", u64::MAX),
+        version: 100_000,
+        stopping: false,
+        gone: false,
+        at_once: false,
+        load: report(),
+    };
+    let granted = |instances: usize| WatchReply::Granted {
+        confirmed_before_ms: 1,
+        lease_ms: 3000,
+        update: Update::Deltas(Vec::new()),
+        loads: (0..instances)
+            .map(|n| (format!("port-of-spain-{n:03}"), report()))
+            .collect::<BTreeMap<_, _>>(),
+    };
+    let state = InstanceState::Live { incarnation: u64::MAX };
+    let delta = PolicyDelta {
+        version: 100_000,
+        edits: vec![PolicyEdit::Instance("port-of-spain-1".to_owned(), state)],
+    };
+    let append = |entries| Envelope {
+        from: u64::MAX,
+        to: u64::MAX,
+        term: 10,
+        message: Message::Append {
+            prev_index: 100_000,
+            prev_term: 10,
+            entries,
+            commit: 100_000,
+            round: 100_000,
+        },
+    };
+    let entry = Entry { index: 100_000, term: 10, payload: Payload::Command(begin.clone()) };
+    let size = |bytes: Result<Vec<u8>, _>| bytes.unwrap().len();
+    let sizes = BTreeMap::from([
+        ("claim", size(encode(&begin))),
+        ("claim in a log message", size(encode(&append(vec![entry])))),
+        ("recorded answer of 1024 bytes", size(encode(&finish))),
+        ("heartbeat", size(encode(&append(Vec::new())))),
+        ("watch", size(encode(&watch))),
+        ("answer to a watch, 1 report", size(encode(&granted(1)))),
+        ("answer to a watch, 11 reports", size(encode(&granted(11)))),
+        ("delta of an instance's state", size(encode(&delta))),
+    ]);
+    insta::assert_debug_snapshot!("sizes", sizes);
+}
--- /dev/null
+++ b/tests/it/steering.rs
@@ -0,0 +1,106 @@
+//! Where callers land, and how fast that may change.
+
+use std::{collections::BTreeMap, net::IpAddr};
+
+use bulrushspan::core::{
+    control::{RegionLoad, RegionName, ShiftRule},
+    steering::{BlockTable, Layout, ShiftInputs, next_step, reachable_shares, rendezvous_order},
+};
+use ipnet::{IpNet, Ipv4Net, Ipv6Net};
+use proptest::prelude::*;
+
+fn shares(row: &[(&str, u32)]) -> BTreeMap<RegionName, u32> {
+    row.iter().map(|(region, share)| ((*region).to_owned(), *share)).collect()
+}
+
+#[test]
+fn a_move_changes_just_the_points_that_it_says() {
+    let layout = Layout::new(&shares(&[("a", 500), ("b", 300), ("c", 200)]));
+    let moved = layout.with_moved(&"a".to_owned(), &"c".to_owned(), 120);
+    assert_eq!(layout.distance(&moved), 120);
+    assert_eq!(moved.shares(), shares(&[("a", 380), ("b", 300), ("c", 320)]));
+}
+
+fn step(load_south: Option<RegionLoad>) -> Option<BTreeMap<RegionName, u32>> {
+    let layouts = BTreeMap::from([("north".to_owned(), Layout::new(&shares(&[("north", 1000)])))]);
+    let target = BTreeMap::from([("north".to_owned(), shares(&[("north", 500), ("south", 500)]))]);
+    let busy = RegionLoad { usable_slots: 100, used_slots: 80, waiting: 0 };
+    let mut loads = BTreeMap::from([("north".to_owned(), busy)]);
+    loads.extend(load_south.map(|load| ("south".to_owned(), load)));
+    let rows = next_step(&ShiftInputs {
+        layouts: &layouts,
+        target: &target,
+        rule: ShiftRule { cap_permille: 100, interval_ms: 1, headroom_permille: 200 },
+        loads: &loads,
+        slots: &shares(&[("north", 100), ("south", 100)]),
+        blocks: &shares(&[("north", 10)]),
+    });
+    rows.get("north").map(Layout::shares)
+}
+
+#[test]
+fn a_step_keeps_to_its_cap_and_the_headroom() {
+    let load = |used_slots| Some(RegionLoad { usable_slots: 100, used_slots, waiting: 0 });
+    // One point of the thousand uses 80 of 1000 slots.
+    let steps = [
+        ("idle", step(load(0))),
+        ("room for 4 slots", step(load(76))),
+        ("no room", step(load(80))),
+        ("no fresh report", step(None)),
+    ];
+    insta::assert_debug_snapshot!("steps", steps);
+}
+
+#[test]
+fn shares_of_a_region_that_is_down_go_to_the_others() {
+    let target = BTreeMap::from([
+        ("a".to_owned(), shares(&[("a", 600), ("b", 300), ("c", 100)])),
+        ("b".to_owned(), shares(&[("b", 1000)])),
+    ]);
+    let up = ["a", "c"].map(str::to_owned).into();
+    insta::assert_debug_snapshot!("reachable", reachable_shares(&target, &up));
+}
+
+proptest! {
+    #[test]
+    fn taking_an_instance_away_moves_only_its_callers(key in 0u32..100_000, gone in 0usize..10) {
+        let names: Vec<String> = (0..10).map(|number| format!("i{number}")).collect();
+        let before = rendezvous_order(&key.to_string(), &names);
+        let mut left = names.clone();
+        left.remove(gone);
+        let after = rendezvous_order(&key.to_string(), &left);
+        let expected: Vec<String> = before.into_iter().filter(|name| *name != names[gone]).collect();
+        prop_assert_eq!(after, expected);
+    }
+
+    #[test]
+    fn the_longest_block_is_found(
+        v4 in prop::collection::vec((any::<u32>(), 0u8..=32), 0..40),
+        v6 in prop::collection::vec((any::<u128>(), 0u8..=128), 0..20),
+        bits in any::<u32>(),
+        wide in any::<u128>(),
+    ) {
+        let nets: Vec<IpNet> = v4
+            .iter()
+            .map(|(bits, length)| IpNet::V4(Ipv4Net::new((*bits).into(), *length).unwrap().trunc()))
+            .chain(v6.iter().map(|(bits, length)| {
+                IpNet::V6(Ipv6Net::new((*bits).into(), *length).unwrap().trunc())
+            }))
+            .collect();
+        let blocks: BTreeMap<IpNet, RegionName> =
+            nets.iter().map(|net| (*net, format!("region of {net}"))).collect();
+        let table = BlockTable::new().with_blocks(blocks.iter());
+        prop_assert_eq!(table.len(), blocks.len());
+        let inside: Vec<IpAddr> = nets.iter().map(IpNet::network).collect();
+        let outside = [IpAddr::V4(bits.into()), IpAddr::V6(wide.into())];
+        for address in inside.into_iter().chain(outside) {
+            // An IPv6 address that stands for an IPv4 one is looked up as that.
+            let address = address.to_canonical();
+            let linear = blocks
+                .iter()
+                .filter(|(net, _)| net.contains(&address))
+                .max_by_key(|(net, _)| net.prefix_len());
+            prop_assert_eq!(table.find(address), linear.map(|(net, region)| (*net, region)));
+        }
+    }
+}
--- a/tests/processes/control.rs
+++ b/tests/processes/control.rs
@@ -130,6 +130,9 @@
     let other = deployment.instances.iter().find(|name| **name != leader).unwrap().clone();
     let told = deployment.wait_for_change(&other, "during", revision).await;
     assert_eq!(told.body["result"], "accepted");
+    // Until its lease is out the frozen instance counts, and may serve what it
+    // knows; "in force everywhere" says that it is out.
+    deployment.wait_in_force_everywhere(&other).await;
     deployment.signal(&leader, "CONT");
     // Whatever it answers from now on, it never answers the old revision.
     for number in 0..40 {
@@ -144,6 +147,23 @@
 }
 
 impl Deployment {
+    /// Asks one instance, since another one is frozen.
+    async fn wait_in_force_everywhere(&self, via: &str) {
+        for _ in 0..600 {
+            let url = format!("{}/v1/status", self.operators_url(via));
+            let request = self.http.get(url).bearer_auth("token-of-the-first-operator");
+            let status: Option<Value> = match request.send().await {
+                Ok(answer) => answer.json().await.ok(),
+                Err(_) => None,
+            };
+            if status.is_some_and(|status| status["in_force_everywhere"] == true) {
+                return;
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+        }
+        panic!("the change did not get in force everywhere");
+    }
+
     async fn wait_for_change(&self, via: &str, id: &str, revision: u64) -> Told {
         for _ in 0..200 {
             match self.change(via, id, revision, "peak").await {
