Shift the last callers of a lost region too

Cause: a new test with real processes kills a region and watches its callers being shifted away under the cap; it waited in vain for the last points. A region that reports nothing counted as full with however few callers it had left, so that a single point was taken for all its slots and fitted nowhere. Ruled out: the other region's room (idle) and the cap (steps were taken). Before: the_last_callers_of_a_lost_region_are_shifted_too failed at 990 of 1000 points. After: it passes, and so does a_lost_regions_callers_are_shifted_away_and_back_under_the_cap (34 s).

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -61,7 +61,8 @@
 type CommandResult = Result<(), Failure>;
 
 const EXIT_FAILED: u8 = 1;
-const EXIT_USAGE: u8 = 2;
+/// The exit status when the flags or the settings are wrong.
+pub const EXIT_USAGE: u8 = 2;
 
 /// Runs a command and returns the process's exit status.
 pub fn run(flags: Flags) -> ExitCode {
--- a/src/core/steering/shift.rs
+++ b/src/core/steering/shift.rs
@@ -133,8 +133,10 @@
 
 /// Estimates the slots that one point of a home region uses in `from`.
 ///
-/// A region that reports nothing counts as full: after it failed, its callers
-/// may bring all that it could carry.
+/// A region that reports nothing counts as full with the callers that it
+/// serves, or with its own home's where it serves fewer: after it failed, they
+/// may bring all that it could carry, and those that left it are served
+/// elsewhere.
 fn slots_per_point(inputs: &ShiftInputs<'_>, home: &RegionName, from: &RegionName) -> f64 {
     let slots = inputs.slots.get(from).copied().unwrap_or(0);
     let used = inputs.loads.get(from).map_or(slots, |load| load.used_slots + load.waiting);
@@ -147,6 +149,9 @@
             f64::from(points) * weight_of(home)
         })
         .sum();
+    let reports = inputs.loads.contains_key(from);
+    let own = f64::from(SHARES_TOTAL_PERMILLE) * weight_of(from);
+    let served = if reports { served } else { served.max(own) };
     if served <= 0.0 {
         return 0.0;
     }
--- a/src/net/wire.rs
+++ b/src/net/wire.rs
@@ -164,6 +164,8 @@
     pub in_force: PresetName,
     /// Whether every live instance has this version in force.
     pub in_force_everywhere: bool,
+    /// How many steps shifts have taken.
+    pub shift_step: u64,
     /// Where each region's callers go now.
     pub layouts: BTreeMap<RegionName, Layout>,
     /// The instances.
--- a/src/runtime/replica/queries.rs
+++ b/src/runtime/replica/queries.rs
@@ -44,6 +44,7 @@
             version: policy.version,
             in_force: policy.in_force.clone(),
             in_force_everywhere: lagging.is_empty() && settled,
+            shift_step: policy.shift_step,
             layouts: policy.layouts.clone(),
             instances: self.instance_statuses(&lagging, now),
             owners: policy.owners.clone(),
--- a/tests/it/steering.rs
+++ b/tests/it/steering.rs
@@ -51,6 +51,30 @@
     insta::assert_debug_snapshot!("steps", steps);
 }
 
+/// A region that is gone counted as full however few of its callers were
+/// left, so that its last point never fitted anywhere.
+#[test]
+fn the_last_callers_of_a_lost_region_are_shifted_too() {
+    let home = "south".to_owned();
+    let mut layout = Layout::new(&shares(&[("south", 1000)]));
+    let target = BTreeMap::from([(home.clone(), shares(&[("north", 1000)]))]);
+    let idle = RegionLoad { usable_slots: 8, used_slots: 0, waiting: 0 };
+    let loads = BTreeMap::from([("north".to_owned(), idle)]);
+    for _ in 0..10 {
+        let layouts = BTreeMap::from([(home.clone(), layout.clone())]);
+        let rows = next_step(&ShiftInputs {
+            layouts: &layouts,
+            target: &target,
+            rule: ShiftRule { cap_permille: 100, interval_ms: 1, headroom_permille: 100 },
+            loads: &loads,
+            slots: &shares(&[("north", 8), ("south", 8)]),
+            blocks: &shares(&[("north", 1), ("south", 1)]),
+        });
+        layout = rows[&home].clone();
+    }
+    assert_eq!(layout.shares(), shares(&[("north", 1000)]));
+}
+
 #[test]
 fn shares_of_a_region_that_is_down_go_to_the_others() {
     let target = BTreeMap::from([
--- a/tests/processes/control.rs
+++ b/tests/processes/control.rs
@@ -256,4 +256,6 @@
     assert_eq!(answer.unwrap().status(), 401);
     let output = deployment.command(&["preset", "use", "peak", "--expected-revision", "99"]);
     assert_eq!(output.status.code(), Some(1));
+    let output = deployment.command(&["preset", "use", "--no-such-flag"]);
+    assert_eq!(output.status.code(), Some(2));
 }
--- a/tests/processes/stops.rs
+++ b/tests/processes/stops.rs
@@ -2,8 +2,51 @@
 
 use std::time::Duration;
 
+use serde_json::Value;
+
 use super::deployment::Deployment;
 
+/// The most points that one step of the test deployment's presets moves.
+const CAP_PERMILLE: u64 = 100;
+
+/// Returns how many steps there were and how many of a home region's points
+/// each region has.
+fn shares_of(status: &Value, home: &str, region: &str) -> (u64, u64) {
+    let runs = status["layouts"][home]["runs"].as_array().cloned().unwrap_or_default();
+    let of_region = runs.iter().filter(|run| run["region"] == region);
+    let points = of_region.map(|run| run["points"].as_u64().unwrap()).sum();
+    (status["shift_step"].as_u64().unwrap(), points)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_regions_callers_are_shifted_away_and_back_under_the_cap() {
+    let mut deployment = Deployment::start();
+    deployment.wait_all_ready();
+    deployment.kill("s1");
+    deployment.kill("s2");
+    let before = shares_of(&deployment.json(&["status"]), "south", "north");
+    let away = watch_shift(&deployment, before, 1000);
+    let mut landed = Value::Null;
+    while landed["region"] != "north" {
+        landed = deployment.look_up("n1", "10.2.0.1").await.unwrap_or_default();
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    deployment.start_instance("s1");
+    deployment.start_instance("s2");
+    watch_shift(&deployment, away, 0);
+}
+
+/// Waits until so many of the south's points are in the north, and checks
+/// that no step moved more than the cap.
+fn watch_shift(deployment: &Deployment, mut last: (u64, u64), goal: u64) -> (u64, u64) {
+    deployment.wait_for(&format!("{goal} of the south's points in the north"), || {
+        let now = shares_of(&deployment.json(&["status"]), "south", "north");
+        assert!(now.1.abs_diff(last.1) <= CAP_PERMILLE * (now.0 - last.0), "{now:?}, {last:?}");
+        last = now;
+        (now.1 == goal).then_some(now)
+    })
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_planned_stop_cuts_nothing_in_flight() {
     let mut deployment = Deployment::start();
