--- a/src/core/control/plan.rs
+++ b/src/core/control/plan.rs
@@ -7,7 +7,7 @@
 
 use super::{
     Assignment, AssignmentAction, Command, ControlState, Holder, InstanceName, InstanceState,
-    Ownership, RegionName, ServiceName, Sessions, Topology, Upstream, UpstreamName,
+    Ownership, RegionName, Sessions, Topology, Upstream, UpstreamName,
 };
 use crate::core::{
     claims::ClaimCommand,
@@ -83,14 +83,14 @@
 
 fn plan_owners(inputs: &PlanInputs<'_>) -> Option<Command> {
     let mut assignments = Vec::new();
-    for (service, described) in &inputs.topology.services {
+    for described in inputs.topology.services.values() {
         for region in inputs.topology.regions.keys() {
             let upstreams: BTreeMap<&UpstreamName, &Upstream> = described
                 .upstreams
                 .iter()
                 .filter(|(_, u)| inputs.topology.region_of_zone(&u.zone) == Some(region))
                 .collect();
-            assignments.extend(plan_group(inputs, service, region, &upstreams));
+            assignments.extend(plan_group(inputs, region, &upstreams));
         }
     }
     (!assignments.is_empty()).then_some(Command::Assign(assignments))
@@ -99,7 +99,6 @@
 /// Plans the owners of a service's upstreams in one region.
 fn plan_group(
     inputs: &PlanInputs<'_>,
-    _service: &ServiceName,
     region: &RegionName,
     upstreams: &BTreeMap<&UpstreamName, &Upstream>,
 ) -> Vec<Assignment> {
--- a/src/net/http_server.rs
+++ b/src/net/http_server.rs
@@ -21,13 +21,20 @@
 pub struct HttpLimits {
     /// The longest that the headers of a request may take to arrive.
     pub header_timeout: Duration,
-    /// The most bytes of the headers of a request.
+    /// The most bytes of the headers of a request that are read at all. Far
+    /// fewer are passed on; between the two, the answer can say why.
     pub header_max_bytes: usize,
+    /// The most headers of a request that are read at all.
+    pub headers_max: usize,
 }
 
 impl Default for HttpLimits {
     fn default() -> Self {
-        Self { header_timeout: Duration::from_secs(10), header_max_bytes: 64 * 1024 }
+        Self {
+            header_timeout: Duration::from_secs(10),
+            header_max_bytes: 1024 * 1024,
+            headers_max: 1000,
+        }
     }
 }
 
@@ -88,6 +95,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_timeout)
         .max_buf_size(limits.header_max_bytes)
+        .max_headers(limits.headers_max)
         .serve_connection(TokioIo::new(stream), serve);
     let watched = graceful.watch(connection);
     // A peer that breaks its connection is no news.
--- a/src/runtime/gateway/call.rs
+++ b/src/runtime/gateway/call.rs
@@ -45,6 +45,10 @@
 const CRASHES_MAX: usize = 2;
 /// The longest path that upstreams are sent.
 const PATH_MAX_BYTES: usize = 8 * 1024;
+/// The most bytes of headers that upstreams are sent.
+const HEADERS_MAX_BYTES: usize = 32 * 1024;
+/// The most headers that upstreams are sent.
+const HEADERS_MAX: usize = 100;
 
 impl Gateway {
     /// Understands a caller's request, or says what is wrong with it.
@@ -103,6 +107,15 @@
         let message = "upgrades are not passed on; send the request without `Upgrade`";
         return Err(Problem::not_run(StatusCode::NOT_IMPLEMENTED, "upgrade", message));
     }
+    let bytes: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+    if bytes > HEADERS_MAX_BYTES || headers.len() > HEADERS_MAX {
+        let message = format!(
+            "there are {} headers of {bytes} bytes; send {HEADERS_MAX} of {HEADERS_MAX_BYTES} at most",
+            headers.len()
+        );
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        return Err(Problem::not_run(status, "headers_too_large", message));
+    }
     if path.len() > PATH_MAX_BYTES {
         let message = format!("the path has over {PATH_MAX_BYTES} bytes; shorten it");
         return Err(Problem::not_run(StatusCode::URI_TOO_LONG, "path_too_long", message));
--- a/tests/processes/requests.rs
+++ b/tests/processes/requests.rs
@@ -208,6 +208,20 @@
             "upgrade",
             deployment.http.get(format!("{base}/services/orders/x")).header("upgrade", "h2c"),
         ),
+        (
+            "oversized headers",
+            deployment
+                .http
+                .get(format!("{base}/services/orders/x"))
+                .header("x-big", "b".repeat(40_000)),
+        ),
+        (
+            "too many headers",
+            (0..150).fold(
+                deployment.http.get(format!("{base}/services/orders/x")),
+                |request, number| request.header(format!("x-{number}"), "1"),
+            ),
+        ),
         ("no such path", deployment.http.get(format!("{base}/elsewhere"))),
         ("bad client", deployment.http.get(format!("{base}/lookup?client=me"))),
     ];
@@ -252,3 +266,31 @@
     let (status, other) = deployment.book("n2", &key, "?a=2").await.unwrap();
     assert_eq!((status, other["error"].as_str()), (422, Some("key_reused")));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_goes_away_cancels_its_request_and_a_deadline_ends_it() {
+    let deployment = Deployment::start();
+    deployment.wait_all_ready();
+    let began = |path: &str| {
+        let lines = deployment.record_lines();
+        lines.iter().any(|line| line.starts_with("run") && line.ends_with(path))
+    };
+    for instance in &deployment.instances {
+        let base = deployment.callers_url(instance);
+        let url = format!("{base}/services/orders/gone-{instance}?ms=3000");
+        let asked = tokio::spawn(deployment.http.get(url).send());
+        let path = format!("/gone-{instance}");
+        deployment.wait_for("the request to run", || began(&path).then_some(()));
+        asked.abort();
+        let url = format!("{base}/services/orders/late-{instance}?ms=3000");
+        let answer = deployment.http.get(url).header("x-deadline-ms", 300).send().await.unwrap();
+        assert_eq!(answer.status(), 504, "{instance}");
+        let body: Value = answer.json().await.unwrap();
+        assert_eq!(body["outcome"], "unknown", "{instance}");
+    }
+    // Longer than any of them would have run.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let done: Vec<String> =
+        deployment.record_lines().into_iter().filter(|line| line.starts_with("done")).collect();
+    assert!(done.is_empty(), "ran to their end: {done:?}");
+}
