Let one function wait until a version is in force

Cause: the administration API and the report of a crash each had their own loop over the same query. Ruled out: nothing.

--- a/src/runtime/control_client.rs
+++ b/src/runtime/control_client.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     core::{
-        control::{Command, InstanceName, Outcome},
+        control::{Command, InstanceName, Outcome, Version},
         replication::ReplicaId,
     },
     net::{
@@ -50,6 +50,7 @@
 
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
+const IN_FORCE_PAUSE: Duration = Duration::from_millis(10);
 
 impl ControlClient {
     /// Returns a client of the given control replicas.
@@ -137,6 +138,32 @@
         None
     }
 
+    /// Waits until every live instance has a version in force or its lease is
+    /// out. Returns the instances that still lag after `within`, or nothing
+    /// when no leader could tell.
+    pub(super) async fn wait_in_force(
+        &self,
+        version: Version,
+        within: Duration,
+    ) -> Option<Vec<InstanceName>> {
+        let until = Instant::now() + within;
+        let request = QueryRequest::Lagging { version };
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            let answer = self.query(&request, left).await;
+            let late = Instant::now() >= until;
+            match answer {
+                Some(QueryReply::Lagging { instances, settled: true })
+                    if instances.is_empty() || late =>
+                {
+                    return Some(instances);
+                }
+                _ if late => return None,
+                _ => tokio::time::sleep(IN_FORCE_PAUSE).await,
+            }
+        }
+    }
+
     /// Returns the replica to ask next.
     fn target(&self) -> (InstanceName, ClusterClient) {
         let mut leader = self.leader.lock().unwrap_or_else(|error| error.into_inner());
--- a/src/runtime/gateway/attempt.rs
+++ b/src/runtime/gateway/attempt.rs
@@ -18,18 +18,14 @@
     offer::{Slot, refused},
     problem::{Problem, ProblemBody},
 };
-use crate::{
-    core::{
-        admission::Finish,
-        control::{Command, InstanceName, Outcome, RegionName, UpstreamName, Version},
-        steering::OwnerChoice,
-    },
-    net::wire::{QueryReply, QueryRequest},
+use crate::core::{
+    admission::Finish,
+    control::{Command, InstanceName, Outcome, RegionName, UpstreamName},
+    steering::OwnerChoice,
 };
 
 /// How long the news of a crash may take before its request is answered.
 const SUSPECT_WITHIN: Duration = Duration::from_secs(5);
-const SUSPECT_PAUSE: Duration = Duration::from_millis(10);
 /// What the heads of a request or answer are counted as on a link.
 pub(super) const HEAD_BYTES: u64 = 512;
 
@@ -110,23 +106,9 @@
         };
         let submitted = self.shared.control.submit(command, SUSPECT_WITHIN).await;
         if let Ok(Outcome::Suspected { version }) = submitted {
-            self.wait_in_force(version).await;
-        }
-    }
-
-    /// Waits until every live instance follows a version. An instance that
-    /// does not know of a crash could send the request to a third upstream.
-    async fn wait_in_force(&self, version: Version) {
-        let until = self.now() + SUSPECT_WITHIN;
-        let request = QueryRequest::Lagging { version };
-        while self.now() < until {
-            let answer = self.shared.control.query(&request, SUSPECT_WITHIN).await;
-            if let Some(QueryReply::Lagging { instances, settled: true }) = answer
-                && instances.is_empty()
-            {
-                return;
-            }
-            tokio::time::sleep(SUSPECT_PAUSE).await;
+            // An instance that does not know of a crash could send the request
+            // to a third upstream.
+            self.shared.control.wait_in_force(version, SUSPECT_WITHIN).await;
         }
     }
 
--- a/src/runtime/operators.rs
+++ b/src/runtime/operators.rs
@@ -22,7 +22,7 @@
         claims::ClaimEpoch,
         control::{
             AuditFilter, Change, ChangeMeta, ChangeOutcome, ChangeRequest, Command, Outcome,
-            Preset, PresetName, RegionName, Revision, Version,
+            Preset, PresetName, RegionName, Revision,
         },
         steering::LookUp,
     },
@@ -131,7 +131,6 @@
 
 const QUERY_WITHIN: Duration = Duration::from_secs(5);
 const CHANGE_WITHIN: Duration = Duration::from_secs(10);
-const WAIT_PAUSE: Duration = Duration::from_millis(20);
 const WAIT_MAX: Duration = Duration::from_secs(60);
 /// The largest body of a request to the API: a change of many blocks.
 const BODY_MAX_BYTES: u64 = 16 * 1024 * 1024;
@@ -399,7 +398,7 @@
             (&answer.outcome, wait.wait_ms)
         {
             let within = Duration::from_millis(wait_ms).min(WAIT_MAX);
-            let lagging = self.wait_in_force(*version, within).await;
+            let lagging = self.control.wait_in_force(*version, within).await;
             answer.in_force_everywhere = Some(lagging.as_ref().is_some_and(Vec::is_empty));
             answer.lagging = lagging.unwrap_or_default();
         }
@@ -407,30 +406,6 @@
         *response.status_mut() = status;
         response
     }
-
-    /// Waits until every live instance has a version in force or its lease
-    /// is out. Returns the instances that still lag at the end, or nothing
-    /// when no leader could tell.
-    async fn wait_in_force(&self, version: Version, within: Duration) -> Option<Vec<String>> {
-        let until = self.clock.now() + within;
-        loop {
-            let request = QueryRequest::Lagging { version };
-            let left = until.saturating_sub(self.clock.now());
-            match self.control.query(&request, left).await {
-                Some(QueryReply::Lagging { instances, settled }) => {
-                    if instances.is_empty() && settled {
-                        return Some(instances);
-                    }
-                    if self.clock.now() >= until {
-                        return settled.then_some(instances);
-                    }
-                }
-                _ if self.clock.now() >= until => return None,
-                _ => {}
-            }
-            tokio::time::sleep(WAIT_PAUSE).await;
-        }
-    }
 }
 
 fn refuse_token() -> Response {
