--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -7,6 +7,7 @@
 mod demo;
 mod instance;
 mod lookup;
+mod node;
 mod preset;
 mod serve;
 mod stand_in;
@@ -30,6 +31,8 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Entry(node::Entry),
+    Control(node::Control),
     Serve(serve::Serve),
     Check(check::Check),
     Demo(demo::Demo),
@@ -67,6 +70,8 @@
 /// Runs a command and returns the process's exit status.
 pub fn run(flags: Flags) -> ExitCode {
     let ended = match flags.command {
+        Command::Entry(flags) => flags.run(),
+        Command::Control(flags) => flags.run(),
         Command::Serve(flags) => block_on(flags.run()),
         Command::Check(flags) => flags.run(),
         Command::Demo(flags) => block_on(flags.run()),
--- /dev/null
+++ b/src/core/balance/mod.rs
@@ -0,0 +1,9 @@
+//! Chooses the upstream of each request.
+//!
+//! Requests that concern the same object go to the same few upstreams, which
+//! all entry instances choose alike without talking to each other.
+
+mod affinity;
+mod balancer;
+
+pub use self::balancer::{Balancer, Choice, Place};
--- a/src/core/control/command.rs
+++ b/src/core/control/command.rs
@@ -7,15 +7,16 @@
 
 use super::{
     ChangeOutcome, ChangeRequest, Fingerprint, Holder, InstanceName, InstanceState, OwnerEpoch,
-    Preset, PresetName, RegionName, UpstreamName, Version,
+    Preset, PresetName, RegionName, UpstreamName, Version, ZoneName,
 };
 use crate::core::{
     claims::{ClaimCommand, ClaimOutcome},
+    routing::{ConfigVersion, RoutingTable},
     steering::Layout,
 };
 
 /// Says what the replicated state machine is to do.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Command {
     /// Fills the state of a new deployment; ignored in one that has a state.
     Seed(Seed),
@@ -57,6 +58,16 @@
     },
     /// Claims a request's key, or says what became of it.
     Claim(ClaimCommand),
+    /// Puts a routing table in force unless one of the same or a higher
+    /// version is.
+    Routing(Box<RoutingTable>),
+    /// Evacuates an availability zone or ends its evacuation.
+    Evacuate {
+        /// The availability zone.
+        zone: ZoneName,
+        /// Whether its upstreams get no new work from now on.
+        evacuated: bool,
+    },
 }
 
 /// Holds the first state of a deployment.
@@ -105,4 +116,9 @@
     },
     /// What became of a claim.
     Claim(ClaimOutcome),
+    /// The routing table of this version is in force.
+    Routing {
+        /// The version.
+        version: ConfigVersion,
+    },
 }
--- a/src/core/control/policy.rs
+++ b/src/core/control/policy.rs
@@ -10,15 +10,19 @@
 
 use super::{
     Fingerprint, Holder, Incarnation, InstanceName, OwnerEpoch, Preset, PresetName, RegionName,
-    Revision, UpstreamName, Version,
+    Revision, UpstreamName, Version, ZoneName,
+};
+use crate::core::{
+    claims::ClaimEpoch,
+    routing::{RoutingDelta, RoutingTable},
+    steering::Layout,
 };
-use crate::core::{claims::ClaimEpoch, steering::Layout};
 
 /// Holds what every instance follows.
 ///
 /// It changes by [`PolicyEdit`] values only, so that a replica and an
 /// instance that was sent the same edits hold the same policy.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Policy {
     /// Counts all changes.
     pub version: Version,
@@ -47,6 +51,12 @@
     pub suspects: BTreeMap<Fingerprint, Suspect>,
     /// The epoch in which new claims are made.
     pub claim_epoch: ClaimEpoch,
+    /// The routes, services and limits in force.
+    #[serde(default)]
+    pub routing: Arc<RoutingTable>,
+    /// The availability zones whose upstreams get no new work.
+    #[serde(default)]
+    pub evacuated: BTreeSet<ZoneName>,
 }
 
 /// Says whether an instance takes part.
@@ -91,7 +101,7 @@
 }
 
 /// Changes a [`Policy`] in one place.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum PolicyEdit {
     /// Sets the revision.
     Revision(Revision),
@@ -117,10 +127,14 @@
     Suspect(Fingerprint, Option<Suspect>),
     /// Begins an epoch of claims.
     ClaimEpoch(ClaimEpoch),
+    /// Changes routes, services and limits.
+    Routing(RoutingDelta),
+    /// Evacuates an availability zone or ends its evacuation.
+    Evacuated(ZoneName, bool),
 }
 
 /// Holds the edits that lead to one version from the one before.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct PolicyDelta {
     /// The version that the edits lead to.
     pub version: Version,
@@ -172,6 +186,10 @@
                 self.suspects.remove(&fingerprint);
             }
             PolicyEdit::ClaimEpoch(epoch) => self.claim_epoch = epoch,
+            PolicyEdit::Routing(delta) => Arc::make_mut(&mut self.routing).advance(&delta),
+            PolicyEdit::Evacuated(zone, evacuated) => {
+                put_or_remove(&mut self.evacuated, zone, evacuated);
+            }
         }
     }
 
--- a/src/core/control/state.rs
+++ b/src/core/control/state.rs
@@ -9,10 +9,11 @@
     Assignment, AssignmentAction, AuditRecord, Change, ChangeId, ChangeMeta, ChangeOutcome,
     ChangeRequest, Command, Fingerprint, Holder, InstanceName, InstanceState, Outcome, OwnerEpoch,
     Ownership, Policy, PolicyDelta, PolicyEdit, PresetName, RegionName, Revision, Seed, Suspect,
-    Topology, UpstreamName, Version,
+    Topology, UpstreamName, Version, ZoneName,
 };
 use crate::core::{
     claims::{ClaimLimits, ClaimTable},
+    routing::RoutingTable,
     steering::Layout,
 };
 
@@ -123,6 +124,11 @@
                 return Outcome::Suspected { version: self.policy.version };
             }
             Command::ForgetSuspects { before_unix_ms } => self.forget(before_unix_ms, limits),
+            Command::Routing(table) => {
+                self.put_routing(&table, limits);
+                return Outcome::Routing { version: self.policy.routing.version };
+            }
+            Command::Evacuate { zone, evacuated } => self.evacuate(zone, evacuated, limits),
             Command::Claim(command) => {
                 let outcome = self.claims.apply(command, &limits.claims);
                 self.publish_claim_epoch(limits);
@@ -395,6 +401,21 @@
         self.commit(edits, limits);
     }
 
+    fn put_routing(&mut self, table: &RoutingTable, limits: &ControlLimits) {
+        let held = &self.policy.routing;
+        if table.version <= held.version {
+            return;
+        }
+        let delta = held.delta_to(table);
+        self.commit(vec![PolicyEdit::Routing(delta)], limits);
+    }
+
+    fn evacuate(&mut self, zone: ZoneName, evacuated: bool, limits: &ControlLimits) {
+        if self.policy.evacuated.contains(&zone) != evacuated {
+            self.commit(vec![PolicyEdit::Evacuated(zone, evacuated)], limits);
+        }
+    }
+
     fn publish_claim_epoch(&mut self, limits: &ControlLimits) {
         let epoch = self.claims.epoch();
         if epoch != self.policy.claim_epoch {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -2,8 +2,12 @@
 //! its state, an input and the time that the caller passes in.
 
 pub mod admission;
+pub mod balance;
 mod byte_string;
 pub mod claims;
 pub mod control;
 pub mod replication;
+pub mod roster;
+pub mod routing;
 pub mod steering;
+pub mod upstreams;
--- /dev/null
+++ b/src/core/routing/delta.rs
@@ -0,0 +1,69 @@
+//! Describes how one routing table follows from another.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+use super::{CallerLimits, ConfigVersion, Route, RouteName, RoutingTable, ServiceSpec};
+use crate::core::control::ServiceName;
+
+/// Says what changes from one routing table to another.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RoutingDelta {
+    /// The version that the change leads to.
+    pub version: ConfigVersion,
+    /// The routes that are new or changed, and those that go (`None`).
+    pub routes: BTreeMap<RouteName, Option<Arc<Route>>>,
+    /// The services that are new or changed, and those that go (`None`).
+    pub services: BTreeMap<ServiceName, Option<Arc<ServiceSpec>>>,
+    /// The limits, if they change.
+    pub limits: Option<CallerLimits>,
+}
+
+impl RoutingTable {
+    /// Returns what changes from this table to `next`.
+    pub fn delta_to(&self, next: &Self) -> RoutingDelta {
+        RoutingDelta {
+            version: next.version,
+            routes: map_delta(&self.routes, &next.routes),
+            services: map_delta(&self.services, &next.services),
+            limits: (self.limits != next.limits).then(|| next.limits.clone()),
+        }
+    }
+
+    /// Makes the changes of a delta that was taken from this table.
+    pub fn advance(&mut self, delta: &RoutingDelta) {
+        self.version = delta.version;
+        apply(&mut self.routes, &delta.routes);
+        apply(&mut self.services, &delta.services);
+        if let Some(limits) = &delta.limits {
+            self.limits = limits.clone();
+        }
+    }
+}
+
+fn map_delta<T: PartialEq>(
+    from: &BTreeMap<String, Arc<T>>,
+    to: &BTreeMap<String, Arc<T>>,
+) -> BTreeMap<String, Option<Arc<T>>> {
+    let put = to
+        .iter()
+        .filter(|(name, value)| from.get(*name) != Some(*value))
+        .map(|(name, value)| (name.clone(), Some(value.clone())));
+    let removed =
+        from.keys().filter(|name| !to.contains_key(*name)).map(|name| (name.clone(), None));
+    put.chain(removed).collect()
+}
+
+fn apply<T>(map: &mut BTreeMap<String, Arc<T>>, changes: &BTreeMap<String, Option<Arc<T>>>) {
+    for (name, change) in changes {
+        match change {
+            Some(value) => {
+                map.insert(name.clone(), value.clone());
+            }
+            None => {
+                map.remove(name);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/core/routing/table.rs
@@ -0,0 +1,155 @@
+//! Holds the routes, services and limits that are in force.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+use super::{ConfigVersion, Route, RouteName};
+use crate::core::control::ServiceName;
+
+/// Holds one whole configuration of routes, services and limits.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct RoutingTable {
+    /// The version; 0 means that none was delivered yet.
+    pub version: ConfigVersion,
+    /// The routes, by name.
+    pub routes: BTreeMap<RouteName, Arc<Route>>,
+    /// The services, by name.
+    pub services: BTreeMap<ServiceName, Arc<ServiceSpec>>,
+    /// What callers may send.
+    pub limits: CallerLimits,
+}
+
+/// Describes a service.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ServiceSpec {
+    /// The path of the health check.
+    pub health_path: String,
+    /// The most connections that an upstream takes from all callers together.
+    pub connections_max: u32,
+    /// The protocol that upstreams speak.
+    pub protocol: String,
+    /// Whether upstreams expect TLS.
+    pub tls: bool,
+    /// How long an upstream is cold after it started.
+    pub cold_start: Duration,
+    /// The requests a second that a cold upstream bears.
+    pub cold_rate_per_s: f64,
+}
+
+/// Bounds what a caller may send.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct CallerLimits {
+    /// The most bytes of a head.
+    pub header_max_bytes: u64,
+    /// The most bytes of a body.
+    pub body_max_bytes: u64,
+    /// The longest that a head may take to arrive.
+    pub header_timeout: Duration,
+    /// The longest that a connection may be idle.
+    pub idle_timeout: Duration,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            header_max_bytes: 16 * 1024,
+            body_max_bytes: 64 * 1024 * 1024,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
+/// Finds routes by host and path.
+#[derive(Clone, Debug, Default)]
+pub struct Matched {
+    hosts: BTreeMap<String, BTreeMap<String, (RouteName, Arc<Route>)>>,
+}
+
+impl RoutingTable {
+    /// Returns everything that makes the table invalid, one line a finding.
+    pub fn findings(&self) -> Vec<String> {
+        let mut findings = Vec::new();
+        let mut places = BTreeMap::new();
+        for (name, route) in &self.routes {
+            findings.extend(self.route_findings(name, route));
+            let place = (route.host.to_ascii_lowercase(), &route.path_prefix);
+            if let Some(other) = places.insert(place, name) {
+                findings.push(format!("routes `{other}` and `{name}` share host and prefix"));
+            }
+        }
+        findings
+    }
+
+    fn route_findings(&self, name: &RouteName, route: &Route) -> Vec<String> {
+        let mut findings = Vec::new();
+        if route.host.is_empty() {
+            findings.push(format!("route `{name}` has an empty host"));
+        }
+        if !route.path_prefix.starts_with('/') {
+            findings.push(format!("route `{name}`: the path prefix must begin with a slash"));
+        }
+        if route.timeout.is_zero() {
+            findings.push(format!("route `{name}`: the timeout must be longer than 0"));
+        }
+        let unknown: BTreeSet<&ServiceName> = route
+            .destination
+            .services()
+            .filter(|service| !self.services.contains_key(*service))
+            .collect();
+        for service in unknown {
+            findings.push(format!("route `{name}` names the unknown service `{service}`"));
+        }
+        if let super::Destination::Split(parts) = &route.destination {
+            if parts.is_empty() {
+                findings.push(format!("route `{name}` is split between no services"));
+            }
+            if parts.iter().any(|part| !(part.weight >= 0.0 && part.weight.is_finite())) {
+                findings.push(format!("route `{name}` has a weight below 0"));
+            }
+        }
+        findings
+    }
+}
+
+impl Matched {
+    /// Indexes the routes of a table.
+    pub fn new(table: &RoutingTable) -> Self {
+        let mut hosts: BTreeMap<String, BTreeMap<String, (RouteName, Arc<Route>)>> =
+            BTreeMap::new();
+        for (name, route) in &table.routes {
+            let prefixes = hosts.entry(route.host.to_ascii_lowercase()).or_default();
+            prefixes.insert(route.path_prefix.clone(), (name.clone(), route.clone()));
+        }
+        Self { hosts }
+    }
+
+    /// Returns the route of `host` with the longest prefix that begins
+    /// `path`. The host is compared without regard to case or port.
+    pub fn find(&self, host: &str, path: &str) -> Option<(&RouteName, &Arc<Route>)> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _port)| name);
+        let prefixes = match self.hosts.get(name) {
+            Some(prefixes) => prefixes,
+            None => self.hosts.get(&name.to_ascii_lowercase())?,
+        };
+        // The greatest prefix up to the path either begins it, or shares less
+        // with it than any prefix that does; the shared part is searched next.
+        let mut rest = path;
+        loop {
+            let (prefix, (route_name, route)) = prefixes
+                .range::<str, _>((std::ops::Bound::Unbounded, std::ops::Bound::Included(rest)))
+                .next_back()?;
+            if rest.starts_with(prefix.as_str()) {
+                return Some((route_name, route));
+            }
+            let shared =
+                rest.bytes().zip(prefix.bytes()).take_while(|(left, right)| left == right).count();
+            rest = rest.get(..shared)?;
+        }
+    }
+}
--- /dev/null
+++ b/src/core/upstreams/mod.rs
@@ -0,0 +1,12 @@
+//! Describes upstreams as they are listed and as they describe themselves.
+
+mod ledger;
+mod listing;
+
+pub use self::{
+    ledger::{Ledger, LedgerChange},
+    listing::{ListedState, ListedUpstream, Listing, ReportedLoad},
+};
+
+/// Identifies one upstream; mostly a new one with each start.
+pub type UpstreamId = String;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,8 @@
 pub mod core;
 pub mod demo;
 pub mod net;
+#[path = "../platform/mod.rs"]
+pub mod platform;
 pub mod runtime;
 pub mod settings;
 pub mod storage;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,7 +1,9 @@
 //! Speaks HTTP with callers and operators and gRPC between instances.
 
 mod cluster;
+pub mod http1;
 mod http_server;
+pub mod mesh;
 pub mod wire;
 
 #[allow(clippy::all, clippy::pedantic, clippy::nursery, missing_docs)]
--- a/src/net/wire.rs
+++ b/src/net/wire.rs
@@ -1,7 +1,7 @@
 //! Defines the messages between instances. They travel as MessagePack with
 //! field names inside the frames of `proto/cluster.proto`.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -10,10 +10,11 @@
     control::{
         AuditFilter, AuditRecord, Command, Holder, InstanceName, InstanceState, LoadReport,
         Outcome, Ownership, Policy, PolicyDelta, Preset, PresetName, RegionName, Revision,
-        UpstreamName, Version,
+        UpstreamName, Version, ZoneName,
     },
     replication::{Envelope, LogIndex, Members, ReplicaId, Term},
     steering::Layout,
+    upstreams::{ListedUpstream, UpstreamId},
 };
 
 /// Carries messages of the replicated log.
@@ -115,6 +116,8 @@
         /// The version of the policy.
         version: Version,
     },
+    /// The index up to which the log is committed.
+    Committed,
 }
 
 /// Answers [`QueryRequest`]. The leader was sure of its leadership after the
@@ -135,6 +138,11 @@
         /// Whether that is all of them.
         settled: bool,
     },
+    /// Answers [`QueryRequest::Committed`].
+    Committed {
+        /// The index.
+        index: LogIndex,
+    },
     /// This replica does not lead, or could not make sure that it does.
     NotLeader {
         /// The instance whose replica leads, if known.
@@ -218,6 +226,103 @@
     pub matched: LogIndex,
 }
 
+/// Says what one process asks of another where processes find each other by
+/// themselves.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum NodeCall {
+    /// Take messages of the replicated log.
+    Replicate {
+        /// Where the sender is reached.
+        from: SocketAddr,
+        /// The messages.
+        messages: ReplicateRequest,
+    },
+    /// Commit something.
+    Submit(SubmitRequest),
+    /// Read the control state.
+    Query(QueryRequest),
+    /// Tell what changed.
+    Follow(FollowRequest),
+}
+
+/// Answers [`NodeCall`].
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum NodeAnswer {
+    /// The messages were taken.
+    Taken,
+    /// Answers [`NodeCall::Submit`].
+    Submit(SubmitReply),
+    /// Answers [`NodeCall::Query`].
+    Query(QueryReply),
+    /// Answers [`NodeCall::Follow`].
+    Follow(Box<FollowReply>),
+}
+
+/// Asks what changed since a point that an instance has reached.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct FollowRequest {
+    /// The version of the policy that is in force at the instance; none when
+    /// it does not ask for the policy.
+    pub version: Option<Version>,
+    /// What the instance holds of the list of upstreams.
+    pub list: ListMark,
+    /// How long the answer may be held back while there is nothing to tell.
+    pub hold_ms: u64,
+}
+
+/// Marks a point in the changes of a list as one process counts them.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ListMark {
+    /// The process that counts, a random number.
+    pub counter: u64,
+    /// The count.
+    pub count: u64,
+}
+
+/// Says what changed.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct FollowReply {
+    /// What changed in the policy.
+    pub update: Update,
+    /// What changed in the list of upstreams.
+    pub list: Option<ListChange>,
+    /// Where control replicas are reached.
+    pub replicas: Vec<InstanceName>,
+    /// How long ago the replica last knew itself to be current.
+    pub behind_ms: Option<u64>,
+    /// The entry instances that are up, as the replica knows.
+    pub entries: u32,
+}
+
+/// Says what changed in the list of upstreams.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ListChange {
+    /// The point that the change leads to.
+    pub mark: ListMark,
+    /// Whether the change replaces all that was held.
+    pub whole: bool,
+    /// The upstreams that are new or changed.
+    pub put: Vec<ListedUpstream>,
+    /// The upstreams that are gone.
+    pub removed: Vec<UpstreamId>,
+    /// How long ago the list was read.
+    pub age_ms: u64,
+}
+
+/// Tells control replicas that an entry instance is up. It is sent again and
+/// again, each time in a datagram.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Announcement {
+    /// The instance.
+    pub instance: InstanceName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Whether it wants callers.
+    pub is_ready: bool,
+}
+
 /// Answers a probe.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct ProbeReply {
--- /dev/null
+++ b/src/runtime/control_node/list_reader.rs
@@ -0,0 +1,103 @@
+//! Keeps the list of upstreams: the leader reads it, the others follow.
+
+use std::{sync::Arc, time::Duration};
+
+use tracing::{info, warn};
+
+use super::{Shared, calls::leader, lock, peers::address_of};
+use crate::{
+    core::upstreams::{LedgerChange, Listing},
+    net::wire::{FollowRequest, ListMark, NodeAnswer, NodeCall},
+    platform::listing::{decode_page, page_target},
+    runtime::http_get::HttpGet,
+};
+
+/// The time between two readings of the list.
+const READ_INTERVAL: Duration = Duration::from_millis(1000);
+/// How long one page may take.
+const PAGE_PATIENCE: Duration = Duration::from_millis(1000);
+/// A replica that does not lead reads the list itself when the one it follows
+/// is older than this.
+const FOLLOWED_AGE_MAX: Duration = Duration::from_millis(2500);
+/// How long the leader may hold an answer.
+const HOLD: Duration = Duration::from_millis(800);
+const FOLLOW_PATIENCE: Duration = Duration::from_millis(1500);
+/// The most pages of one list.
+const PAGES_MAX: usize = 100;
+
+/// Keeps the list of upstreams up to date.
+pub(super) async fn keep_list(shared: Arc<Shared>) {
+    let Some(source) = shared.settings.upstream_list else { return };
+    let mut reader = HttpGet::new(source.address);
+    let mut followed = ListMark::default();
+    loop {
+        let began = shared.clock.now();
+        match leader(&shared).await {
+            Some((leader, false)) if !is_stale(&shared) => {
+                follow(&shared, &leader, &mut followed).await;
+            }
+            _ => read(&shared, &mut reader).await,
+        }
+        let spent = shared.clock.now().saturating_sub(began);
+        tokio::time::sleep(READ_INTERVAL.saturating_sub(spent)).await;
+    }
+}
+
+fn is_stale(shared: &Shared) -> bool {
+    let age = lock(&shared.ledger).read_at().map(|at| shared.clock.now().saturating_sub(at));
+    let since_start = shared.clock.now();
+    age.unwrap_or(since_start) > FOLLOWED_AGE_MAX
+}
+
+async fn follow(shared: &Shared, leader: &str, followed: &mut ListMark) {
+    let Some(address) = address_of(&leader.to_owned()) else { return };
+    let hold_ms = HOLD.as_millis() as u64;
+    let request = FollowRequest { version: None, list: *followed, hold_ms };
+    let client = shared.links.client(address);
+    let Ok(NodeAnswer::Follow(reply)) =
+        client.call(NodeCall::Follow(request), FOLLOW_PATIENCE).await
+    else {
+        return;
+    };
+    let Some(change) = reply.list else { return };
+    *followed = change.mark;
+    let read_at = shared.clock.now().saturating_sub(Duration::from_millis(change.age_ms));
+    let count = change.mark.count;
+    let merged =
+        LedgerChange { count, whole: change.whole, put: change.put, removed: change.removed };
+    lock(&shared.ledger).merge(merged, read_at);
+}
+
+/// Reads all pages.
+async fn read(shared: &Shared, reader: &mut HttpGet) {
+    let began = shared.clock.now();
+    let mut listing = Listing::new();
+    let mut token = None;
+    for _ in 0..PAGES_MAX {
+        let answer = reader.get(&page_target(token.as_deref()), PAGE_PATIENCE).await;
+        let page = match answer {
+            Ok((200, body)) => decode_page(&body).map_err(|error| error.to_string()),
+            Ok((status, _)) => Err(format!("status {status}")),
+            Err(error) => Err(error.to_string()),
+        };
+        let page = match page {
+            Ok(page) => page,
+            Err(error) => {
+                warn!(error, "the list of upstreams can't be read; the last one counts");
+                return;
+            }
+        };
+        if !page.findings.is_empty() {
+            warn!(findings = ?page.findings, "some entries of the list can't be read");
+        }
+        listing.extend(page.upstreams.into_iter().map(|upstream| (upstream.id.clone(), upstream)));
+        token = page.next;
+        if token.is_none() {
+            break;
+        }
+    }
+    let mut ledger = lock(&shared.ledger);
+    if ledger.replace(listing, began) {
+        info!(upstreams = ledger.len(), count = ledger.count(), "the list of upstreams changed");
+    }
+}
--- /dev/null
+++ b/src/runtime/control_node/membership.rs
@@ -0,0 +1,67 @@
+//! Finds out with whom a replica founds the log, or asks its way into it.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use sha2::{Digest, Sha256};
+use tracing::info;
+
+use super::{Shared, calls::submit};
+use crate::{
+    core::{
+        control::Command,
+        replication::{Durable, Members, ReplicaId},
+    },
+    net::wire::{SubmitReply, SubmitRequest},
+    settings::NodeSettings,
+};
+
+const JOIN_PAUSE: Duration = Duration::from_millis(150);
+const JOIN_PATIENCE: Duration = Duration::from_millis(1500);
+
+/// Returns the id of a replica on an empty disk.
+///
+/// The founders' ids follow from their addresses, so that all of them found
+/// the same log without talking first. Founding happens once, at the first
+/// start; a replica on an empty disk gets a random id at any other time, and
+/// so never passes for one that voted.
+pub(super) fn first_id(settings: &NodeSettings) -> ReplicaId {
+    if settings.first_start && settings.is_seed() {
+        founder_id(settings.cluster_address())
+    } else {
+        rand::random()
+    }
+}
+
+/// Returns the first state of a replica on an empty disk: the founders
+/// belong to the log, all others have to ask.
+pub(super) fn first_state(settings: &NodeSettings) -> Durable<Command> {
+    if settings.first_start && settings.is_seed() {
+        let founders = settings.seed_cluster_addresses();
+        let voters = founders.into_iter().map(|address| (founder_id(address), address.to_string()));
+        info!("founds the log with the other seeds");
+        return Durable::new(Members::new(voters));
+    }
+    info!("asks its way into the log");
+    Durable::new(Members::default())
+}
+
+fn founder_id(address: SocketAddr) -> ReplicaId {
+    let digest = Sha256::digest(address.to_string().as_bytes());
+    let mut id = [0; 8];
+    id.copy_from_slice(&digest[..8]);
+    ReplicaId::from_le_bytes(id)
+}
+
+/// Asks for a vote until the replica has one.
+pub(super) async fn join_until_voter(shared: Arc<Shared>, replica: ReplicaId) {
+    let instance = shared.settings.cluster_address().to_string();
+    loop {
+        let request = SubmitRequest::Join { instance: instance.clone(), replica };
+        let answer = submit(&shared, request, JOIN_PATIENCE).await;
+        if matches!(answer, Some(SubmitReply::Joined)) {
+            info!(replica, "has a vote among the control replicas");
+            return;
+        }
+        tokio::time::sleep(JOIN_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/src/runtime/entry_node/announce.rs
@@ -0,0 +1,43 @@
+//! Announces the instance to the control replicas.
+
+use std::{net::SocketAddr, rc::Rc, sync::atomic::Ordering};
+
+use tokio::net::UdpSocket;
+use tracing::warn;
+
+use super::state::EntryState;
+use crate::{
+    core::roster::ANNOUNCE_INTERVAL,
+    net::wire::{Announcement, encode},
+};
+
+/// Announces the instance again and again, and at once when it stops.
+pub(super) async fn announce(state: Rc<EntryState>, callers: SocketAddr) {
+    let socket = match UdpSocket::bind((state.settings.ip, 0)).await {
+        Ok(socket) => socket,
+        Err(error) => {
+            warn!(%error, "can't announce the instance; the directory won't name it");
+            return;
+        }
+    };
+    let mut stopping = state.stopping.subscribe();
+    loop {
+        state.pool.borrow_mut().close_old();
+        let announcement = Announcement {
+            instance: state.settings.instance.clone(),
+            zone: state.settings.zone.clone(),
+            callers,
+            is_ready: state.is_ready.load(Ordering::Relaxed),
+        };
+        let Ok(datagram) = encode(&announcement) else { return };
+        let control = state.control.borrow().clone();
+        for address in control {
+            // Datagrams may be lost at any time, and the next one follows.
+            socket.send_to(&datagram, address).await.ok();
+        }
+        tokio::select! {
+            () = tokio::time::sleep(ANNOUNCE_INTERVAL) => {}
+            changed = stopping.changed() => if changed.is_err() { return },
+        }
+    }
+}
--- /dev/null
+++ b/src/runtime/entry_node/attempt.rs
@@ -0,0 +1,178 @@
+//! Sends a request to one upstream and reads the answer.
+
+use std::{io, rc::Rc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+use super::{
+    answer::{Answer, is_per_connection},
+    pool::{Connection, connect},
+    request::Request,
+    state::EntryState,
+};
+use crate::{
+    core::{
+        balance::Choice,
+        upstreams::{ReportedLoad, UpstreamId},
+    },
+    net::http1::{BodyReader, HeadWriter, ResponseHead, parse_response_head},
+    platform::headers,
+};
+
+/// Says what became of a request that was meant for one upstream.
+#[derive(Debug)]
+pub(super) enum Outcome {
+    /// The upstream answered.
+    Answered(Answer),
+    /// The upstream says that it did not run the request.
+    NotRun { status: u16, load: Option<ReportedLoad> },
+    /// Nothing was sent.
+    NotSent(io::Error),
+    /// The request was sent, and whether it ran is unknown.
+    Unknown(io::Error),
+}
+
+/// The most bytes of a response head.
+const HEAD_MAX_BYTES: usize = 64 * 1024;
+
+/// Counts a request at an upstream for as long as it lives.
+struct InFlight {
+    state: Rc<EntryState>,
+    id: UpstreamId,
+}
+
+impl InFlight {
+    fn new(state: &Rc<EntryState>, id: &UpstreamId) -> Self {
+        state.balancer.borrow_mut().begin(id);
+        Self { state: state.clone(), id: id.clone() }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.state.balancer.borrow_mut().end(&self.id);
+    }
+}
+
+/// Sends a request to an upstream, which may take `left` for it.
+pub(super) async fn attempt(
+    state: &Rc<EntryState>,
+    choice: &Choice,
+    request: &Request,
+    left: Duration,
+) -> Outcome {
+    let _in_flight = InFlight::new(state, &choice.id);
+    let kept = state.pool.borrow_mut().take(choice.address);
+    let connection = match kept {
+        Some(connection) => connection,
+        None => match connect(choice.address).await {
+            Ok(connection) => connection,
+            Err(error) => return Outcome::NotSent(error),
+        },
+    };
+    match exchange(state, choice, request, left, connection).await {
+        Ok(outcome) => outcome,
+        Err(error) => Outcome::Unknown(error),
+    }
+}
+
+async fn exchange(
+    state: &Rc<EntryState>,
+    choice: &Choice,
+    request: &Request,
+    left: Duration,
+    mut connection: Connection,
+) -> io::Result<Outcome> {
+    let bytes = encode(request, choice, left);
+    connection.stream.write_all(&bytes).await?;
+    let (head, body) = read_answer(&mut connection, request).await?;
+    if head.keeps_alive && connection.buffer.is_empty() {
+        let keep = keep_alive_timeout(&head);
+        state.pool.borrow_mut().put(choice.address, connection.stream, keep);
+    }
+    if headers::says_not_run(&head.headers) || head.status == 421 {
+        let load = headers::reported_load(&head.headers);
+        return Ok(Outcome::NotRun { status: head.status, load });
+    }
+    Ok(Outcome::Answered(Answer::from_upstream(head.status, head.headers, body)))
+}
+
+fn encode(request: &Request, choice: &Choice, left: Duration) -> Bytes {
+    let mut head = HeadWriter::with_request(&request.head.method, &request.head.target);
+    let fields = &request.head.headers;
+    for (name, value) in fields.iter() {
+        let passed = !is_per_connection(name, fields)
+            && !headers::is_set_by_system(name)
+            && !name.eq_ignore_ascii_case("expect");
+        if passed {
+            head.field(name, value);
+        }
+    }
+    head.number(headers::DEADLINE_MS, left.as_millis() as u64);
+    head.field(headers::EXPECT_INSTANCE, choice.id.as_bytes());
+    if !request.body.is_empty() || !request.head.framing.is_empty() {
+        head.number("Content-Length", request.body.len() as u64);
+    }
+    head.finish_with(&request.body)
+}
+
+/// Reads the answer to a request. Answers to other requests that arrive
+/// before it are dropped.
+async fn read_answer(
+    connection: &mut Connection,
+    request: &Request,
+) -> io::Result<(ResponseHead, Bytes)> {
+    let wanted = headers::request_id(&request.head.headers);
+    loop {
+        let head = read_head(connection, &request.head.method).await?;
+        if head.status < 200 {
+            continue;
+        }
+        let body = read_body(connection, &head).await?;
+        let answered = headers::request_id(&head.headers);
+        if answered.is_none() || wanted.is_none() || answered == wanted {
+            return Ok((head, body));
+        }
+        if !head.keeps_alive {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+}
+
+async fn read_head(connection: &mut Connection, method: &str) -> io::Result<ResponseHead> {
+    loop {
+        let parsed = parse_response_head(&mut connection.buffer, HEAD_MAX_BYTES, method);
+        if let Some(head) = parsed.map_err(io::Error::other)? {
+            return Ok(head);
+        }
+        fill(connection).await?;
+    }
+}
+
+async fn read_body(connection: &mut Connection, head: &ResponseHead) -> io::Result<Bytes> {
+    let mut reader = BodyReader::new(head.framing);
+    let mut body = BytesMut::new();
+    while !reader.is_done() {
+        while let Some(piece) = reader.next(&mut connection.buffer).map_err(io::Error::other)? {
+            body.extend_from_slice(&piece);
+        }
+        if !reader.is_done() && connection.stream.read_buf(&mut connection.buffer).await? == 0 {
+            reader.end().map_err(io::Error::other)?;
+        }
+    }
+    Ok(body.freeze())
+}
+
+async fn fill(connection: &mut Connection) -> io::Result<()> {
+    if connection.stream.read_buf(&mut connection.buffer).await? == 0 {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    Ok(())
+}
+
+fn keep_alive_timeout(head: &ResponseHead) -> Option<Duration> {
+    let text = head.headers.text("keep-alive")?;
+    let timeout = text.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    timeout.parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/src/runtime/entry_node/follow.rs
@@ -0,0 +1,99 @@
+//! Follows a control replica: the policy in force and the list of upstreams.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use tracing::{info, warn};
+
+use super::state::EntryState;
+use crate::{
+    core::routing::Matched,
+    net::{
+        mesh::MeshClient,
+        wire::{FollowReply, FollowRequest, ListChange, ListMark, NodeAnswer, NodeCall, Update},
+    },
+};
+
+/// How long a replica may hold an answer.
+const HOLD: Duration = Duration::from_millis(1000);
+/// What an answer may take beyond that.
+const HOLD_SLACK: Duration = Duration::from_millis(700);
+/// A replica that has been out of touch with the others for longer is left.
+const BEHIND_MAX: Duration = Duration::from_millis(1200);
+/// The pause before the next replica is asked.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Follows one control replica after the other.
+pub(super) async fn follow_control(state: Rc<EntryState>) {
+    let mut list = ListMark::default();
+    let mut turn = 0;
+    loop {
+        let control = state.control.borrow().clone();
+        let Some(address) = control.get(turn % control.len().max(1)).copied() else { return };
+        follow_one(&state, address, &mut list).await;
+        turn += 1;
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Follows one replica until it fails or falls behind.
+async fn follow_one(state: &Rc<EntryState>, address: SocketAddr, list: &mut ListMark) {
+    let client = MeshClient::<NodeCall, NodeAnswer>::new(address);
+    let mut hold = Duration::ZERO;
+    loop {
+        let version = Some(state.policy.borrow().version);
+        let hold_ms = hold.as_millis() as u64;
+        let request = FollowRequest { version, list: *list, hold_ms };
+        let answer = client.call(NodeCall::Follow(request), hold + HOLD_SLACK).await;
+        let Ok(NodeAnswer::Follow(reply)) = answer else {
+            warn!(%address, "the control replica does not answer; another is followed");
+            return;
+        };
+        let behind = reply.behind_ms.map(Duration::from_millis);
+        take(state, *reply, list);
+        if behind.is_none_or(|behind| behind > BEHIND_MAX) {
+            warn!(%address, ?behind, "the control replica is out of touch; another is followed");
+            return;
+        }
+        hold = HOLD;
+    }
+}
+
+fn take(state: &EntryState, reply: FollowReply, list: &mut ListMark) {
+    take_policy(state, reply.update);
+    if let Some(change) = reply.list {
+        take_list(state, change, list);
+    }
+    let replicas: Vec<SocketAddr> =
+        reply.replicas.iter().filter_map(|name| name.parse().ok()).collect();
+    if !replicas.is_empty() {
+        *state.control.borrow_mut() = replicas;
+    }
+    state.note_readiness();
+}
+
+fn take_policy(state: &EntryState, update: Update) {
+    let mut policy = state.policy.borrow_mut();
+    let before = policy.version;
+    match update {
+        Update::Deltas(deltas) => {
+            for delta in &deltas {
+                policy.advance(delta);
+            }
+        }
+        Update::Whole(whole) if whole.version > before => *policy = *whole,
+        Update::Whole(_) => {}
+    }
+    if policy.version == before {
+        return;
+    }
+    info!(version = policy.version, routing = policy.routing.version, "policy in force");
+    *state.routes.borrow_mut() = Rc::new(Matched::new(&policy.routing));
+    state.balancer.borrow_mut().set_evacuated(policy.evacuated.clone());
+}
+
+fn take_list(state: &EntryState, change: ListChange, list: &mut ListMark) {
+    let mut balancer = state.balancer.borrow_mut();
+    balancer.update(change.whole, change.put, &change.removed);
+    *list = change.mark;
+    info!(upstreams = balancer.len(), age_ms = change.age_ms, "upstreams changed");
+}
--- /dev/null
+++ b/src/runtime/entry_node/mod.rs
@@ -0,0 +1,80 @@
+//! Runs an entry instance that finds control by itself: it takes callers'
+//! requests and sends each to an upstream.
+
+mod announce;
+mod answer;
+mod attempt;
+mod callers;
+mod exchange;
+mod follow;
+mod pool;
+mod ready;
+mod request;
+mod state;
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use tracing::info;
+
+use self::state::EntryState;
+use super::{
+    http_answers::{listen, serve_answers},
+    node_error::NodeError,
+};
+use crate::settings::NodeSettings;
+
+/// Runs an entry instance. It lives on one thread, inside a `LocalSet`.
+pub struct EntryNode {
+    state: Rc<EntryState>,
+}
+
+/// How often a stop looks whether all requests have ended.
+const STOP_STEP: Duration = Duration::from_millis(50);
+/// How long before its end the time for a stop counts as over.
+const STOP_MARGIN: Duration = Duration::from_millis(700);
+
+impl EntryNode {
+    /// Starts the entry instance that the settings describe.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an address can't be used.
+    pub async fn start(settings: NodeSettings) -> Result<Self, NodeError> {
+        let Some(callers_address) = settings.listen.callers else {
+            return Err(NodeError::Settings("entry needs an address for callers".to_owned()));
+        };
+        let readiness = settings.listen.readiness;
+        let listener = listen(callers_address).await?;
+        let state = Rc::new(EntryState::new(settings));
+        if let Some(address) = readiness {
+            let listener = listen(address).await?;
+            tokio::spawn(serve_answers(listener, ready::answers(state.is_ready.clone())));
+        }
+        tokio::task::spawn_local(follow::follow_control(state.clone()));
+        tokio::task::spawn_local(announce::announce(state.clone(), callers_address));
+        tokio::task::spawn_local(callers::accept(state.clone(), listener));
+        info!(instance = state.settings.instance, "entry started");
+        Ok(Self { state })
+    }
+
+    /// Leaves the directory, lets the requests in flight finish, and returns
+    /// when they have or the time for a stop is over.
+    pub async fn stop(&self) {
+        info!(instance = self.state.settings.instance, "entry stops");
+        self.state.begin_stop();
+        let limit = self.state.settings.bounds.stop_grace.saturating_sub(STOP_MARGIN);
+        let until = tokio::time::Instant::now() + limit;
+        tokio::time::sleep(STOP_LINGER.min(limit)).await;
+        while self.state.requests_open.get() > 0 && tokio::time::Instant::now() < until {
+            tokio::time::sleep(STOP_STEP).await;
+        }
+        info!(open = self.state.requests_open.get(), "entry stopped");
+    }
+}
+
+/// How long callers that still know this instance are served after a stop
+/// began.
+const STOP_LINGER: Duration = Duration::from_millis(2500);
+
+/// Shares a truth value with other threads.
+type Flag = Arc<std::sync::atomic::AtomicBool>;
--- /dev/null
+++ b/src/runtime/entry_node/pool.rs
@@ -0,0 +1,82 @@
+//! Keeps connections to upstreams for further requests.
+
+use std::{collections::BTreeMap, io, net::SocketAddr, time::Duration};
+
+use bytes::BytesMut;
+use tokio::{
+    net::TcpStream,
+    time::{Instant, timeout},
+};
+
+use crate::net::mesh::prepare;
+
+/// Keeps connections to upstreams, by address.
+#[derive(Debug, Default)]
+pub(super) struct Pool {
+    idle: BTreeMap<SocketAddr, Vec<Idle>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    stream: TcpStream,
+    until: Instant,
+}
+
+/// Holds a connection to an upstream.
+#[derive(Debug)]
+pub(super) struct Connection {
+    pub(super) stream: TcpStream,
+    pub(super) buffer: BytesMut,
+}
+
+/// The longest that a connection may take to come about.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+/// How long a connection is kept where the upstream does not say.
+const KEEP_DEFAULT: Duration = Duration::from_secs(4);
+
+impl Pool {
+    /// Takes a kept connection that is still sound.
+    pub(super) fn take(&mut self, address: SocketAddr) -> Option<Connection> {
+        let idle = self.idle.get_mut(&address)?;
+        let now = Instant::now();
+        while let Some(kept) = idle.pop() {
+            if kept.until > now && is_silent(&kept.stream) {
+                return Some(Connection { stream: kept.stream, buffer: BytesMut::new() });
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection for as long as the upstream says it will.
+    pub(super) fn put(&mut self, address: SocketAddr, stream: TcpStream, keep: Option<Duration>) {
+        let keep = keep.map_or(KEEP_DEFAULT, |keep| keep * 7 / 10);
+        self.idle.entry(address).or_default().push(Idle { stream, until: Instant::now() + keep });
+    }
+
+    /// Closes connections that were kept for too long.
+    pub(super) fn close_old(&mut self) {
+        let now = Instant::now();
+        for idle in self.idle.values_mut() {
+            idle.retain(|kept| kept.until > now);
+        }
+        self.idle.retain(|_, idle| !idle.is_empty());
+    }
+}
+
+/// Tells whether a connection is open and nothing has arrived on it.
+fn is_silent(stream: &TcpStream) -> bool {
+    let mut byte = [0];
+    matches!(stream.try_read(&mut byte), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+}
+
+/// Opens a connection.
+///
+/// # Errors
+///
+/// Returns an error when it does not come about in time.
+pub(super) async fn connect(address: SocketAddr) -> io::Result<Connection> {
+    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let stream = connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
+    prepare(&stream);
+    Ok(Connection { stream, buffer: BytesMut::new() })
+}
--- /dev/null
+++ b/src/runtime/entry_node/ready.rs
@@ -0,0 +1,25 @@
+//! Tells the platform whether the instance is ready.
+
+use std::sync::{Arc, atomic::Ordering};
+
+use http::StatusCode;
+
+use super::Flag;
+use crate::{
+    platform::calls::is_readiness_call,
+    runtime::http_answers::{HttpAnswer, HttpAnswers},
+};
+
+/// Returns what answers the platform.
+pub(super) fn answers(is_ready: Flag) -> HttpAnswers {
+    Arc::new(move |asked| {
+        let answer = if !is_readiness_call(&asked.path) {
+            HttpAnswer::text(StatusCode::NOT_FOUND, "there is no such call")
+        } else if is_ready.load(Ordering::Relaxed) {
+            HttpAnswer::text(StatusCode::OK, "ready")
+        } else {
+            HttpAnswer::text(StatusCode::SERVICE_UNAVAILABLE, "not ready")
+        };
+        Box::pin(async move { answer })
+    })
+}
--- /dev/null
+++ b/src/runtime/http_answers.rs
@@ -0,0 +1,125 @@
+//! Serves small HTTP calls: a closure gets each one and returns the answer.
+
+use std::{
+    convert::Infallible,
+    future::Future,
+    net::SocketAddr,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+};
+
+use http::{HeaderValue, StatusCode, header};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use tokio::net::{TcpListener, UdpSocket};
+use tower_service::Service;
+use warp::reply::Response;
+
+use super::node_error::NodeError;
+use crate::net::{HttpLimits, serve_http};
+
+/// Holds one call.
+#[derive(Clone, Debug)]
+pub(super) struct Asked {
+    pub(super) method: String,
+    pub(super) path: String,
+    pub(super) query: String,
+    pub(super) body: Vec<u8>,
+}
+
+/// Holds the answer to one call.
+#[derive(Clone, Debug)]
+pub(super) struct HttpAnswer {
+    pub(super) status: StatusCode,
+    body: Vec<u8>,
+    content_type: &'static str,
+}
+
+/// Answers calls.
+pub(super) type HttpAnswers =
+    Arc<dyn Fn(Asked) -> Pin<Box<dyn Future<Output = HttpAnswer> + Send>> + Send + Sync>;
+
+/// The largest body of a call.
+const BODY_MAX_BYTES: usize = 16 * 1024 * 1024;
+
+impl HttpAnswer {
+    /// Returns an answer in plain text.
+    pub(super) fn text(status: StatusCode, text: &str) -> Self {
+        Self { status, body: text.as_bytes().to_vec(), content_type: "text/plain" }
+    }
+
+    /// Returns a successful answer in JSON.
+    pub(super) fn json(body: Vec<u8>) -> Self {
+        Self { status: StatusCode::OK, body, content_type: "application/json" }
+    }
+
+    fn into_response(self) -> Response {
+        let mut response = Response::new(self.body.into());
+        *response.status_mut() = self.status;
+        let content_type = HeaderValue::from_static(self.content_type);
+        response.headers_mut().insert(header::CONTENT_TYPE, content_type);
+        response
+    }
+}
+
+/// Listens on an address.
+///
+/// # Errors
+///
+/// Returns an error when that can't be done.
+pub(super) async fn listen(address: SocketAddr) -> Result<TcpListener, NodeError> {
+    TcpListener::bind(address).await.map_err(|source| NodeError::Listen { address, source })
+}
+
+/// Listens for datagrams on an address.
+///
+/// # Errors
+///
+/// Returns an error when that can't be done.
+pub(super) async fn listen_datagrams(address: SocketAddr) -> Result<UdpSocket, NodeError> {
+    UdpSocket::bind(address).await.map_err(|source| NodeError::Listen { address, source })
+}
+
+/// Serves calls for as long as the process runs.
+pub(super) async fn serve_answers(listener: TcpListener, answers: HttpAnswers) {
+    let service = AnswerService { answers };
+    serve_http(listener, service, HttpLimits::default(), std::future::pending()).await;
+}
+
+#[derive(Clone)]
+struct AnswerService {
+    answers: HttpAnswers,
+}
+
+impl Service<hyper::Request<Incoming>> for AnswerService {
+    type Error = Infallible;
+    type Future = Pin<Box<dyn Future<Output = Result<Response, Infallible>> + Send>>;
+    type Response = Response;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, request: hyper::Request<Incoming>) -> Self::Future {
+        let answers = self.answers.clone();
+        Box::pin(async move { Ok(answer(answers, request).await.into_response()) })
+    }
+}
+
+async fn answer(answers: HttpAnswers, request: hyper::Request<Incoming>) -> HttpAnswer {
+    let (head, body) = request.into_parts();
+    let body = match Limited::new(body, BODY_MAX_BYTES).collect().await {
+        Ok(body) => body.to_bytes().to_vec(),
+        Err(error) => {
+            return HttpAnswer::text(StatusCode::BAD_REQUEST, &format!("the body: {error}"));
+        }
+    };
+    answers(Asked {
+        method: head.method.as_str().to_owned(),
+        path: head.uri.path().to_owned(),
+        query: head.uri.query().unwrap_or_default().to_owned(),
+        body,
+    })
+    .await
+}
--- /dev/null
+++ b/src/runtime/http_get.rs
@@ -0,0 +1,107 @@
+//! Fetches small documents over one kept connection.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::timeout,
+};
+
+use crate::net::{
+    http1::{BodyReader, HeadWriter, parse_response_head},
+    mesh::prepare,
+};
+
+/// Fetches documents from one address.
+#[derive(Debug)]
+pub(super) struct HttpGet {
+    address: SocketAddr,
+    connection: Option<(TcpStream, BytesMut)>,
+}
+
+/// The most bytes of a response head.
+const HEAD_MAX_BYTES: usize = 64 * 1024;
+/// The most bytes of a document.
+const BODY_MAX_BYTES: usize = 16 * 1024 * 1024;
+
+impl HttpGet {
+    /// Returns a client of an address.
+    pub(super) fn new(address: SocketAddr) -> Self {
+        Self { address, connection: None }
+    }
+
+    /// Fetches one document and returns its status and body.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when it does not come whole within `patience`.
+    pub(super) async fn get(
+        &mut self,
+        target: &str,
+        patience: Duration,
+    ) -> io::Result<(u16, Bytes)> {
+        let kept = self.connection.take();
+        let fetched = timeout(patience, fetch(self.address, kept, target)).await;
+        let (status, body, connection) =
+            fetched.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
+        self.connection = connection;
+        Ok((status, body))
+    }
+}
+
+type Fetched = (u16, Bytes, Option<(TcpStream, BytesMut)>);
+
+async fn fetch(
+    address: SocketAddr,
+    kept: Option<(TcpStream, BytesMut)>,
+    target: &str,
+) -> io::Result<Fetched> {
+    if let Some(kept) = kept
+        && let Ok(fetched) = fetch_over(address, kept, target).await
+    {
+        return Ok(fetched);
+    }
+    let stream = TcpStream::connect(address).await?;
+    prepare(&stream);
+    fetch_over(address, (stream, BytesMut::new()), target).await
+}
+
+async fn fetch_over(
+    address: SocketAddr,
+    (mut stream, mut buffer): (TcpStream, BytesMut),
+    target: &str,
+) -> io::Result<Fetched> {
+    let mut head = HeadWriter::with_request("GET", target);
+    head.field("Host", address.to_string().as_bytes());
+    stream.write_all(&head.finish()).await?;
+    let head = loop {
+        let parsed = parse_response_head(&mut buffer, HEAD_MAX_BYTES, "GET");
+        if let Some(head) = parsed.map_err(invalid)? {
+            break head;
+        }
+        if stream.read_buf(&mut buffer).await? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    };
+    let mut reader = BodyReader::new(head.framing);
+    let mut body = BytesMut::new();
+    while !reader.is_done() {
+        while let Some(piece) = reader.next(&mut buffer).map_err(invalid)? {
+            body.extend_from_slice(&piece);
+        }
+        if body.len() > BODY_MAX_BYTES {
+            return Err(invalid("the document is too large"));
+        }
+        if !reader.is_done() && stream.read_buf(&mut buffer).await? == 0 {
+            reader.end().map_err(invalid)?;
+        }
+    }
+    let kept = head.keeps_alive.then_some((stream, buffer));
+    Ok((head.status, body.freeze(), kept))
+}
+
+fn invalid(error: impl Into<Box<dyn std::error::Error + Send + Sync>>) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, error)
+}
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -2,12 +2,17 @@
 
 mod clock;
 mod control_client;
+mod control_node;
 mod desk;
+mod entry_node;
 mod follower;
 mod founding;
 mod gateway;
+mod http_answers;
+mod http_get;
 mod instance;
 mod metrics;
+mod node_error;
 mod operators;
 mod peers;
 mod platform;
@@ -18,7 +23,10 @@
 pub use self::{
     clock::Clock,
     control_client::{ControlClient, SubmitError},
+    control_node::ControlNode,
+    entry_node::EntryNode,
     instance::{Instance, InstanceError, stop_signal},
+    node_error::NodeError,
     operators::{ChangeAnswer, LookUpAnswer, OfferedInstance},
     platform::{ListedInstance, PlatformList},
 };
--- /dev/null
+++ b/src/runtime/node_error.rs
@@ -0,0 +1,41 @@
+//! Says why a process can't start.
+
+use std::{error::Error, fmt, net::SocketAddr};
+
+use crate::storage::StoreError;
+
+/// Says why a process can't start.
+#[derive(Debug)]
+pub enum NodeError {
+    /// The settings don't fit the role.
+    Settings(String),
+    /// An address can't be listened on.
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the operating system said.
+        source: std::io::Error,
+    },
+    /// The data folder can't be used.
+    Store(StoreError),
+    /// The metrics can't be set up.
+    Metrics(prometheus::Error),
+    /// The control state on the disk can't be read.
+    State(rmp_serde::decode::Error),
+}
+
+impl fmt::Display for NodeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Settings(what) => write!(f, "the settings don't fit the role: {what}"),
+            Self::Listen { address, source } => {
+                write!(f, "can't listen on {address}: {source}; free the address or change it")
+            }
+            Self::Store(error) => error.fmt(f),
+            Self::Metrics(error) => write!(f, "can't set up the metrics: {error}"),
+            Self::State(error) => write!(f, "can't read the control state: {error}"),
+        }
+    }
+}
+
+impl Error for NodeError {}
--- a/src/runtime/peers.rs
+++ b/src/runtime/peers.rs
@@ -16,18 +16,22 @@
 ///
 /// What can't be sent soon is dropped: the protocol sends again by itself,
 /// and old messages are of no use.
-#[derive(Debug)]
 pub(super) struct Peers {
-    senders: BTreeMap<InstanceName, mpsc::Sender<Envelope<Command>>>,
+    /// Sends to the replica that an instance runs.
+    send: Box<SendTo>,
+    /// Sends to a replica of which only the id is known.
+    send_to_unknown: Box<dyn Fn(Envelope<Command>) + Send>,
 }
 
+type SendTo = dyn Fn(&str, Envelope<Command>) + Send;
+
 const QUEUE_LEN: usize = 1024;
 const BATCH_MAX: usize = 128;
 const SEND_TIMEOUT: Duration = Duration::from_secs(2);
 
 impl Peers {
     pub(super) fn new(clients: &BTreeMap<InstanceName, ClusterClient>) -> Self {
-        let senders = clients
+        let senders: BTreeMap<InstanceName, mpsc::Sender<Envelope<Command>>> = clients
             .iter()
             .map(|(name, client)| {
                 let (sender, receiver) = mpsc::channel(QUEUE_LEN);
@@ -35,13 +39,35 @@
                 (name.clone(), sender)
             })
             .collect();
-        Self { senders }
+        let all = senders.clone();
+        Self::with_senders(
+            move |instance, message| {
+                if let Some(sender) = senders.get(instance) {
+                    sender.try_send(message).ok();
+                }
+            },
+            // All others drop what is not addressed to them.
+            move |message| {
+                for sender in all.values() {
+                    sender.try_send(message.clone()).ok();
+                }
+            },
+        )
+    }
+
+    pub(super) fn with_senders(
+        send: impl Fn(&str, Envelope<Command>) + Send + 'static,
+        send_to_unknown: impl Fn(Envelope<Command>) + Send + 'static,
+    ) -> Self {
+        Self { send: Box::new(send), send_to_unknown: Box::new(send_to_unknown) }
     }
 
     pub(super) fn send(&self, instance: &str, message: Envelope<Command>) {
-        if let Some(sender) = self.senders.get(instance) {
-            sender.try_send(message).ok();
-        }
+        (self.send)(instance, message);
+    }
+
+    pub(super) fn send_to_unknown(&self, message: Envelope<Command>) {
+        (self.send_to_unknown)(message);
     }
 }
 
--- a/src/runtime/replica/mod.rs
+++ b/src/runtime/replica/mod.rs
@@ -11,7 +11,10 @@
     time::Duration,
 };
 
-use tokio::sync::oneshot;
+use tokio::{
+    runtime::{Handle, RuntimeFlavor},
+    sync::{oneshot, watch},
+};
 use tracing::{error, info};
 use xtra::prelude::*;
 
@@ -19,17 +22,18 @@
 use crate::{
     core::{
         control::{
-            Command, ControlLimits, ControlState, InstanceName, Outcome, PlanInputs, Sessions,
-            SessionsConfig, plan,
+            Command, ControlLimits, ControlState, InstanceName, Outcome, PlanInputs, Seed,
+            Sessions, SessionsConfig, Topology, Version, plan,
         },
         replication::{
             Durable, Entry, Envelope, Input, LogIndex, Node, Outputs, Payload, Round, Snapshot,
             Term, Timers, TimersConfig,
         },
+        routing::RoutingTable,
     },
     net::wire::{
-        ProbeReply, QueryReply, QueryRequest, SubmitReply, SubmitRequest, WatchReply, WatchRequest,
-        decode, encode,
+        ProbeReply, QueryReply, QueryRequest, SubmitReply, SubmitRequest, Update, WatchReply,
+        WatchRequest, decode, encode,
     },
     settings::{Settings, Timing},
     storage::Store,
@@ -38,7 +42,7 @@
 /// Runs a control replica.
 #[derive(xtra::Actor)]
 pub(super) struct Replica {
-    settings: Arc<Settings>,
+    setup: ReplicaSetup,
     clock: Clock,
     metrics: Metrics,
     node: Node<Command>,
@@ -51,11 +55,43 @@
     flush_queued: bool,
     proposals: BTreeMap<LogIndex, (Term, oneshot::Sender<SubmitReply>)>,
     lead: Option<Lead>,
+    /// When this replica, as a follower, last heard its leader.
+    heard_leader: Option<Duration>,
     watchers: Vec<Watcher>,
     readers: Vec<Reader>,
+    catching_up: Vec<CatchingUp>,
+    published: watch::Sender<Version>,
     fail: Option<oneshot::Sender<()>>,
 }
 
+/// Holds what a replica is set up with. All replicas use the same.
+#[derive(Clone, Debug)]
+pub(super) struct ReplicaSetup {
+    /// How long things take.
+    pub(super) timing: Timing,
+    /// What the settings fix of regions, services and upstreams.
+    pub(super) topology: Arc<Topology>,
+    /// The first state, where the settings give one.
+    pub(super) seed: Option<Seed>,
+}
+
+impl ReplicaSetup {
+    /// Returns what the settings of a whole deployment say.
+    pub(super) fn new(settings: &Settings) -> Self {
+        Self {
+            timing: settings.timing,
+            topology: Arc::new(settings.topology.clone()),
+            seed: Some(settings.seed()),
+        }
+    }
+
+    /// Returns a setup for instances that know nothing of one another, with
+    /// nothing fixed but the timing.
+    pub(super) fn with_timing(timing: Timing) -> Self {
+        Self { timing, topology: Arc::default(), seed: None }
+    }
+}
+
 /// Holds what a replica keeps only while it leads.
 struct Lead {
     sessions: Sessions,
@@ -79,6 +115,12 @@
     reply: oneshot::Sender<QueryReply>,
 }
 
+/// Waits until the state includes an index of the log.
+struct CatchingUp {
+    index: LogIndex,
+    reply: oneshot::Sender<()>,
+}
+
 /// Takes messages of the replicated log.
 pub(super) struct Deliver(pub(super) Vec<Envelope<Command>>);
 /// Commits something.
@@ -89,6 +131,28 @@
 pub(super) struct Query(pub(super) QueryRequest, pub(super) oneshot::Sender<QueryReply>);
 /// Says what the replica holds.
 pub(super) struct Probe;
+/// Waits until the state includes an index of the log.
+pub(super) struct CatchUp(pub(super) LogIndex, pub(super) oneshot::Sender<()>);
+/// Returns the policy's changes since a version, if one is given, and how
+/// current they are, whether or not this replica leads.
+pub(super) struct Changes(pub(super) Option<Version>);
+/// Returns the routing table that this replica has applied.
+pub(super) struct CurrentRouting;
+/// Returns what tells of new versions of the policy.
+pub(super) struct Subscribe;
+
+/// Answers [`Changes`].
+pub(super) struct Changed {
+    /// What changed.
+    pub(super) update: Update,
+    /// The replicas' instances.
+    pub(super) replicas: Vec<InstanceName>,
+    /// The leader's instance, as far as is known.
+    pub(super) leader: Option<InstanceName>,
+    /// How long ago this replica last knew itself to be current; none when
+    /// it never did.
+    pub(super) behind: Option<Duration>,
+}
 /// Lets time pass.
 pub(super) struct Tick;
 /// Carries out the inputs that were gathered.
@@ -109,7 +173,7 @@
 
 impl Replica {
     pub(super) fn new(
-        settings: Arc<Settings>,
+        setup: ReplicaSetup,
         clock: Clock,
         metrics: Metrics,
         store: Store<Command>,
@@ -119,9 +183,9 @@
     ) -> Result<Self, rmp_serde::decode::Error> {
         let state = decode_state(&durable.snapshot)?;
         let node = Node::new(store.identity().replica, durable);
-        let timers = Timers::new(timers_config(&settings.timing), clock.now());
+        let timers = Timers::new(timers_config(&setup.timing), clock.now());
         Ok(Self {
-            settings,
+            setup,
             clock,
             metrics,
             node,
@@ -134,8 +198,11 @@
             flush_queued: false,
             proposals: BTreeMap::new(),
             lead: None,
+            heard_leader: None,
             watchers: Vec::new(),
             readers: Vec::new(),
+            catching_up: Vec::new(),
+            published: watch::Sender::new(0),
             fail: Some(fail),
         })
     }
@@ -173,18 +240,25 @@
             self.fail.take().map(|fail| fail.send(()).ok());
             return;
         }
+        let heard_leader = merged.heard_leader;
         for message in std::mem::take(&mut merged.messages) {
             self.send(message);
         }
         self.apply(merged);
         self.note_role();
+        self.note_heard(heard_leader);
         self.answer_waiting();
+        self.publish();
         self.compact_if_long();
     }
 
     fn save(&mut self, out: &Outputs<Command>) -> Result<(), crate::storage::StoreError> {
         let Self { store, node, .. } = self;
-        tokio::task::block_in_place(|| store.save(out, node.durable()))
+        let mut save = || store.save(out, node.durable());
+        match Handle::current().runtime_flavor() {
+            RuntimeFlavor::MultiThread => tokio::task::block_in_place(save),
+            _ => save(),
+        }
     }
 
     fn send(&self, message: Envelope<Command>) {
@@ -192,10 +266,8 @@
             return self.peers.send(&member.instance, message);
         }
         // A replica that asks without being known yet, or no longer, still
-        // gets its answer: all others drop what is not addressed to them.
-        for name in self.settings.control_instances().keys() {
-            self.peers.send(name, message.clone());
-        }
+        // gets its answer.
+        self.peers.send_to_unknown(message);
     }
 
     fn note_proposal(
@@ -253,7 +325,7 @@
                 if let (Command::Shift { .. }, Some(lead)) = (&command, &mut self.lead) {
                     lead.last_shift = self.clock.now();
                 }
-                self.state.apply(command, &self.settings.topology, &self.limits)
+                self.state.apply(command, &self.setup.topology, &self.limits)
             }
             Payload::Noop | Payload::Members(_) => Outcome::Done,
         };
@@ -277,7 +349,7 @@
         let term = self.node.term();
         if leads {
             info!(term, "leads the control state");
-            let timing = self.settings.timing;
+            let timing = self.setup.timing;
             let config = SessionsConfig { lease: timing.lease, drift_margin: timing.drift_margin };
             self.lead = Some(Lead {
                 sessions: Sessions::new(config, now),
@@ -314,6 +386,38 @@
         }
     }
 
+    /// Notes when this replica was last in contact with a leader.
+    fn note_heard(&mut self, heard_leader: bool) {
+        if heard_leader && self.node.leader().is_some() {
+            self.heard_leader = Some(self.clock.now());
+        }
+    }
+
+    /// Tells how long ago this replica last knew itself to be current.
+    fn behind(&self) -> Option<Duration> {
+        let now = self.clock.now();
+        let sure = match &self.lead {
+            Some(lead) => lead.confirmed.map(|(_, began)| began),
+            None => self.heard_leader,
+        };
+        sure.map(|sure| now.saturating_sub(sure))
+    }
+
+    /// Tells those who follow of a new version, and those who wait for an
+    /// index that it is applied.
+    fn publish(&mut self) {
+        let version = self.state.policy().version;
+        self.published.send_if_modified(|held| std::mem::replace(held, version) != version);
+        let applied = self.node.commit();
+        for waiting in std::mem::take(&mut self.catching_up) {
+            if waiting.index <= applied {
+                waiting.reply.send(()).ok();
+            } else if !waiting.reply.is_closed() {
+                self.catching_up.push(waiting);
+            }
+        }
+    }
+
     fn leader_name(&self) -> Option<InstanceName> {
         let leader = self.node.leader()?;
         self.node.members().get(leader).map(|member| member.instance.clone())
@@ -340,14 +444,14 @@
         let commands = if self.state.is_seeded() {
             plan(&PlanInputs {
                 state: &self.state,
-                topology: &self.settings.topology,
+                topology: &self.setup.topology,
                 sessions: &lead.sessions,
                 now,
                 unix_ms: self.clock.unix_ms(),
                 last_shift: lead.last_shift,
             })
         } else {
-            vec![Command::Seed(self.settings.seed())]
+            self.setup.seed.clone().map(Command::Seed).into_iter().collect()
         };
         if commands.is_empty() {
             return;
@@ -382,6 +486,7 @@
         into.committed.clear();
     }
     into.committed.extend(out.committed);
+    into.heard_leader |= out.heard_leader;
 }
 
 impl Handler<Deliver> for Replica {
@@ -452,6 +557,46 @@
     }
 }
 
+impl Handler<CatchUp> for Replica {
+    type Return = ();
+
+    async fn handle(&mut self, CatchUp(index, reply): CatchUp, _ctx: &mut Context<Self>) {
+        self.catching_up.push(CatchingUp { index, reply });
+        self.publish();
+    }
+}
+
+impl Handler<Changes> for Replica {
+    type Return = Changed;
+
+    async fn handle(&mut self, Changes(after): Changes, _ctx: &mut Context<Self>) -> Changed {
+        let update = match after.map(|after| self.state.deltas_after(after)) {
+            None => Update::Deltas(Vec::new()),
+            Some(Some(deltas)) => Update::Deltas(deltas),
+            Some(None) => Update::Whole(Box::new(self.state.policy().clone())),
+        };
+        let members = self.node.members().iter();
+        let replicas = members.map(|(_, member)| member.instance.clone()).collect();
+        Changed { update, replicas, leader: self.leader_name(), behind: self.behind() }
+    }
+}
+
+impl Handler<CurrentRouting> for Replica {
+    type Return = Arc<RoutingTable>;
+
+    async fn handle(&mut self, _: CurrentRouting, _ctx: &mut Context<Self>) -> Self::Return {
+        self.state.policy().routing.clone()
+    }
+}
+
+impl Handler<Subscribe> for Replica {
+    type Return = watch::Receiver<Version>;
+
+    async fn handle(&mut self, _: Subscribe, _ctx: &mut Context<Self>) -> Self::Return {
+        self.published.subscribe()
+    }
+}
+
 impl Handler<Tick> for Replica {
     type Return = ();
 
--- a/src/runtime/replica/queries.rs
+++ b/src/runtime/replica/queries.rs
@@ -22,6 +22,7 @@
                 presets: policy.presets.clone(),
             }),
             QueryRequest::Audit(filter) => QueryReply::Audit(filter.select(self.state.audit())),
+            QueryRequest::Committed => QueryReply::Committed { index: self.node.commit() },
             QueryRequest::Lagging { version } => {
                 let (instances, settled) = self.lagging(*version, now);
                 QueryReply::Lagging { instances, settled }
--- a/src/runtime/replica/waiting.rs
+++ b/src/runtime/replica/waiting.rs
@@ -29,7 +29,7 @@
 
     fn answer_watchers(&mut self, now: Duration) {
         let version = self.state.policy().version;
-        let hold = self.settings.timing.watch_hold;
+        let hold = self.setup.timing.watch_hold;
         let (due, waiting): (Vec<Watcher>, Vec<Watcher>) =
             std::mem::take(&mut self.watchers).into_iter().partition(|watcher| {
                 watcher.request.at_once
@@ -43,7 +43,7 @@
     }
 
     fn answer_watcher(&mut self, watcher: Watcher, now: Duration) {
-        let lease = self.settings.timing.lease;
+        let lease = self.setup.timing.lease;
         let Some(lead) = &mut self.lead else { return };
         // A leader that no quorum confirmed yet grants nothing.
         let Some((_, confirmed)) = lead.confirmed else {
@@ -65,7 +65,7 @@
         }
         // Requests are offered to owners in the own region first, so the
         // reports of other regions would only cost bytes.
-        let topology = &self.settings.topology;
+        let topology = &self.setup.topology;
         let region = topology.region_of_instance(&asker);
         let loads = lead
             .sessions
--- a/src/runtime/replica_start.rs
+++ b/src/runtime/replica_start.rs
@@ -12,7 +12,7 @@
     instance::{InstanceError, ended},
     metrics::Metrics,
     peers::Peers,
-    replica::{Deliver, Probe, Query, Replica, Submit, TICK, Tick, Watch},
+    replica::{Deliver, Probe, Query, Replica, ReplicaSetup, Submit, TICK, Tick, Watch},
 };
 use crate::{
     core::control::{Command, InstanceName},
@@ -58,12 +58,12 @@
         .map(|(name, client)| (name.clone(), client.clone()))
         .collect();
     let peers = Peers::new(&others);
-    let (settings, clock) = (parts.settings.clone(), parts.clock);
+    let (setup, clock) = (ReplicaSetup::new(parts.settings), parts.clock);
     let (metrics, control) = (parts.metrics.clone(), parts.control.clone());
     let name = parts.name.to_owned();
     if let Some(durable) = durable {
         let joined = durable.members().1.is_voter(id);
-        let replica = Replica::new(settings, clock, metrics, store, durable, peers, fail)
+        let replica = Replica::new(setup, clock, metrics, store, durable, peers, fail)
             .map_err(InstanceError::State)?;
         run_replica(replica, &slot);
         if !joined {
@@ -77,7 +77,7 @@
         let durable = first_state((&name, id), &others).await;
         let joined = durable.members().1.is_voter(id);
         let founded = store.found(&durable).is_ok();
-        match Replica::new(settings, clock, metrics, store, durable, peers, fail) {
+        match Replica::new(setup, clock, metrics, store, durable, peers, fail) {
             Ok(replica) if founded => run_replica(replica, &slot),
             _ => return,
         }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -3,11 +3,13 @@
 mod check;
 mod finding;
 mod model;
+mod node;
 mod parse;
 mod reader;
 
 pub use self::{
     finding::{Finding, Findings},
     model::{InstanceSettings, PlatformSource, Settings, Timing},
+    node::{Bounds, ListenAddresses, NodeSettings, Resources, Tolerated, UpstreamListSource},
     parse::{load, parse},
 };
