Keep limits over all entry instances, and outlive signals and disks

What: an upstream that failed is used again only after a health check, which also says how long it is cold; cold ones are used only where there are no others, spaced by the number of entry instances. Each instance has its part of the retry budget. The settings file is read again on SIGHUP and every 3 s. The log is written on a thread of its own; a failed data folder is opened anew and written whole before the replica starts again; one save is one record, so a torn write can only be the last.

Tests changed: every_torn_tail_... and damage_in_the_middle_... assumed several records a save; now every byte of the last save may be torn, and every byte before it must be refused, which is stricter.

--- a/src/cli/node.rs
+++ b/src/cli/node.rs
@@ -1,11 +1,19 @@
 //! Runs the roles that are told only of themselves and of a few control
 //! replicas.
 
-use std::{env, fs, path::PathBuf};
+use std::{
+    env, fs,
+    path::{Path, PathBuf},
+    time::Duration,
+};
 
 use argh::FromArgs;
 use eyre::{WrapErr, eyre};
-use tokio::task::LocalSet;
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    task::LocalSet,
+};
+use tracing::{info, warn};
 
 use super::{CommandResult, Failure};
 use crate::{
@@ -36,10 +44,11 @@
 
 impl Entry {
     pub(super) fn run(self) -> CommandResult {
-        let settings = load(self.settings)?;
+        let file = SettingsFile::open(self.settings)?;
         block_on(async {
-            let node = EntryNode::start(settings).await.map_err(eyre::Report::from)?;
-            stop_signal().await.map_err(eyre::Report::from)?;
+            let node = EntryNode::start(file.settings.clone()).await.map_err(eyre::Report::from)?;
+            let stopped = reload_until_stopped(file, |settings| node.reload(settings)).await;
+            stopped.map_err(eyre::Report::from)?;
             node.stop().await;
             Ok(())
         })
@@ -48,29 +57,83 @@
 
 impl Control {
     pub(super) fn run(self) -> CommandResult {
-        let settings = load(self.settings)?;
+        let file = SettingsFile::open(self.settings)?;
         block_on(async {
-            let mut node = ControlNode::start(settings).await.map_err(eyre::Report::from)?;
-            tokio::select! {
-                signal = stop_signal() => signal.map_err(eyre::Report::from)?,
-                () = node.failed() => return Err(eyre!("the data folder failed; see the log").into()),
-            }
+            let node =
+                ControlNode::start(file.settings.clone()).await.map_err(eyre::Report::from)?;
+            let stopped = reload_until_stopped(file, |settings| node.reload(settings)).await;
+            stopped.map_err(eyre::Report::from)?;
+            node.stop();
             Ok(())
         })
     }
 }
 
-fn load(path: Option<PathBuf>) -> Result<NodeSettings, Failure> {
-    let named = path.or_else(|| env::var_os(node_file::PATH_VARIABLE).map(PathBuf::from));
-    let Some(path) = named else {
-        let variable = node_file::PATH_VARIABLE;
-        return Err(Failure::Usage(eyre!("name a settings file with --settings or {variable}")));
-    };
-    let text = fs::read_to_string(&path)
-        .wrap_err_with(|| format!("can't read {}", path.display()))
-        .map_err(Failure::Usage)?;
+/// Holds the settings file that a process was started with.
+struct SettingsFile {
+    path: PathBuf,
+    settings: NodeSettings,
+}
+
+/// How often it is looked whether the settings file changed without a signal.
+const RELOAD_INTERVAL: Duration = Duration::from_secs(3);
+
+/// Takes over the settings whenever their file changed, until a signal asks
+/// the process to stop.
+async fn reload_until_stopped(
+    mut file: SettingsFile,
+    reload: impl Fn(&NodeSettings),
+) -> std::io::Result<()> {
+    let mut hangup = signal(SignalKind::hangup())?;
+    let stop = stop_signal();
+    tokio::pin!(stop);
+    loop {
+        tokio::select! {
+            stopped = &mut stop => return stopped,
+            _ = hangup.recv() => info!("SIGHUP: the settings file is read again"),
+            () = tokio::time::sleep(RELOAD_INTERVAL) => {}
+        }
+        if file.has_changed() {
+            reload(&file.settings);
+        }
+    }
+}
+
+impl SettingsFile {
+    fn open(path: Option<PathBuf>) -> Result<Self, Failure> {
+        let named = path.or_else(|| env::var_os(node_file::PATH_VARIABLE).map(PathBuf::from));
+        let Some(path) = named else {
+            let variable = node_file::PATH_VARIABLE;
+            return Err(Failure::Usage(eyre!(
+                "name a settings file with --settings or {variable}"
+            )));
+        };
+        let settings = read(&path).map_err(Failure::Usage)?;
+        Ok(Self { path, settings })
+    }
+
+    /// Reads the file again and tells whether it says something new. One that
+    /// can't be used is reported and changes nothing.
+    fn has_changed(&mut self) -> bool {
+        match read(&self.path) {
+            Ok(settings) if settings != self.settings => {
+                self.settings = settings;
+                true
+            }
+            Ok(_) => false,
+            Err(error) => {
+                warn!(error = format!("{error:#}"), "the settings in use stay in force");
+                false
+            }
+        }
+    }
+}
+
+fn read(path: &Path) -> Result<NodeSettings, eyre::Report> {
+    let text =
+        fs::read_to_string(path).wrap_err_with(|| format!("can't read {}", path.display()))?;
     node_file::decode(&text)
-        .map_err(|findings| Failure::Usage(eyre!("{}: {}", path.display(), findings.join("; "))))
+        .map_err(|findings| eyre!("{}: {}", path.display(), findings.join("; ")))
 }
 
 /// Runs on one thread: these roles get a part of one core.
--- a/src/core/balance/mod.rs
+++ b/src/core/balance/mod.rs
@@ -5,5 +5,11 @@
 
 mod affinity;
 mod balancer;
+mod cold;
+mod health;
 
-pub use self::balancer::{Balancer, Choice, Place};
+pub use self::{
+    balancer::{Balancer, Choice, Place, Wanted},
+    cold::ColdLimit,
+    health::CheckResult,
+};
--- a/src/core/control/plan.rs
+++ b/src/core/control/plan.rs
@@ -259,6 +259,10 @@
 }
 
 fn plan_claim_epoch(inputs: &PlanInputs<'_>) -> Option<Command> {
+    // Without epochs no claims are made.
+    if inputs.topology.claim_epoch.is_zero() {
+        return None;
+    }
     let claims = inputs.state.claims();
     let due = claims.epoch_began_unix_ms() + inputs.topology.claim_epoch.as_millis() as u64;
     let begin = ClaimCommand::BeginEpoch { epoch: claims.epoch() + 1, at_unix_ms: inputs.unix_ms };
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,8 +6,11 @@
 mod byte_string;
 pub mod claims;
 pub mod control;
+mod recent_max;
 pub mod replication;
 pub mod roster;
 pub mod routing;
 pub mod steering;
 pub mod upstreams;
+
+pub use self::recent_max::RecentMax;
--- a/src/runtime/control_node/calls.rs
+++ b/src/runtime/control_node/calls.rs
@@ -74,7 +74,7 @@
     patience: Duration,
 ) -> Option<SubmitReply> {
     let until = Instant::now() + patience;
-    let mut seeds = shared.settings.seed_cluster_addresses().into_iter().cycle();
+    let mut seeds = lock(&shared.seeds).clone().into_iter().cycle();
     while Instant::now() < until {
         let mut answer = submit_here(shared, request.clone()).await;
         if let Some(SubmitReply::NotLeader { leader }) = &answer {
--- a/src/runtime/control_node/membership.rs
+++ b/src/runtime/control_node/membership.rs
@@ -34,8 +34,8 @@
 
 /// Returns the first state of a replica on an empty disk: the founders
 /// belong to the log, all others have to ask.
-pub(super) fn first_state(settings: &NodeSettings) -> Durable<Command> {
-    if settings.first_start && settings.is_seed() {
+pub(super) fn first_state(settings: &NodeSettings, replica: ReplicaId) -> Durable<Command> {
+    if replica == founder_id(settings.cluster_address()) {
         let founders = settings.seed_cluster_addresses();
         let voters = founders.into_iter().map(|address| (founder_id(address), address.to_string()));
         info!("founds the log with the other seeds");
@@ -55,7 +55,7 @@
 /// Asks for a vote until the replica has one.
 pub(super) async fn join_until_voter(shared: Arc<Shared>, replica: ReplicaId) {
     let instance = shared.settings.cluster_address().to_string();
-    loop {
+    while shared.runs(replica).await {
         let request = SubmitRequest::Join { instance: instance.clone(), replica };
         let answer = submit(&shared, request, JOIN_PATIENCE).await;
         if matches!(answer, Some(SubmitReply::Joined)) {
--- a/src/runtime/control_node/mod.rs
+++ b/src/runtime/control_node/mod.rs
@@ -10,7 +10,8 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, OnceLock},
+    path::Path,
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -18,7 +19,7 @@
     net::{TcpListener, UdpSocket},
     sync::oneshot,
 };
-use tracing::info;
+use tracing::{error, info, warn};
 use xtra::{Address, Mailbox};
 
 use super::{
@@ -26,20 +27,24 @@
     http_answers::{HttpAnswers, listen, listen_datagrams, serve_answers},
     metrics::Metrics,
     node_error::NodeError,
-    replica::{Replica, ReplicaSetup, TICK, Tick},
+    replica::{Probe, Replica, ReplicaSetup, TICK, Tick},
     replica_start::tick,
 };
 use crate::{
-    core::{control::Command, replication::Durable, roster::Roster, upstreams::Ledger},
+    core::{
+        control::Command,
+        replication::{Durable, ReplicaId},
+        roster::Roster,
+        upstreams::Ledger,
+    },
     net::mesh::serve_mesh,
     settings::{NodeSettings, Timing},
-    storage::{Identity, Store},
+    storage::{Identity, Store, StoreError, set_aside},
 };
 
 /// Runs a control replica.
-#[derive(Debug)]
 pub struct ControlNode {
-    failed: oneshot::Receiver<()>,
+    shared: Arc<Shared>,
 }
 
 /// Holds what the parts of a control replica share.
@@ -47,8 +52,11 @@
     settings: NodeSettings,
     clock: Clock,
     metrics: Metrics,
-    replica: OnceLock<Address<Replica>>,
+    /// The replica, while its disk works.
+    replica: Mutex<Option<Address<Replica>>>,
     links: peers::Links,
+    /// Where control replicas are reached according to the settings.
+    seeds: Mutex<Vec<SocketAddr>>,
     roster: Mutex<Roster>,
     ledger: Mutex<Ledger>,
     /// Tells this process's counts of the list from those of others.
@@ -86,14 +94,16 @@
             ledger: Mutex::default(),
             ledger_counter: rand::random(),
             links: peers::Links::default(),
-            replica: OnceLock::new(),
+            seeds: Mutex::new(settings.seed_cluster_addresses()),
+            replica: Mutex::default(),
             settings,
             clock,
             metrics,
         });
-        let fresh = Identity::new(membership::first_id(&shared.settings));
-        let (store, durable) = Store::open(&folder, fresh).map_err(NodeError::Store)?;
-        let failed = shared.clone().start_replica(store, durable).await?;
+        let opened = open(&folder, membership::first_id(&shared.settings));
+        let (store, durable) = opened.map_err(NodeError::Store)?;
+        let failed = shared.clone().start_replica(store, durable)?;
+        tokio::spawn(shared.clone().keep_replica(folder, failed));
         tokio::spawn(serve_mesh(cluster, calls::handler(shared.clone())));
         tokio::spawn(calls::hear_announcements(shared.clone(), announcements));
         tokio::spawn(list_reader::keep_list(shared.clone()));
@@ -101,12 +111,34 @@
         serve_where(listen_addresses.operators, operators::answers(shared.clone())).await?;
         serve_where(listen_addresses.directory, directory::answers(shared.clone())).await?;
         info!(instance = shared.settings.instance, "control started");
-        Ok(Self { failed })
+        Ok(Self { shared })
     }
 
-    /// Waits until the replica can't go on.
-    pub async fn failed(&mut self) {
-        (&mut self.failed).await.ok();
+    /// Takes over settings that changed while the process runs.
+    pub fn reload(&self, settings: &NodeSettings) {
+        info!(seeds = ?settings.seeds, "settings reloaded");
+        *lock(&self.shared.seeds) = settings.seed_cluster_addresses();
+    }
+
+    /// Says that the process ends.
+    pub fn stop(&self) {
+        info!(instance = self.shared.settings.instance, "control stopped");
+    }
+}
+
+/// Opens the data folder. One that is damaged is set aside: its replica gives
+/// way to one under a new id.
+fn open(
+    folder: &Path,
+    fresh: ReplicaId,
+) -> Result<(Store<Command>, Option<Durable<Command>>), StoreError> {
+    match Store::open(folder, Identity::new(fresh)) {
+        Err(damage @ StoreError::Corrupt { .. }) => {
+            error!(error = %damage, "the data folder is set aside; the replica joins anew");
+            set_aside(folder)?;
+            Store::open(folder, Identity::new(rand::random()))
+        }
+        opened => opened,
     }
 }
 
@@ -121,7 +153,7 @@
 impl Shared {
     /// Starts the replica: from what the disk holds, as one of the founders,
     /// or as one that has to ask its way in.
-    async fn start_replica(
+    fn start_replica(
         self: Arc<Self>,
         mut store: Store<Command>,
         durable: Option<Durable<Command>>,
@@ -129,7 +161,7 @@
         let durable = match durable {
             Some(durable) => durable,
             None => {
-                let first = membership::first_state(&self.settings);
+                let first = membership::first_state(&self.settings, store.identity().replica);
                 store.found(&first).map_err(NodeError::Store)?;
                 first
             }
@@ -143,16 +175,53 @@
             .map_err(NodeError::State)?;
         let address = xtra::spawn_tokio(replica, Mailbox::unbounded());
         tokio::spawn(tick(address.clone(), TICK, || Tick));
-        self.replica.set(address).ok();
+        lock(&self.replica).replace(address);
         tokio::spawn(membership::join_until_voter(self, id));
         Ok(failed)
     }
 
+    /// Starts the replica again whenever its disk failed and works again.
+    async fn keep_replica(
+        self: Arc<Self>,
+        folder: std::path::PathBuf,
+        mut failed: oneshot::Receiver<()>,
+    ) {
+        loop {
+            (&mut failed).await.ok();
+            lock(&self.replica).take();
+            failed = loop {
+                tokio::time::sleep(REOPEN_PAUSE).await;
+                match self.clone().restart_replica(&folder) {
+                    Ok(failed) => break failed,
+                    Err(error) => warn!(%error, "the data folder can't be used yet"),
+                }
+            };
+            info!("the data folder works again");
+        }
+    }
+
+    fn restart_replica(self: Arc<Self>, folder: &Path) -> Result<oneshot::Receiver<()>, NodeError> {
+        let (mut store, durable) = open(folder, rand::random()).map_err(NodeError::Store)?;
+        if let Some(durable) = &durable {
+            store.renew(durable).map_err(NodeError::Store)?;
+        }
+        self.start_replica(store, durable)
+    }
+
+    /// Tells whether a replica still runs here.
+    async fn runs(&self, id: ReplicaId) -> bool {
+        let Some(replica) = self.replica() else { return false };
+        replica.send(Probe).await.is_ok_and(|reply| reply.replica == id)
+    }
+
     fn replica(&self) -> Option<Address<Replica>> {
-        self.replica.get().cloned()
+        lock(&self.replica).clone()
     }
 }
 
+/// The pause before a data folder that failed is tried again.
+const REOPEN_PAUSE: Duration = Duration::from_millis(300);
+
 /// Locks what is only ever held for moments.
 pub(super) fn lock<T>(shared: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     shared.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
--- a/src/runtime/entry_node/announce.rs
+++ b/src/runtime/entry_node/announce.rs
@@ -30,8 +30,7 @@
             is_ready: state.is_ready.load(Ordering::Relaxed),
         };
         let Ok(datagram) = encode(&announcement) else { return };
-        let control = state.control.borrow().clone();
-        for address in control {
+        for address in state.known_control() {
             // Datagrams may be lost at any time, and the next one follows.
             socket.send_to(&datagram, address).await.ok();
         }
--- a/src/runtime/entry_node/attempt.rs
+++ b/src/runtime/entry_node/attempt.rs
@@ -140,7 +140,10 @@
     }
 }
 
-async fn read_head(connection: &mut Connection, method: &str) -> io::Result<ResponseHead> {
+pub(super) async fn read_head(
+    connection: &mut Connection,
+    method: &str,
+) -> io::Result<ResponseHead> {
     loop {
         let parsed = parse_response_head(&mut connection.buffer, HEAD_MAX_BYTES, method);
         if let Some(head) = parsed.map_err(io::Error::other)? {
@@ -150,7 +153,10 @@
     }
 }
 
-async fn read_body(connection: &mut Connection, head: &ResponseHead) -> io::Result<Bytes> {
+pub(super) async fn read_body(
+    connection: &mut Connection,
+    head: &ResponseHead,
+) -> io::Result<Bytes> {
     let mut reader = BodyReader::new(head.framing);
     let mut body = BytesMut::new();
     while !reader.is_done() {
--- a/src/runtime/entry_node/exchange.rs
+++ b/src/runtime/entry_node/exchange.rs
@@ -11,7 +11,10 @@
     state::EntryState,
 };
 use crate::{
-    core::{balance::Choice, routing::Route},
+    core::{
+        balance::{Choice, Wanted},
+        routing::Route,
+    },
     platform::headers,
 };
 
@@ -57,13 +60,15 @@
     let Some(service) = route.destination.pick(point) else {
         return Answer::own(503, "no_service").with_retry_after(RETRY_AFTER);
     };
+    state.note_request(service);
     let mut tried = Vec::new();
     let mut attempts = 0;
     let mut unreachable = 0;
     loop {
         let now = state.clock.now();
-        let chosen =
-            state.balancer.borrow().choose(service, name, key, &route.home_regions, &tried, now);
+        let wanted =
+            Wanted { service, route: name, key, home_regions: &route.home_regions, tried: &tried };
+        let chosen = state.balancer.borrow_mut().choose(&wanted, now);
         let Some(choice) = chosen else {
             return refuse(id, "no_upstream");
         };
@@ -75,6 +80,7 @@
             Outcome::Answered(answer) => return answer,
             Outcome::NotSent(error) => {
                 note_failure(state, &choice, id, &error);
+                *sent = false;
                 attempts -= 1;
                 unreachable += 1;
                 if unreachable >= UNREACHABLE_MAX {
@@ -83,13 +89,15 @@
             }
             Outcome::NotRun { status, load } => {
                 info!(id, upstream = choice.id, status, ?load, "not run by the upstream");
-                if attempts >= route.attempts_max {
+                *sent = false;
+                if attempts >= route.attempts_max || !state.take_retry(service) {
                     return refuse(id, "shed");
                 }
             }
             Outcome::Unknown(error) => {
                 note_failure(state, &choice, id, &error);
-                if !route.execution.is_repeatable() || attempts >= route.attempts_max {
+                let may_repeat = route.execution.is_repeatable() && attempts < route.attempts_max;
+                if !may_repeat || !state.take_retry(service) {
                     return Answer::own(502, "broken_off");
                 }
             }
@@ -100,6 +108,7 @@
 fn note_failure(state: &EntryState, choice: &Choice, id: &str, error: &std::io::Error) {
     let now = state.clock.now();
     state.balancer.borrow_mut().note_failure(&choice.id, now);
+    state.failed.notify_one();
     info!(id, upstream = choice.id, %error, "the upstream failed");
 }
 
--- a/src/runtime/entry_node/follow.rs
+++ b/src/runtime/entry_node/follow.rs
@@ -27,9 +27,10 @@
     let mut list = ListMark::default();
     let mut turn = 0;
     loop {
-        let control = state.control.borrow().clone();
-        let Some(address) = control.get(turn % control.len().max(1)).copied() else { return };
-        follow_one(&state, address, &mut list).await;
+        let known = state.known_control();
+        if let Some(address) = known.get(turn % known.len().max(1)).copied() {
+            follow_one(&state, address, &mut list).await;
+        }
         turn += 1;
         tokio::time::sleep(RETRY_PAUSE).await;
     }
@@ -68,6 +69,7 @@
     if !replicas.is_empty() {
         *state.control.borrow_mut() = replicas;
     }
+    state.note_entries(reply.entries);
     state.note_readiness();
 }
 
@@ -88,12 +90,14 @@
     }
     info!(version = policy.version, routing = policy.routing.version, "policy in force");
     *state.routes.borrow_mut() = Rc::new(Matched::new(&policy.routing));
-    state.balancer.borrow_mut().set_evacuated(policy.evacuated.clone());
+    let mut balancer = state.balancer.borrow_mut();
+    balancer.set_services(policy.routing.services.clone());
+    balancer.set_evacuated(policy.evacuated.clone(), state.clock.now());
 }
 
 fn take_list(state: &EntryState, change: ListChange, list: &mut ListMark) {
     let mut balancer = state.balancer.borrow_mut();
-    balancer.update(change.whole, change.put, &change.removed);
+    balancer.update(change.whole, change.put, &change.removed, state.clock.now());
     *list = change.mark;
     info!(upstreams = balancer.len(), age_ms = change.age_ms, "upstreams changed");
 }
--- /dev/null
+++ b/src/runtime/entry_node/health.rs
@@ -0,0 +1,70 @@
+//! Checks upstreams that failed until they can be used again.
+
+use std::{io, rc::Rc, time::Duration};
+
+use tokio::{io::AsyncWriteExt, time::timeout};
+use tracing::info;
+
+use super::{
+    attempt::{read_body, read_head},
+    pool::connect,
+    state::EntryState,
+};
+use crate::{
+    core::{
+        balance::{CheckResult, Choice},
+        routing::ServiceSpec,
+    },
+    net::http1::HeadWriter,
+    platform::headers,
+};
+
+/// How often it is looked which checks are due.
+const STEP: Duration = Duration::from_millis(50);
+/// How long a check may take. It waits for a slot like any request.
+const CHECK_PATIENCE: Duration = Duration::from_millis(1000);
+
+/// Checks upstreams for as long as the process runs.
+pub(super) async fn check_upstreams(state: Rc<EntryState>) {
+    loop {
+        state.failed.notified().await;
+        while state.balancer.borrow().has_suspects() {
+            let due = state.balancer.borrow_mut().take_due_checks(state.clock.now());
+            for (choice, service) in due {
+                tokio::task::spawn_local(check(state.clone(), choice, service));
+            }
+            tokio::time::sleep(STEP).await;
+        }
+    }
+}
+
+async fn check(state: Rc<EntryState>, choice: Choice, service: std::sync::Arc<ServiceSpec>) {
+    let checked = timeout(CHECK_PATIENCE, ask(&choice, &service.health_path)).await;
+    let result = match checked {
+        Ok(Ok(result)) => result,
+        Ok(Err(_)) | Err(_) => CheckResult::Silent,
+    };
+    let now = state.clock.now();
+    let usable = state.balancer.borrow_mut().note_check(&choice.id, result, now);
+    info!(upstream = choice.id, ?result, usable, "upstream checked");
+}
+
+async fn ask(choice: &Choice, path: &str) -> io::Result<CheckResult> {
+    let mut connection = connect(choice.address).await?;
+    let mut head = HeadWriter::with_request("GET", path);
+    head.field("Host", choice.address.to_string().as_bytes());
+    head.field(headers::EXPECT_INSTANCE, choice.id.as_bytes());
+    head.field("Connection", b"close");
+    connection.stream.write_all(&head.finish()).await?;
+    let head = read_head(&mut connection, "GET").await?;
+    read_body(&mut connection, &head).await?;
+    let other = headers::upstream_id(&head.headers).is_some_and(|id| id != choice.id);
+    Ok(match head.status {
+        421 => CheckResult::Misdirected,
+        200 if other => CheckResult::Misdirected,
+        200 => CheckResult::Healthy {
+            cold_left: headers::cold_left(&head.headers).unwrap_or_default(),
+        },
+        _ => CheckResult::Unhealthy,
+    })
+}
--- a/src/runtime/entry_node/mod.rs
+++ b/src/runtime/entry_node/mod.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod exchange;
 mod follow;
+mod health;
 mod pool;
 mod ready;
 mod request;
@@ -51,12 +52,19 @@
             tokio::spawn(serve_answers(listener, ready::answers(state.is_ready.clone())));
         }
         tokio::task::spawn_local(follow::follow_control(state.clone()));
+        tokio::task::spawn_local(health::check_upstreams(state.clone()));
         tokio::task::spawn_local(announce::announce(state.clone(), callers_address));
         tokio::task::spawn_local(callers::accept(state.clone(), listener));
         info!(instance = state.settings.instance, "entry started");
         Ok(Self { state })
     }
 
+    /// Takes over settings that changed while the process runs.
+    pub fn reload(&self, settings: &NodeSettings) {
+        info!(seeds = ?settings.seeds, "settings reloaded");
+        self.state.reload(settings);
+    }
+
     /// Leaves the directory, lets the requests in flight finish, and returns
     /// when they have or the time for a stop is over.
     pub async fn stop(&self) {
--- a/src/runtime/entry_node/pool.rs
+++ b/src/runtime/entry_node/pool.rs
@@ -30,7 +30,7 @@
 }
 
 /// The longest that a connection may take to come about.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long a connection is kept where the upstream does not say.
 const KEEP_DEFAULT: Duration = Duration::from_secs(4);
 
--- a/src/runtime/entry_node/state.rs
+++ b/src/runtime/entry_node/state.rs
@@ -2,18 +2,22 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
     sync::atomic::Ordering,
+    time::Duration,
 };
 
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use super::{Flag, pool::Pool};
 use crate::{
     core::{
-        balance::{Balancer, Place},
-        control::Policy,
+        RecentMax,
+        admission::RetryBudget,
+        balance::{Balancer, ColdLimit, Place},
+        control::{Policy, ServiceName},
         routing::{CallerLimits, Matched},
     },
     runtime::clock::Clock,
@@ -28,13 +32,28 @@
     pub(super) routes: RefCell<Rc<Matched>>,
     pub(super) balancer: RefCell<Balancer>,
     pub(super) pool: RefCell<Pool>,
+    retries: RefCell<BTreeMap<ServiceName, RetryBudget>>,
+    entries: RefCell<RecentMax>,
+    /// How many entry instances share the limits.
+    entry_count: Cell<u32>,
     /// Where control replicas are reached.
     pub(super) control: RefCell<Vec<SocketAddr>>,
+    /// Where control replicas are reached according to the settings.
+    pub(super) seeds: RefCell<Vec<SocketAddr>>,
+    /// Tells that an upstream failed.
+    pub(super) failed: Notify,
     pub(super) is_ready: Flag,
     pub(super) stopping: watch::Sender<bool>,
     pub(super) requests_open: Cell<usize>,
 }
 
+/// How many entry instances are assumed before control tells.
+const ENTRIES_ASSUMED: u32 = 64;
+/// How long the greatest number of entry instances counts.
+const ENTRIES_WINDOW: Duration = Duration::from_secs(20);
+/// The part of the retries that is used, for instances that join meanwhile.
+const RETRIES_USED_PART: f64 = 0.8;
+
 impl EntryState {
     pub(super) fn new(settings: NodeSettings) -> Self {
         let place = Place {
@@ -42,12 +61,22 @@
             zone: settings.zone.clone(),
             regions_of_zones: settings.regions_of_zones.clone(),
         };
+        let cold_limit = ColdLimit {
+            factor: settings.bounds.cold_factor,
+            slack: settings.bounds.cold_slack,
+            entries: ENTRIES_ASSUMED,
+        };
         Self {
+            seeds: RefCell::new(settings.seed_cluster_addresses()),
+            retries: RefCell::default(),
+            entries: RefCell::new(RecentMax::new(ENTRIES_WINDOW)),
+            entry_count: Cell::new(ENTRIES_ASSUMED),
+            failed: Notify::new(),
             control: RefCell::new(settings.seed_cluster_addresses()),
             clock: Clock::new(),
             policy: RefCell::default(),
             routes: RefCell::default(),
-            balancer: RefCell::new(Balancer::new(place)),
+            balancer: RefCell::new(Balancer::new(place, cold_limit)),
             pool: RefCell::default(),
             is_ready: Flag::default(),
             stopping: watch::Sender::new(false),
@@ -56,6 +85,60 @@
         }
     }
 
+    /// Takes over settings that changed while the process runs.
+    pub(super) fn reload(&self, settings: &NodeSettings) {
+        *self.seeds.borrow_mut() = settings.seed_cluster_addresses();
+    }
+
+    /// Returns where control replicas may be reached: those that are members
+    /// as far as is known, and then those of the settings.
+    pub(super) fn known_control(&self) -> Vec<SocketAddr> {
+        let mut known = self.control.borrow().clone();
+        let seeds = self.seeds.borrow();
+        let more: Vec<SocketAddr> =
+            seeds.iter().filter(|seed| !known.contains(seed)).copied().collect();
+        known.extend(more);
+        known
+    }
+
+    /// Notes how many entry instances there are. They share the limits, so
+    /// the greatest number of late counts.
+    pub(super) fn note_entries(&self, entries: u32) {
+        let most = self.entries.borrow_mut().note(entries, self.clock.now()).max(1);
+        if most == self.entry_count.replace(most) {
+            return;
+        }
+        self.balancer.borrow_mut().set_entries(most);
+        let saved = self.retries_saved_max();
+        self.retries.borrow_mut().values_mut().for_each(|budget| budget.limit_saved(saved));
+    }
+
+    /// Notes a request for a service.
+    pub(super) fn note_request(&self, service: &ServiceName) {
+        self.with_budget(service, RetryBudget::note_request);
+    }
+
+    /// Takes a retry from the budget of a service, if there is one.
+    pub(super) fn take_retry(&self, service: &ServiceName) -> bool {
+        self.with_budget(service, RetryBudget::take)
+    }
+
+    fn with_budget<T>(&self, service: &ServiceName, run: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let mut budgets = self.retries.borrow_mut();
+        if !budgets.contains_key(service) {
+            let percent = (self.settings.bounds.retry_ratio * 100.0 * RETRIES_USED_PART) as u32;
+            let budget = RetryBudget::new(percent).with_saved(self.retries_saved_max());
+            budgets.insert(service.clone(), budget);
+        }
+        run(budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(0)))
+    }
+
+    /// Returns this instance's part of the retries that are free in a window.
+    fn retries_saved_max(&self) -> u32 {
+        let slack = self.settings.bounds.retry_slack * RETRIES_USED_PART;
+        (slack / f64::from(self.entry_count.get())) as u32
+    }
+
     /// Returns what callers may send.
     pub(super) fn limits(&self) -> CallerLimits {
         self.policy.borrow().routing.limits.clone()
--- a/src/runtime/replica/mod.rs
+++ b/src/runtime/replica/mod.rs
@@ -1,6 +1,7 @@
 //! Runs a control replica: one actor round the replicated log, the control
 //! state, and the leader's sessions.
 
+mod disk;
 mod join;
 mod queries;
 mod waiting;
@@ -11,13 +12,11 @@
     time::Duration,
 };
 
-use tokio::{
-    runtime::{Handle, RuntimeFlavor},
-    sync::{oneshot, watch},
-};
+use tokio::sync::{oneshot, watch};
 use tracing::{error, info};
 use xtra::prelude::*;
 
+use self::disk::Disk;
 use super::{clock::Clock, metrics::Metrics, peers::Peers};
 use crate::{
     core::{
@@ -46,7 +45,7 @@
     clock: Clock,
     metrics: Metrics,
     node: Node<Command>,
-    store: Store<Command>,
+    disk: Disk,
     timers: Timers,
     peers: Peers,
     state: ControlState,
@@ -182,14 +181,15 @@
         fail: oneshot::Sender<()>,
     ) -> Result<Self, rmp_serde::decode::Error> {
         let state = decode_state(&durable.snapshot)?;
-        let node = Node::new(store.identity().replica, durable);
+        let disk = Disk::new(store);
+        let node = Node::new(disk.replica(), durable);
         let timers = Timers::new(timers_config(&setup.timing), clock.now());
         Ok(Self {
             setup,
             clock,
             metrics,
             node,
-            store,
+            disk,
             timers,
             peers,
             state,
@@ -225,8 +225,16 @@
         }
     }
 
-    fn flush(&mut self) {
+    /// Carries out what was gathered, and what follows from it.
+    async fn flush(&mut self, ctx: &mut Context<Self>) {
         self.flush_queued = false;
+        while !self.inputs.is_empty() && self.fail.is_some() {
+            self.flush_once(ctx).await;
+            self.compact_if_long();
+        }
+    }
+
+    async fn flush_once(&mut self, ctx: &mut Context<Self>) {
         let mut merged = Outputs::default();
         for (input, reply) in std::mem::take(&mut self.inputs) {
             let out = self.node.step(input);
@@ -235,30 +243,19 @@
             self.timers.note(&self.node, &out, self.clock.now());
             merge(&mut merged, out);
         }
-        if let Err(error) = self.save(&merged) {
+        if let Err(error) = self.disk.save(&mut merged, self.node.durable()).await {
             error!(%error, "the data folder failed; this replica stops");
-            self.fail.take().map(|fail| fail.send(()).ok());
-            return;
+            return self.fail(ctx);
         }
         let heard_leader = merged.heard_leader;
         for message in std::mem::take(&mut merged.messages) {
             self.send(message);
         }
-        self.apply(merged);
+        self.apply(merged, ctx);
         self.note_role();
         self.note_heard(heard_leader);
         self.answer_waiting();
         self.publish();
-        self.compact_if_long();
-    }
-
-    fn save(&mut self, out: &Outputs<Command>) -> Result<(), crate::storage::StoreError> {
-        let Self { store, node, .. } = self;
-        let mut save = || store.save(out, node.durable());
-        match Handle::current().runtime_flavor() {
-            RuntimeFlavor::MultiThread => tokio::task::block_in_place(save),
-            _ => save(),
-        }
     }
 
     fn send(&self, message: Envelope<Command>) {
@@ -303,14 +300,19 @@
         }
     }
 
-    fn apply(&mut self, out: Outputs<Command>) {
+    /// Stops the replica.
+    fn fail(&mut self, ctx: &mut Context<Self>) {
+        ctx.stop_self();
+        self.fail.take().map(|fail| fail.send(()).ok());
+    }
+
+    fn apply(&mut self, out: Outputs<Command>, ctx: &mut Context<Self>) {
         if let Some(snapshot) = out.restore {
             match decode_state(&snapshot) {
                 Ok(state) => self.state = state,
                 Err(error) => {
                     error!(%error, "a snapshot can't be read; this replica stops");
-                    self.fail.take().map(|fail| fail.send(()).ok());
-                    return;
+                    return self.fail(ctx);
                 }
             }
         }
@@ -376,13 +378,12 @@
         // A snapshot costs as much as the state is large, so the log may grow
         // as long as the last one before it is compacted.
         let bytes_max = COMPACT_BYTES.max(durable.snapshot.data.len() as u64);
-        let long = self.store.log_bytes() > bytes_max && entries > COMPACT_ENTRIES_MIN;
+        let long = self.disk.log_bytes() > bytes_max && entries > COMPACT_ENTRIES_MIN;
         if entries < COMPACT_ENTRIES_MAX && !long {
             return;
         }
         if let Ok(data) = encode(&self.state) {
             self.inputs.push((Input::Compact { index: applied, data }, None));
-            self.flush();
         }
     }
 
@@ -616,7 +617,7 @@
 impl Handler<Flush> for Replica {
     type Return = ();
 
-    async fn handle(&mut self, _: Flush, _ctx: &mut Context<Self>) {
-        self.flush();
+    async fn handle(&mut self, _: Flush, ctx: &mut Context<Self>) {
+        self.flush(ctx).await;
     }
 }
--- a/src/runtime/replica/queries.rs
+++ b/src/runtime/replica/queries.rs
@@ -53,7 +53,7 @@
             replicas: self.replica_statuses(),
             term: self.node.term(),
             commit: self.node.commit(),
-            log_bytes: self.store.log_bytes(),
+            log_bytes: self.disk.log_bytes(),
             claims: self.state.claims().len(),
             key_epoch: policy.claim_epoch,
         }
--- a/src/storage/error.rs
+++ b/src/storage/error.rs
@@ -40,6 +40,12 @@
         move |source| Self::Io { path, source }
     }
 
+    /// Returns the error of a store whose earlier failure was reported.
+    pub(crate) fn gone() -> Self {
+        let source = io::Error::other("an earlier write failed");
+        Self::Io { path: PathBuf::new(), source }
+    }
+
     pub(super) fn corrupt(path: impl Into<PathBuf>, offset: u64, what: impl Into<String>) -> Self {
         Self::Corrupt { path: path.into(), offset, what: what.into() }
     }
--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -9,4 +9,8 @@
 mod record;
 mod store;
 
-pub use self::{error::StoreError, identity::Identity, store::Store};
+pub use self::{
+    error::StoreError,
+    identity::Identity,
+    store::{Store, set_aside},
+};
--- a/src/storage/record.rs
+++ b/src/storage/record.rs
@@ -59,6 +59,12 @@
     Found::Damaged("the checksum of a record is wrong")
 }
 
+/// Tells whether a whole record begins anywhere after `offset`. If none does,
+/// what stands there may be a last write that a crash tore anywhere.
+pub(super) fn is_any_after(bytes: &[u8], offset: usize) -> bool {
+    (offset + 1..bytes.len()).any(|at| matches!(read(bytes, at), Found::Record { .. }))
+}
+
 /// Decodes the body of a record.
 pub(super) fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, String> {
     rmp_serde::from_slice(body).map_err(|error| error.to_string())
--- a/src/storage/store.rs
+++ b/src/storage/store.rs
@@ -87,28 +87,35 @@
     ///
     /// # Errors
     ///
-    /// Returns an error when it can't. The replica must then stop: after a
-    /// failed sync the operating system may drop what was written.
+    /// Returns an error when it can't. The store must then be opened anew and
+    /// renewed: after a failed sync the operating system may drop what was
+    /// written, and still show it.
     pub fn save(&mut self, outputs: &Outputs<C>, durable: &Durable<C>) -> Result<(), StoreError> {
         if let Some(snapshot) = &outputs.snapshot {
             self.write_snapshot(snapshot)?;
             return self.rewrite(durable);
         }
-        let mut buffer = Vec::new();
-        if let Some(ballot) = outputs.ballot {
-            self.encode(&mut buffer, &LogRecord::Ballot(ballot))?;
-        }
-        for entry in &outputs.entries {
-            self.encode(&mut buffer, &LogRecord::Entry(entry.clone()))?;
-        }
-        if buffer.is_empty() {
+        let ballot = outputs.ballot.map(LogRecord::Ballot);
+        let entries = outputs.entries.iter().cloned().map(LogRecord::Entry);
+        let batch: Vec<LogRecord<C>> = ballot.into_iter().chain(entries).collect();
+        if batch.is_empty() {
             return Ok(());
         }
+        let buffer = encode_batch(&batch)?;
         self.append(&buffer)
     }
 
-    fn encode(&self, buffer: &mut Vec<u8>, record: &LogRecord<C>) -> Result<(), StoreError> {
-        record::write(buffer, record).map_err(|what| StoreError::Encode { what })
+    /// Writes all files anew, so that nothing rests on what an earlier
+    /// process, or a failed sync, left in the operating system's cache.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the state can't be made durable.
+    pub fn renew(&mut self, durable: &Durable<C>) -> Result<(), StoreError> {
+        if durable.snapshot.index > 0 {
+            self.write_snapshot(&durable.snapshot)?;
+        }
+        self.rewrite(durable)
     }
 
     fn append(&mut self, buffer: &[u8]) -> Result<(), StoreError> {
@@ -126,17 +133,14 @@
     /// Replaces the log by one that begins at the snapshot.
     fn rewrite(&mut self, durable: &Durable<C>) -> Result<(), StoreError> {
         let snapshot = &durable.snapshot;
-        let mut buffer = Vec::new();
         let base = LogRecord::Base {
             index: snapshot.index,
             term: snapshot.term,
             members: snapshot.members.clone(),
         };
-        self.encode(&mut buffer, &base)?;
-        self.encode(&mut buffer, &LogRecord::Ballot(durable.ballot))?;
-        for entry in &durable.entries {
-            self.encode(&mut buffer, &LogRecord::Entry(entry.clone()))?;
-        }
+        let mut batch = vec![base, LogRecord::Ballot(durable.ballot)];
+        batch.extend(durable.entries.iter().cloned().map(LogRecord::Entry));
+        let buffer = encode_batch(&batch)?;
         replace_file(&self.folder, LOG, &buffer)?;
         self.open_log(buffer.len() as u64)
     }
@@ -181,6 +185,11 @@
             return Err(StoreError::corrupt(path, 0, what));
         }
         self.open_log(length as u64)?;
+        // A process that was killed may have written without a sync.
+        if let Some(log) = &self.log {
+            log.sync_all().map_err(StoreError::io(&path))?;
+        }
+        sync_folder(&self.folder)?;
         Ok(Some(durable))
     }
 
@@ -243,10 +252,9 @@
     loop {
         match record::read(bytes, offset) {
             Found::Record { body, next } => {
-                let decoded = record::decode(body);
-                let decoded =
-                    decoded.map_err(|what| StoreError::corrupt(path, offset as u64, what))?;
-                replay_record(&mut durable, decoded);
+                let batch: Vec<LogRecord<C>> = record::decode(body)
+                    .map_err(|what| StoreError::corrupt(path, offset as u64, what))?;
+                batch.into_iter().for_each(|record| replay_record(&mut durable, record));
                 offset = next;
             }
             // The first record was written with the file, by a rename: it is
@@ -255,11 +263,22 @@
                 return Err(StoreError::corrupt(path, 0, "the log has no beginning"));
             }
             Found::End | Found::Torn => return Ok((durable, offset)),
+            Found::Damaged(_) if offset > 0 && !record::is_any_after(bytes, offset) => {
+                return Ok((durable, offset));
+            }
             Found::Damaged(what) => return Err(StoreError::corrupt(path, offset as u64, what)),
         }
     }
 }
 
+/// Encodes what one save writes as one record, so that a write that a crash
+/// tore can only be the last record.
+fn encode_batch<C: Serialize>(batch: &Vec<LogRecord<C>>) -> Result<Vec<u8>, StoreError> {
+    let mut buffer = Vec::new();
+    record::write(&mut buffer, batch).map_err(|what| StoreError::Encode { what })?;
+    Ok(buffer)
+}
+
 fn replay_record<C: Clone>(durable: &mut Durable<C>, record: LogRecord<C>) {
     match record {
         LogRecord::Base { index, term, members } => {
@@ -292,6 +311,31 @@
     file.write_all(bytes).map_err(StoreError::io(&staged))?;
     file.sync_all().map_err(StoreError::io(&staged))?;
     fs::rename(&staged, &path).map_err(StoreError::io(&path))?;
-    let parent = File::open(folder).map_err(StoreError::io(folder))?;
-    parent.sync_all().map_err(StoreError::io(folder))
+    sync_folder(folder)
+}
+
+/// Makes the names in a folder durable.
+fn sync_folder(folder: &Path) -> Result<(), StoreError> {
+    let folder_file = File::open(folder).map_err(StoreError::io(folder))?;
+    folder_file.sync_all().map_err(StoreError::io(folder))
+}
+
+/// Moves a damaged folder's files out of the way, so that the replica can
+/// start on an empty one under a new id.
+///
+/// # Errors
+///
+/// Returns an error when the files can't be moved.
+pub fn set_aside(folder: &Path) -> Result<(), StoreError> {
+    for name in [IDENTITY, SNAPSHOT, LOG] {
+        let path = folder.join(name);
+        let aside = folder.join(format!("{name}.damaged"));
+        match fs::rename(&path, &aside) {
+            Err(error) if error.kind() != io::ErrorKind::NotFound => {
+                return Err(StoreError::io(path)(error));
+            }
+            _ => {}
+        }
+    }
+    sync_folder(folder)
 }
--- a/tests/it/storage.rs
+++ b/tests/it/storage.rs
@@ -55,37 +55,83 @@
     assert_eq!(open(&folder).unwrap(), Some(durable));
 }
 
+/// Saves one more entry and returns where its record begins in the log.
+fn save_one_more(folder: &Folder, durable: &mut Durable<u8>) -> usize {
+    let length = fs::read(folder.0.join("log")).unwrap().len();
+    let (mut store, _) = Store::<u8>::open(&folder.0, Identity::new(9)).unwrap();
+    let more = entry(3, 2);
+    durable.put(more.clone());
+    store.save(&Outputs { entries: vec![more], ..Outputs::default() }, durable).unwrap();
+    length
+}
+
+#[test]
+fn damage_in_the_middle_is_refused_with_its_place() {
+    let folder = Folder::new("damage");
+    let mut durable = written(&folder);
+    let last = save_one_more(&folder, &mut durable);
+    let log = folder.0.join("log");
+    let whole = fs::read(&log).unwrap();
+    for at in 0..last {
+        let mut damaged = whole.clone();
+        damaged[at] ^= 0x10;
+        fs::write(&log, &damaged).unwrap();
+        let error = open(&folder).unwrap_err();
+        assert!(matches!(error, StoreError::Corrupt { .. }), "byte {at}: {error}");
+    }
+}
+
 #[test]
 fn every_torn_tail_is_cut_to_a_whole_record() {
     let folder = Folder::new("torn");
-    let durable = written(&folder);
+    let before = written(&folder);
+    let last = save_one_more(&folder, &mut before.clone());
     let log = folder.0.join("log");
     let whole = fs::read(&log).unwrap();
-    let last = whole.len() - 40;
     for length in last..whole.len() {
         fs::write(&log, &whole[..length]).unwrap();
-        let found = open(&folder).unwrap().unwrap();
-        assert!(found.entries.len() <= durable.entries.len(), "{length}");
-        assert_eq!(found.ballot, durable.ballot, "{length}");
-        assert!(durable.entries.starts_with(&found.entries) || found.entries[1].term == 1);
+        assert_eq!(open(&folder).unwrap(), Some(before.clone()), "{length}");
     }
 }
 
 #[test]
-fn damage_in_the_middle_is_refused_with_its_place() {
-    let folder = Folder::new("damage");
-    written(&folder);
+fn a_last_save_torn_anywhere_is_cut() {
+    let folder = Folder::new("torn-anywhere");
+    let before = written(&folder);
+    let mut durable = before.clone();
+    let last = save_one_more(&folder, &mut durable);
     let log = folder.0.join("log");
     let whole = fs::read(&log).unwrap();
-    for at in 0..whole.len() / 2 {
-        let mut damaged = whole.clone();
-        damaged[at] ^= 0x10;
-        fs::write(&log, &damaged).unwrap();
-        let error = open(&folder).unwrap_err();
-        assert!(matches!(error, StoreError::Corrupt { .. }), "byte {at}: {error}");
+    for at in last..whole.len() {
+        let mut torn = whole.clone();
+        torn[at] ^= 0x10;
+        fs::write(&log, &torn).unwrap();
+        assert_eq!(open(&folder).unwrap(), Some(before.clone()), "byte {at}");
+        assert_eq!(fs::read(&log).unwrap().len(), last, "byte {at}");
     }
 }
 
+#[test]
+fn a_damaged_folder_is_set_aside_and_gives_way_to_a_new_id() {
+    let folder = Folder::new("aside");
+    written(&folder);
+    bulrushspan::storage::set_aside(&folder.0).unwrap();
+    let (store, durable) = Store::<u8>::open(&folder.0, Identity::new(9)).unwrap();
+    assert!(durable.is_none());
+    assert_eq!(store.identity().replica, 9);
+}
+
+#[test]
+fn a_renewed_store_holds_the_same() {
+    let folder = Folder::new("renewed");
+    let mut durable = written(&folder);
+    save_one_more(&folder, &mut durable);
+    let (mut store, found) = Store::<u8>::open(&folder.0, Identity::new(9)).unwrap();
+    store.renew(&found.unwrap()).unwrap();
+    drop(store);
+    assert_eq!(open(&folder).unwrap(), Some(durable));
+}
+
 #[test]
 fn a_second_process_and_a_lost_log_are_refused() {
     let folder = Folder::new("locked");
