Refuse what arrives late in a stop

What: from 2.5 s after the signal new requests are refused at once as not run, with a short time to come back; the process uses its time up to 350 ms before the end.

--- a/src/runtime/entry_node/exchange.rs
+++ b/src/runtime/entry_node/exchange.rs
@@ -22,11 +22,16 @@
 const PATIENCE_DEFAULT: Duration = Duration::from_secs(30);
 /// When a caller that was refused should ask again.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
+/// When a caller that should use another instance should ask again.
+const RETRY_ELSEWHERE: Duration = Duration::from_millis(20);
 /// The most upstreams that are tried without anything being sent.
 const UNREACHABLE_MAX: usize = 3;
 
 /// Answers one request.
 pub(super) async fn answer(state: &Rc<EntryState>, request: &Request) -> Answer {
+    if state.refuses_new() {
+        return Answer::own(503, "stopping").with_retry_after(RETRY_ELSEWHERE);
+    }
     if !state.has_configuration() {
         return Answer::own(503, "no_configuration").with_retry_after(RETRY_AFTER);
     }
--- a/src/runtime/entry_node/mod.rs
+++ b/src/runtime/entry_node/mod.rs
@@ -32,7 +32,7 @@
 /// How often a stop looks whether all requests have ended.
 const STOP_STEP: Duration = Duration::from_millis(50);
 /// How long before its end the time for a stop counts as over.
-const STOP_MARGIN: Duration = Duration::from_millis(700);
+const STOP_MARGIN: Duration = Duration::from_millis(350);
 
 impl EntryNode {
     /// Starts the entry instance that the settings describe.
--- a/src/runtime/entry_node/state.rs
+++ b/src/runtime/entry_node/state.rs
@@ -44,6 +44,8 @@
     pub(super) failed: Notify,
     pub(super) is_ready: Flag,
     pub(super) stopping: watch::Sender<bool>,
+    /// When the stop began.
+    stop_began: Cell<Option<Duration>>,
     pub(super) requests_open: Cell<usize>,
 }
 
@@ -54,6 +56,10 @@
 /// The part of the retries that is used, for instances that join meanwhile.
 const RETRIES_USED_PART: f64 = 0.8;
 
+/// How long after a stop began new requests are still taken. What is taken
+/// later might not end before the process must.
+const STOP_TAKES: Duration = Duration::from_millis(2500);
+
 impl EntryState {
     pub(super) fn new(settings: NodeSettings) -> Self {
         let place = Place {
@@ -80,6 +86,7 @@
             pool: RefCell::default(),
             is_ready: Flag::default(),
             stopping: watch::Sender::new(false),
+            stop_began: Cell::new(None),
             requests_open: Cell::new(0),
             settings,
         }
@@ -149,6 +156,12 @@
         self.policy.borrow().routing.version > 0
     }
 
+    /// Tells whether requests are refused because the process will end soon.
+    pub(super) fn refuses_new(&self) -> bool {
+        let began = self.stop_began.get();
+        began.is_some_and(|began| self.clock.now() > began + STOP_TAKES)
+    }
+
     /// Notes what makes the instance ready.
     pub(super) fn note_readiness(&self) {
         let ready = self.has_configuration()
@@ -159,6 +172,7 @@
 
     /// Takes no more callers than those that still know the instance.
     pub(super) fn begin_stop(&self) {
+        self.stop_began.set(Some(self.clock.now()));
         self.stopping.send_replace(true);
         self.note_readiness();
     }
