Log each decision about a request, bounded and never blocking

Cause: an engineer had nothing to follow a failed request with. What: a line when a request is sent, not run, broken off, refused, answered, or its caller left, with its id, the inputs and their version and age; at most 1000 of them a second and 2000 in the queue to the writing thread. The control replicas that don't lead no longer read the list of upstreams themselves: an unchanged list now confirms its age.

--- a/src/cli/node.rs
+++ b/src/cli/node.rs
@@ -18,7 +18,7 @@
 use super::{CommandResult, Failure};
 use crate::{
     platform::node_file,
-    runtime::{ControlNode, EntryNode, stop_signal},
+    runtime::{ControlNode, EntryNode, start_logs, stop_signal},
     settings::NodeSettings,
 };
 
@@ -138,7 +138,7 @@
 
 /// Runs on one thread: these roles get a part of one core.
 fn block_on(command: impl Future<Output = CommandResult>) -> CommandResult {
-    start_logs();
+    let _logs = start_logs().map_err(eyre::Report::from)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -147,7 +147,3 @@
     runtime.shutdown_background();
     ended
 }
-
-fn start_logs() {
-    tracing_subscriber::fmt().json().with_writer(std::io::stdout).init();
-}
--- a/src/core/upstreams/ledger.rs
+++ b/src/core/upstreams/ledger.rs
@@ -87,6 +87,11 @@
         self.count != before
     }
 
+    /// Notes that a list read at `read_at` says the same as the one held.
+    pub fn confirm(&mut self, read_at: Duration) {
+        self.read_at = self.read_at.max(Some(read_at));
+    }
+
     /// Takes over a change that somebody else counted, as of `read_at`,
     /// unless a newer list is held.
     pub fn merge(&mut self, change: LedgerChange, read_at: Duration) {
--- a/src/core/upstreams/listing.rs
+++ b/src/core/upstreams/listing.rs
@@ -1,6 +1,6 @@
 //! Holds the list of upstreams.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, fmt, net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -42,6 +42,12 @@
     Leaving,
 }
 
+impl fmt::Display for ReportedLoad {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} running, {} waiting, {} slots", self.running, self.waiting, self.slots)
+    }
+}
+
 /// Holds the load that an upstream reports with a response.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct ReportedLoad {
--- a/src/net/wire.rs
+++ b/src/net/wire.rs
@@ -286,6 +286,8 @@
     pub update: Update,
     /// What changed in the list of upstreams.
     pub list: Option<ListChange>,
+    /// How long ago the list was read.
+    pub list_age_ms: Option<u64>,
     /// Where control replicas are reached.
     pub replicas: Vec<InstanceName>,
     /// How long ago the replica last knew itself to be current.
@@ -305,8 +307,6 @@
     pub put: Vec<ListedUpstream>,
     /// The upstreams that are gone.
     pub removed: Vec<UpstreamId>,
-    /// How long ago the list was read.
-    pub age_ms: u64,
 }
 
 /// Tells control replicas that an entry instance is up. It is sent again and
--- a/src/runtime/control_node/calls.rs
+++ b/src/runtime/control_node/calls.rs
@@ -158,9 +158,11 @@
 
 fn reply(shared: &Shared, changed: Changed, list: Option<ListChange>) -> FollowReply {
     let now = shared.clock.now();
+    let read_at = lock(&shared.ledger).read_at();
     FollowReply {
         update: changed.update,
         list,
+        list_age_ms: read_at.map(|at| now.saturating_sub(at).as_millis() as u64),
         replicas: changed.replicas,
         behind_ms: changed.behind.map(|behind| behind.as_millis() as u64),
         entries: lock(&shared.roster).count(now) as u32,
@@ -170,15 +172,14 @@
 fn list_change(shared: &Shared, mark: ListMark) -> Option<ListChange> {
     let now = shared.clock.now();
     let ledger = lock(&shared.ledger);
-    let read_at = ledger.read_at()?;
+    ledger.read_at()?;
     let known = (mark.counter == shared.ledger_counter).then_some(mark.count);
     if known == Some(ledger.count()) {
         return None;
     }
     let LedgerChange { count, whole, put, removed } = ledger.change_since(known, now);
-    let age = now.saturating_sub(read_at);
     let mark = ListMark { counter: shared.ledger_counter, count };
-    Some(ListChange { mark, whole, put, removed, age_ms: age.as_millis() as u64 })
+    Some(ListChange { mark, whole, put, removed })
 }
 
 /// Hears entry instances announce themselves.
--- a/src/runtime/control_node/list_reader.rs
+++ b/src/runtime/control_node/list_reader.rs
@@ -59,9 +59,13 @@
     else {
         return;
     };
-    let Some(change) = reply.list else { return };
+    let Some(age_ms) = reply.list_age_ms else { return };
+    let read_at = shared.clock.now().saturating_sub(Duration::from_millis(age_ms));
+    let Some(change) = reply.list else {
+        lock(&shared.ledger).confirm(read_at);
+        return;
+    };
     *followed = change.mark;
-    let read_at = shared.clock.now().saturating_sub(Duration::from_millis(change.age_ms));
     let count = change.mark.count;
     let merged =
         LedgerChange { count, whole: change.whole, put: change.put, removed: change.removed };
--- a/src/runtime/entry_node/exchange.rs
+++ b/src/runtime/entry_node/exchange.rs
@@ -1,6 +1,6 @@
 //! Decides what becomes of one request.
 
-use std::{rc::Rc, time::Duration};
+use std::{io, rc::Rc, time::Duration};
 
 use tracing::info;
 
@@ -13,9 +13,12 @@
 use crate::{
     core::{
         balance::{Choice, Wanted},
+        control::ServiceName,
         routing::Route,
+        upstreams::UpstreamId,
     },
     platform::headers,
+    runtime::logs::REQUEST,
 };
 
 /// How long a caller waits where it does not say.
@@ -29,95 +32,195 @@
 
 /// Answers one request.
 pub(super) async fn answer(state: &Rc<EntryState>, request: &Request) -> Answer {
+    let id = headers::request_id(&request.head.headers).unwrap_or_default();
     if state.refuses_new() {
-        return Answer::own(503, "stopping").with_retry_after(RETRY_ELSEWHERE);
+        return refuse(state, id, "stopping", RETRY_ELSEWHERE);
     }
     if !state.has_configuration() {
-        return Answer::own(503, "no_configuration").with_retry_after(RETRY_AFTER);
+        return refuse(state, id, "no_configuration", RETRY_AFTER);
     }
     let routes = state.routes.borrow().clone();
     let Some((name, route)) = routes.find(request.host(), request.path()) else {
+        let (host, path) = (request.host(), request.path());
+        info!(target: REQUEST, request = id, host, path, config = state.config_version(), "no route");
         return Answer::own(404, "no_route");
     };
+    let Some(service) = route.destination.pick(rand::random()) else {
+        return refuse(state, id, "no_service", RETRY_AFTER);
+    };
+    state.note_request(service);
+    let key = headers::affinity_key(&request.head.headers).unwrap_or(id);
     let patience = headers::patience(&request.head.headers).unwrap_or(PATIENCE_DEFAULT);
     let limit = patience.min(route.timeout);
-    let spent = state.clock.now().saturating_sub(request.arrived);
-    let mut sent = false;
-    let sending = send(state, name, route, request, limit, &mut sent);
-    let answered = tokio::time::timeout(limit.saturating_sub(spent), sending).await;
-    answered.unwrap_or_else(|_| match sent {
-        true => Answer::own(504, "timeout"),
-        false => Answer::own(503, "timeout").with_retry_after(RETRY_AFTER),
-    })
+    let mut exchange = Exchange {
+        state,
+        request,
+        id,
+        name,
+        route,
+        service,
+        key,
+        until: request.arrived + limit,
+        tried: Vec::new(),
+        attempts: 0,
+        unreachable: 0,
+        may_have_run: false,
+        is_done: false,
+    };
+    exchange.run().await
 }
 
-async fn send(
-    state: &Rc<EntryState>,
-    name: &str,
-    route: &Route,
-    request: &Request,
-    limit: Duration,
-    sent: &mut bool,
-) -> Answer {
-    let id = headers::request_id(&request.head.headers).unwrap_or_default();
-    let key = headers::affinity_key(&request.head.headers).unwrap_or(id);
-    let point = rand::random::<f64>();
-    let Some(service) = route.destination.pick(point) else {
-        return Answer::own(503, "no_service").with_retry_after(RETRY_AFTER);
-    };
-    state.note_request(service);
-    let mut tried = Vec::new();
-    let mut attempts = 0;
-    let mut unreachable = 0;
-    loop {
-        let now = state.clock.now();
-        let wanted =
-            Wanted { service, route: name, key, home_regions: &route.home_regions, tried: &tried };
-        let chosen = state.balancer.borrow_mut().choose(&wanted, now);
-        let Some(choice) = chosen else {
-            return refuse(id, "no_upstream");
+/// Carries one request to its answer.
+struct Exchange<'a> {
+    state: &'a Rc<EntryState>,
+    request: &'a Request,
+    id: &'a str,
+    name: &'a str,
+    route: &'a Route,
+    service: &'a ServiceName,
+    key: &'a str,
+    /// When the answer is due, by the instance's clock.
+    until: Duration,
+    tried: Vec<UpstreamId>,
+    /// How many upstreams were sent the request.
+    attempts: u32,
+    /// How many could not be reached.
+    unreachable: usize,
+    may_have_run: bool,
+    is_done: bool,
+}
+
+impl Exchange<'_> {
+    async fn run(&mut self) -> Answer {
+        let left = self.until.saturating_sub(self.state.clock.now());
+        let answer = match tokio::time::timeout(left, self.try_upstreams()).await {
+            Ok(answer) => answer,
+            Err(_) if self.may_have_run => Answer::own(504, "timeout"),
+            Err(_) => self.refuse("timeout", RETRY_AFTER),
         };
-        tried.push(choice.id.clone());
-        let left = (request.arrived + limit).saturating_sub(now);
-        *sent = true;
-        attempts += 1;
-        match attempt(state, &choice, request, left).await {
-            Outcome::Answered(answer) => return answer,
+        self.is_done = true;
+        let (status, by, attempts) = (answer.status, self.tried.last(), self.attempts);
+        let took_ms = self.took_ms();
+        info!(target: REQUEST, request = self.id, status, upstream = by, attempts, took_ms, "answered");
+        answer
+    }
+
+    async fn try_upstreams(&mut self) -> Answer {
+        loop {
+            let Some(choice) = self.choose() else {
+                return self.refuse("no_upstream", RETRY_AFTER);
+            };
+            let left = self.until.saturating_sub(self.state.clock.now());
+            self.begin(&choice, left);
+            let outcome = attempt(self.state, &choice, self.request, left).await;
+            if let Some(answer) = self.conclude(&choice, outcome) {
+                return answer;
+            }
+        }
+    }
+
+    fn choose(&self) -> Option<Choice> {
+        let wanted = Wanted {
+            service: self.service,
+            route: self.name,
+            key: self.key,
+            home_regions: &self.route.home_regions,
+            tried: &self.tried,
+        };
+        self.state.balancer.borrow_mut().choose(&wanted, self.state.clock.now())
+    }
+
+    fn begin(&mut self, choice: &Choice, left: Duration) {
+        self.tried.push(choice.id.clone());
+        self.attempts += 1;
+        self.may_have_run = true;
+        info!(
+            target: REQUEST,
+            request = self.id,
+            route = self.name,
+            service = self.service,
+            key = self.key,
+            upstream = choice.id,
+            attempt = self.attempts,
+            left_ms = left.as_millis() as u64,
+            config = self.state.config_version(),
+            list_age_ms = self.state.list_age_ms(),
+            "sent"
+        );
+    }
+
+    /// Returns the answer, if the request goes to no further upstream.
+    fn conclude(&mut self, choice: &Choice, outcome: Outcome) -> Option<Answer> {
+        match outcome {
+            Outcome::Answered(answer) => Some(answer),
             Outcome::NotSent(error) => {
-                note_failure(state, &choice, id, &error);
-                *sent = false;
-                attempts -= 1;
-                unreachable += 1;
-                if unreachable >= UNREACHABLE_MAX {
-                    return refuse(id, "unreachable");
-                }
+                self.note_failure(choice, &error, "unreachable");
+                self.may_have_run = false;
+                self.attempts -= 1;
+                self.unreachable += 1;
+                let out = self.unreachable >= UNREACHABLE_MAX;
+                out.then(|| self.refuse("unreachable", RETRY_AFTER))
             }
             Outcome::NotRun { status, load } => {
-                info!(id, upstream = choice.id, status, ?load, "not run by the upstream");
-                *sent = false;
-                if attempts >= route.attempts_max || !state.take_retry(service) {
-                    return refuse(id, "shed");
-                }
+                self.may_have_run = false;
+                let (upstream, load) = (&choice.id, load.map(|load| load.to_string()));
+                info!(target: REQUEST, request = self.id, upstream, status, load, "not run");
+                let again = self.attempts < self.route.attempts_max && self.take_retry();
+                (!again).then(|| self.refuse("shed", RETRY_AFTER))
             }
             Outcome::Unknown(error) => {
-                note_failure(state, &choice, id, &error);
-                let may_repeat = route.execution.is_repeatable() && attempts < route.attempts_max;
-                if !may_repeat || !state.take_retry(service) {
-                    return Answer::own(502, "broken_off");
-                }
+                self.note_failure(choice, &error, "broken off");
+                let may_repeat =
+                    self.route.execution.is_repeatable() && self.attempts < self.route.attempts_max;
+                let again = may_repeat && self.take_retry();
+                (!again).then(|| Answer::own(502, "broken_off"))
             }
         }
     }
+
+    fn take_retry(&self) -> bool {
+        let taken = self.state.take_retry(self.service);
+        if !taken {
+            info!(target: REQUEST, request = self.id, service = self.service, "retry budget spent");
+        }
+        taken
+    }
+
+    fn note_failure(&self, choice: &Choice, error: &io::Error, what: &'static str) {
+        let now = self.state.clock.now();
+        self.state.balancer.borrow_mut().note_failure(&choice.id, now);
+        self.state.failed.notify_one();
+        info!(target: REQUEST, request = self.id, upstream = choice.id, %error, "{what}");
+    }
+
+    fn refuse(&self, reason: &'static str, retry_after: Duration) -> Answer {
+        refuse(self.state, self.id, reason, retry_after)
+    }
+
+    fn took_ms(&self) -> u64 {
+        self.state.clock.now().saturating_sub(self.request.arrived).as_millis() as u64
+    }
 }
 
-fn note_failure(state: &EntryState, choice: &Choice, id: &str, error: &std::io::Error) {
-    let now = state.clock.now();
-    state.balancer.borrow_mut().note_failure(&choice.id, now);
-    state.failed.notify_one();
-    info!(id, upstream = choice.id, %error, "the upstream failed");
+impl Drop for Exchange<'_> {
+    fn drop(&mut self) {
+        if !self.is_done {
+            let (upstream, took_ms) = (self.tried.last(), self.took_ms());
+            info!(target: REQUEST, request = self.id, upstream, took_ms, "caller left");
+        }
+    }
 }
 
-fn refuse(id: &str, error: &'static str) -> Answer {
-    info!(id, error, "refused");
-    Answer::own(503, error).with_retry_after(RETRY_AFTER)
+/// Refuses a request that has not run.
+fn refuse(state: &EntryState, id: &str, reason: &'static str, retry_after: Duration) -> Answer {
+    info!(
+        target: REQUEST,
+        request = id,
+        reason,
+        retry_after_ms = retry_after.as_millis() as u64,
+        config = state.config_version(),
+        list_age_ms = state.list_age_ms(),
+        "refused"
+    );
+    Answer::own(503, reason).with_retry_after(retry_after)
 }
--- a/src/runtime/entry_node/follow.rs
+++ b/src/runtime/entry_node/follow.rs
@@ -61,6 +61,10 @@
 
 fn take(state: &EntryState, reply: FollowReply, list: &mut ListMark) {
     take_policy(state, reply.update);
+    if let Some(age) = reply.list_age_ms {
+        let read = state.clock.now().saturating_sub(Duration::from_millis(age));
+        state.list_read.set(Some(read));
+    }
     if let Some(change) = reply.list {
         take_list(state, change, list);
     }
@@ -99,5 +103,5 @@
     let mut balancer = state.balancer.borrow_mut();
     balancer.update(change.whole, change.put, &change.removed, state.clock.now());
     *list = change.mark;
-    info!(upstreams = balancer.len(), age_ms = change.age_ms, "upstreams changed");
+    info!(upstreams = balancer.len(), list_age_ms = state.list_age_ms(), "upstreams changed");
 }
--- a/src/runtime/entry_node/state.rs
+++ b/src/runtime/entry_node/state.rs
@@ -42,6 +42,8 @@
     pub(super) seeds: RefCell<Vec<SocketAddr>>,
     /// Tells that an upstream failed.
     pub(super) failed: Notify,
+    /// When the list of upstreams that is held was read.
+    pub(super) list_read: Cell<Option<Duration>>,
     pub(super) is_ready: Flag,
     pub(super) stopping: watch::Sender<bool>,
     /// When the stop began.
@@ -84,6 +86,7 @@
             routes: RefCell::default(),
             balancer: RefCell::new(Balancer::new(place, cold_limit)),
             pool: RefCell::default(),
+            list_read: Cell::new(None),
             is_ready: Flag::default(),
             stopping: watch::Sender::new(false),
             stop_began: Cell::new(None),
@@ -151,6 +154,17 @@
         self.policy.borrow().routing.limits.clone()
     }
 
+    /// Returns the version of the configuration in force.
+    pub(super) fn config_version(&self) -> u64 {
+        self.policy.borrow().routing.version
+    }
+
+    /// Returns how long ago the list of upstreams was read.
+    pub(super) fn list_age_ms(&self) -> Option<u64> {
+        let age = self.clock.now().saturating_sub(self.list_read.get()?);
+        Some(age.as_millis() as u64)
+    }
+
     /// Tells whether requests can be routed.
     pub(super) fn has_configuration(&self) -> bool {
         self.policy.borrow().routing.version > 0
--- /dev/null
+++ b/src/runtime/logs.rs
@@ -0,0 +1,101 @@
+//! Writes logs as JSON lines on standard output, bounded and without ever
+//! blocking.
+//!
+//! Lines about single requests have the target [`REQUEST`]. Beyond
+//! [`REQUEST_LINES_PER_S`] of them are dropped first; all lines are dropped
+//! while the queue to the writing thread is full. Both are counted.
+
+use std::sync::{
+    Arc, Mutex,
+    atomic::{AtomicU64, Ordering},
+};
+
+use tracing::{Event, Subscriber, level_filters::LevelFilter};
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
+use tracing_subscriber::{
+    Layer,
+    layer::{Context, SubscriberExt},
+    util::SubscriberInitExt,
+};
+
+use super::clock::Clock;
+
+/// The target of lines about single requests.
+pub const REQUEST: &str = "request";
+/// The most lines about single requests in a second.
+const REQUEST_LINES_PER_S: u64 = 1000;
+/// The most lines that wait for the writing thread.
+const QUEUE_LINES: usize = 2000;
+
+/// Counts the lines that were dropped.
+#[derive(Clone, Debug)]
+pub struct DroppedLines {
+    over_rate: Arc<AtomicU64>,
+    queue_full: ErrorCounter,
+}
+
+/// Keeps the writing thread alive; lines that wait are written when it goes.
+#[derive(Debug)]
+pub struct LogGuard {
+    /// Counts the lines that were dropped.
+    pub dropped: DroppedLines,
+    _writer: WorkerGuard,
+}
+
+impl DroppedLines {
+    /// Returns how many lines were dropped beyond the rate.
+    pub fn over_rate(&self) -> u64 {
+        self.over_rate.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many lines were dropped because the queue was full.
+    pub fn queue_full(&self) -> u64 {
+        self.queue_full.dropped_lines() as u64
+    }
+}
+
+/// Starts the logs of this process.
+///
+/// # Errors
+///
+/// Returns an error when they were started before.
+pub fn start_logs() -> Result<LogGuard, tracing_subscriber::util::TryInitError> {
+    let builder = NonBlockingBuilder::default().lossy(true).buffered_lines_limit(QUEUE_LINES);
+    let (writer, guard) = builder.finish(std::io::stdout());
+    let over_rate = Arc::new(AtomicU64::new(0));
+    let dropped = DroppedLines { over_rate: over_rate.clone(), queue_full: writer.error_counter() };
+    let lines = tracing_subscriber::fmt::layer().json().flatten_event(true).with_writer(writer);
+    tracing_subscriber::registry()
+        .with(lines)
+        .with(RateLimit { clock: Clock::new(), current: Mutex::default(), over_rate })
+        .with(LevelFilter::INFO)
+        .try_init()?;
+    Ok(LogGuard { dropped, _writer: guard })
+}
+
+/// Drops lines about single requests beyond a rate.
+struct RateLimit {
+    clock: Clock,
+    /// The current second and the lines in it.
+    current: Mutex<(u64, u64)>,
+    over_rate: Arc<AtomicU64>,
+}
+
+impl<S: Subscriber> Layer<S> for RateLimit {
+    fn event_enabled(&self, event: &Event<'_>, _: Context<'_, S>) -> bool {
+        if event.metadata().target() != REQUEST {
+            return true;
+        }
+        let second = self.clock.now().as_secs();
+        let mut current = self.current.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        if current.0 != second {
+            *current = (second, 0);
+        }
+        current.1 += 1;
+        let within = current.1 <= REQUEST_LINES_PER_S;
+        if !within {
+            self.over_rate.fetch_add(1, Ordering::Relaxed);
+        }
+        within
+    }
+}
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -11,6 +11,7 @@
 mod http_answers;
 mod http_get;
 mod instance;
+mod logs;
 mod metrics;
 mod node_error;
 mod operators;
@@ -26,6 +27,7 @@
     control_node::ControlNode,
     entry_node::EntryNode,
     instance::{Instance, InstanceError, stop_signal},
+    logs::{DroppedLines, LogGuard, start_logs},
     node_error::NodeError,
     operators::{ChangeAnswer, LookUpAnswer, OfferedInstance},
     platform::{ListedInstance, PlatformList},
