Place objects on upstreams by demand

What: each object has one upstream. By default it follows from hashing, in the region that asks for it as far as its slots go. Entry instances report how much objects are asked for; the leading replica moves some away from upstreams that are too busy, and home again, within the permitted shift between regions; the exceptions are followed like the list of upstreams.

--- a/src/core/balance/balancer.rs
+++ b/src/core/balance/balancer.rs
@@ -1,7 +1,6 @@
 //! Knows the upstreams and how busy they are, and chooses among them.
 
 use std::{
-    cmp::Ordering,
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::Arc,
@@ -9,12 +8,13 @@
 };
 
 use super::{
-    affinity::{object_of, rank},
     cold::{COLD_MARGIN, ColdLimit},
     health::{CheckResult, Health},
 };
 use crate::core::{
+    LedgerChange,
     control::{RegionName, ServiceName, ZoneName},
+    placement::{self, Candidate, ObjectId, default_order},
     routing::ServiceSpec,
     upstreams::{ListedState, ListedUpstream, UpstreamId},
 };
@@ -29,6 +29,8 @@
     services: BTreeMap<ServiceName, Arc<ServiceSpec>>,
     upstreams: BTreeMap<UpstreamId, Upstream>,
     evacuated: BTreeSet<ZoneName>,
+    /// Where objects are placed, other than by default.
+    placement: BTreeMap<ObjectId, UpstreamId>,
 }
 
 /// Says where an instance is, and how availability zones lie.
@@ -47,10 +49,10 @@
 pub struct Wanted<'a> {
     /// The service.
     pub service: &'a ServiceName,
-    /// The route.
-    pub route: &'a str,
     /// The object that the request concerns.
-    pub key: &'a str,
+    pub object: ObjectId,
+    /// Whether requests of the route have large bodies.
+    pub has_large_body: bool,
     /// The regions in which the request may run; none means any.
     pub home_regions: &'a [RegionName],
     /// The upstreams that are out of the question.
@@ -76,10 +78,6 @@
     pub address: SocketAddr,
 }
 
-/// A region's own upstreams go first where it holds at least this part of
-/// all slots of a service.
-const OWN_REGION_SHARE_MIN: f64 = 0.3;
-
 impl Balancer {
     /// Returns a balancer that knows no upstreams.
     pub fn new(place: Place, cold_limit: ColdLimit) -> Self {
@@ -89,6 +87,7 @@
             services: BTreeMap::new(),
             upstreams: BTreeMap::new(),
             evacuated: BTreeSet::new(),
+            placement: BTreeMap::new(),
         }
     }
 
@@ -103,21 +102,15 @@
     }
 
     /// Takes over what changed in the list of upstreams, as of `now`.
-    pub fn update(
-        &mut self,
-        whole: bool,
-        put: Vec<ListedUpstream>,
-        removed: &[UpstreamId],
-        now: Duration,
-    ) {
-        if whole {
-            let listed: BTreeSet<&UpstreamId> = put.iter().map(|upstream| &upstream.id).collect();
+    pub fn update(&mut self, change: LedgerChange<UpstreamId, ListedUpstream>, now: Duration) {
+        if change.whole {
+            let listed: BTreeSet<&UpstreamId> = change.put.iter().map(|(id, _)| id).collect();
             self.upstreams.retain(|id, _| listed.contains(id));
         }
-        for id in removed {
+        for id in &change.removed {
             self.upstreams.remove(id);
         }
-        for listed in put {
+        for (_, listed) in change.put {
             let in_flight = match self.upstreams.get_mut(&listed.id) {
                 Some(held) if held.listed.started_unix_ms == listed.started_unix_ms => {
                     held.list_again(listed, now);
@@ -144,6 +137,17 @@
         }
     }
 
+    /// Takes over what changed in the placement of objects.
+    pub fn place(&mut self, change: LedgerChange<ObjectId, UpstreamId>) {
+        if change.whole {
+            self.placement.clear();
+        }
+        for object in &change.removed {
+            self.placement.remove(object);
+        }
+        self.placement.extend(change.put);
+    }
+
     /// Counts the upstreams that are known.
     pub fn len(&self) -> usize {
         self.upstreams.len()
@@ -157,15 +161,14 @@
     /// Chooses an upstream for a request. Cold ones are used only where there
     /// are no others, and no more often than they bear.
     pub fn choose(&mut self, wanted: &Wanted<'_>, now: Duration) -> Option<Choice> {
-        let object = object_of(wanted.route, wanted.key);
         let usable = |upstream: &&Upstream| self.is_usable(upstream, wanted);
         let (cold, warm): (Vec<&Upstream>, Vec<&Upstream>) =
             self.upstreams.values().filter(usable).partition(|upstream| now < upstream.cold_until);
         if !warm.is_empty() {
-            return self.ranked(warm, object).map(Upstream::choice);
+            return self.first(warm, wanted).map(Upstream::choice);
         }
         let in_turn = cold.into_iter().filter(|upstream| now >= upstream.cold_turn).collect();
-        let choice = self.ranked(in_turn, object).map(Upstream::choice)?;
+        let choice = self.first(in_turn, wanted).map(Upstream::choice)?;
         let spacing = self.cold_spacing(wanted.service);
         if let Some(upstream) = self.upstreams.get_mut(&choice.id) {
             upstream.cold_turn = now + spacing;
@@ -173,28 +176,30 @@
         Some(choice)
     }
 
-    /// Returns the best of some upstreams: the first for the object with a
-    /// free slot, or else the first for the object.
-    fn ranked<'a>(&self, among: Vec<&'a Upstream>, object: u64) -> Option<&'a Upstream> {
-        let mut ranked: Vec<(&Upstream, f64, bool)> = among
-            .into_iter()
-            .map(|upstream| {
-                let rank = rank(&upstream.listed.id, object, f64::from(upstream.listed.slots));
-                (upstream, rank, self.is_own_region(upstream))
+    /// Returns the first of some upstreams for an object: where it is placed,
+    /// or else the first in the default order.
+    fn first<'a>(&self, among: Vec<&'a Upstream>, wanted: &Wanted<'_>) -> Option<&'a Upstream> {
+        if let Some(id) = self.placement.get(&wanted.object)
+            && let Some(placed) = among.iter().find(|upstream| upstream.listed.id == *id)
+        {
+            return Some(placed);
+        }
+        let mut candidates: Vec<Candidate<'_>> = among
+            .iter()
+            .map(|upstream| Candidate {
+                id: &upstream.listed.id,
+                slots: upstream.listed.slots,
+                is_home: self.is_own_region(upstream),
             })
             .collect();
-        let slots = |own: bool| -> f64 {
-            let counted = ranked.iter().filter(|(_, _, is_own)| *is_own || !own);
-            counted.map(|(upstream, ..)| f64::from(upstream.listed.slots)).sum()
+        let ranked = placement::Wanted {
+            object: wanted.object,
+            has_large_body: wanted.has_large_body,
+            regions: self.place.regions_of_zones.values().collect::<BTreeSet<_>>().len(),
         };
-        let own_first = slots(true) >= OWN_REGION_SHARE_MIN * slots(false);
-        ranked.sort_by(|(_, left, left_own), (_, right, right_own)| {
-            let own = if own_first { right_own.cmp(left_own) } else { Ordering::Equal };
-            own.then(right.total_cmp(left))
-        });
-        let has_room = |upstream: &Upstream| upstream.in_flight < upstream.listed.slots;
-        let free = ranked.iter().find(|(upstream, ..)| has_room(upstream));
-        free.or_else(|| ranked.first()).map(|(upstream, ..)| *upstream)
+        default_order(ranked, &mut candidates);
+        let first = candidates.first()?.id;
+        among.into_iter().find(|upstream| upstream.listed.id == first)
     }
 
     /// Counts a request that is sent to an upstream.
--- a/src/core/balance/mod.rs
+++ b/src/core/balance/mod.rs
@@ -3,7 +3,6 @@
 //! Requests that concern the same object go to the same few upstreams, which
 //! all entry instances choose alike without talking to each other.
 
-mod affinity;
 mod balancer;
 mod cold;
 mod health;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,8 @@
 mod byte_string;
 pub mod claims;
 pub mod control;
+mod ledger;
+pub mod placement;
 mod recent_max;
 pub mod replication;
 pub mod roster;
@@ -13,4 +15,7 @@
 pub mod steering;
 pub mod upstreams;
 
-pub use self::recent_max::RecentMax;
+pub use self::{
+    ledger::{Ledger, LedgerChange},
+    recent_max::RecentMax,
+};
--- /dev/null
+++ b/src/core/placement/mod.rs
@@ -0,0 +1,26 @@
+//! Places the objects that requests concern on upstreams.
+//!
+//! An upstream that lately handled an object is faster with it, so all
+//! requests for an object go to one upstream. By default that follows from
+//! hashing alone ([`default_order`]). The leading control replica hears from
+//! entry instances how much each object is asked for and places those
+//! elsewhere that would overload an upstream ([`Planner`]); entry instances
+//! follow these exceptions.
+
+mod affinity;
+mod demand;
+mod planner;
+
+pub use self::{
+    affinity::{Candidate, Wanted, default_order, object_of},
+    demand::{AnsweredRequest, DemandMeter, DemandReport, ObjectDemand},
+    planner::{Planner, PlannerInputs},
+};
+
+use super::upstreams::UpstreamId;
+
+/// Identifies an object of a route.
+pub type ObjectId = u64;
+
+/// Says on which upstreams objects are placed, where that is not the default.
+pub type Placement = super::Ledger<ObjectId, UpstreamId>;
--- /dev/null
+++ b/src/core/placement/planner.rs
@@ -0,0 +1,339 @@
+//! Decides which objects are placed elsewhere than by default.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use super::{Candidate, DemandReport, ObjectId, Placement, Wanted, default_order};
+use crate::core::{
+    control::{InstanceName, RegionName, ServiceName, ZoneName},
+    upstreams::{ListedState, ListedUpstream, UpstreamId, UpstreamList},
+};
+
+/// Decides which objects are placed elsewhere than by default, from what
+/// entry instances report.
+///
+/// All times are measured from one origin that the driver chooses.
+#[derive(Clone, Debug)]
+pub struct Planner {
+    regions_of_zones: BTreeMap<ZoneName, RegionName>,
+    /// The part of a region's load that may change its region in a round.
+    shift_max: f64,
+    reports: BTreeMap<InstanceName, (Duration, DemandReport)>,
+    moved: BTreeMap<ObjectId, Duration>,
+}
+
+/// Holds what a round of planning goes by.
+#[derive(Clone, Copy, Debug)]
+pub struct PlannerInputs<'a> {
+    /// The upstreams.
+    pub list: &'a UpstreamList,
+    /// The availability zones whose upstreams get no new work.
+    pub evacuated: &'a BTreeSet<ZoneName>,
+    /// The time.
+    pub now: Duration,
+}
+
+/// A report counts for this long.
+const REPORT_KEPT: Duration = Duration::from_secs(5);
+/// An object that was moved stays for this long.
+const SETTLED_AFTER: Duration = Duration::from_secs(8);
+/// Upstreams that are busier than this part of their slots are relieved.
+const BUSY_MAX: f64 = 0.65;
+/// Upstreams are relieved if they are busier than the average by this factor.
+const BUSY_OVER_AVERAGE: f64 = 1.25;
+/// A move must make this much of a difference, as a part of slots.
+const GAIN_MIN: f64 = 0.08;
+/// An object comes home where an upstream stays below this part of its slots.
+const HOME_BUSY_MAX: f64 = 0.55;
+/// How much busier an upstream at home may be than one abroad that is
+/// preferred to it, as a part of slots.
+const HOME_ADVANTAGE: f64 = 0.3;
+/// The most objects of a service that move in one round.
+const MOVES_MAX: usize = 6;
+/// The part of the permitted shift that one round uses. Two rounds and what
+/// hashing moves by itself fall into one window.
+const SHIFT_PART: f64 = 0.25;
+
+/// Holds what is known of one object.
+#[derive(Clone, Debug)]
+struct Object {
+    id: ObjectId,
+    home: RegionName,
+    has_large_body: bool,
+    /// The slots that its requests keep busy.
+    busy: f64,
+    bytes_per_s: f64,
+    at: usize,
+}
+
+/// Holds what is known of one upstream.
+#[derive(Clone, Debug)]
+struct Target<'a> {
+    listed: &'a ListedUpstream,
+    region: &'a RegionName,
+    /// The slots that are kept busy.
+    busy: f64,
+}
+
+impl Target<'_> {
+    fn part(&self) -> f64 {
+        self.part_with(0.0)
+    }
+
+    fn part_with(&self, more: f64) -> f64 {
+        (self.busy + more) / f64::from(self.listed.slots.max(1))
+    }
+}
+
+impl Planner {
+    /// Returns a planner that knows of no demand.
+    pub fn new(regions_of_zones: BTreeMap<ZoneName, RegionName>, shift_max: f64) -> Self {
+        Self { regions_of_zones, shift_max, reports: BTreeMap::new(), moved: BTreeMap::new() }
+    }
+
+    /// Takes a report.
+    pub fn note(&mut self, report: DemandReport, now: Duration) {
+        self.reports.insert(report.instance.clone(), (now, report));
+    }
+
+    /// Plans one round: changes the placement and returns how many objects
+    /// moved.
+    pub fn plan(&mut self, inputs: &PlannerInputs<'_>, placement: &mut Placement) -> usize {
+        let now = inputs.now;
+        self.reports.retain(|_, (at, _)| now <= *at + REPORT_KEPT);
+        self.moved.retain(|_, at| now <= *at + SETTLED_AFTER);
+        let services: BTreeSet<ServiceName> =
+            self.reports.values().flat_map(|(_, r)| r.objects.keys().cloned()).collect();
+        let mut moves = 0;
+        for service in services {
+            moves += self.plan_service(&service, inputs, placement);
+        }
+        moves
+    }
+
+    fn plan_service(
+        &mut self,
+        service: &ServiceName,
+        inputs: &PlannerInputs<'_>,
+        placement: &mut Placement,
+    ) -> usize {
+        let mut targets = self.targets(service, inputs);
+        if targets.is_empty() {
+            return 0;
+        }
+        let mut objects = self.objects(service);
+        for object in &mut objects {
+            object.at = self.location(object, &targets, placement);
+            targets[object.at].busy += object.busy;
+        }
+        let settled: BTreeSet<ObjectId> = self.moved.keys().copied().collect();
+        let mut round = Round::new(&objects, self.shift_max, settled);
+        round.relieve(&mut objects, &mut targets);
+        round.bring_home(&mut objects, &mut targets);
+        for (object, to) in &round.moves {
+            placement.put(*object, to.clone());
+            self.moved.insert(*object, inputs.now);
+        }
+        round.moves.len()
+    }
+
+    fn targets<'a>(&'a self, service: &ServiceName, inputs: &PlannerInputs<'a>) -> Vec<Target<'a>> {
+        inputs
+            .list
+            .iter(inputs.now)
+            .filter(|(listed, cold)| {
+                listed.service == *service
+                    && listed.state == ListedState::Ready
+                    && !cold
+                    && !inputs.evacuated.contains(&listed.zone)
+            })
+            .filter_map(|(listed, _)| {
+                let region = self.regions_of_zones.get(&listed.zone)?;
+                Some(Target { listed, region, busy: 0.0 })
+            })
+            .collect()
+    }
+
+    /// Sums up the reports by object. An object's home is the region in which
+    /// it is asked for most.
+    fn objects(&self, service: &ServiceName) -> Vec<Object> {
+        let mut large = BTreeSet::new();
+        let mut by_region: BTreeMap<ObjectId, BTreeMap<&RegionName, (f64, f64)>> = BTreeMap::new();
+        for (_, report) in self.reports.values() {
+            for demand in report.objects.get(service).into_iter().flatten() {
+                if demand.has_large_body {
+                    large.insert(demand.object);
+                }
+                let regions = by_region.entry(demand.object).or_default();
+                let (busy, bytes) = regions.entry(&report.region).or_default();
+                *busy += f64::from(demand.busy_permille) / 1000.0;
+                *bytes += f64::from(demand.bytes_per_s);
+            }
+        }
+        by_region
+            .into_iter()
+            .filter_map(|(id, regions)| {
+                let (home, _) =
+                    regions.iter().max_by(|(_, left), (_, right)| left.0.total_cmp(&right.0))?;
+                let home = (*home).clone();
+                let busy = regions.values().map(|(busy, _)| busy).sum();
+                let bytes_per_s = regions.values().map(|(_, bytes)| bytes).sum();
+                let has_large_body = large.contains(&id);
+                Some(Object { id, home, has_large_body, busy, bytes_per_s, at: 0 })
+            })
+            .collect()
+    }
+
+    fn regions(&self) -> usize {
+        self.regions_of_zones.values().collect::<BTreeSet<_>>().len()
+    }
+
+    /// Returns where an object is placed now.
+    fn location(&self, object: &Object, targets: &[Target<'_>], placement: &Placement) -> usize {
+        let index_of = |id: &str| targets.iter().position(|target| target.listed.id == id);
+        if let Some(at) = placement.get(&object.id).and_then(|id| index_of(id)) {
+            return at;
+        }
+        let mut candidates: Vec<Candidate<'_>> = targets
+            .iter()
+            .map(|target| Candidate {
+                id: &target.listed.id,
+                slots: target.listed.slots,
+                is_home: *target.region == object.home,
+            })
+            .collect();
+        let wanted = Wanted {
+            object: object.id,
+            has_large_body: object.has_large_body,
+            regions: self.regions(),
+        };
+        default_order(wanted, &mut candidates);
+        candidates.first().and_then(|first| index_of(first.id)).unwrap_or(0)
+    }
+}
+
+/// Holds one round of planning for one service.
+struct Round {
+    /// The load of each region that may still change its region.
+    shift_left: BTreeMap<RegionName, f64>,
+    /// The objects that moved lately.
+    settled: BTreeSet<ObjectId>,
+    moves: Vec<(ObjectId, UpstreamId)>,
+}
+
+impl Round {
+    fn new(objects: &[Object], shift_max: f64, settled: BTreeSet<ObjectId>) -> Self {
+        let mut shift_left: BTreeMap<RegionName, f64> = BTreeMap::new();
+        for object in objects {
+            let left = shift_left.entry(object.home.clone()).or_default();
+            *left += object.busy * shift_max * SHIFT_PART;
+        }
+        Self { shift_left, settled, moves: Vec::new() }
+    }
+
+    /// Moves objects away from upstreams that are too busy.
+    fn relieve(&mut self, objects: &mut [Object], targets: &mut [Target<'_>]) {
+        let slots: f64 = targets.iter().map(|target| f64::from(target.listed.slots)).sum();
+        let busy: f64 = targets.iter().map(|target| target.busy).sum();
+        let limit = (busy / slots.max(1.0) * BUSY_OVER_AVERAGE).max(BUSY_MAX);
+        let mut passed_over = BTreeSet::new();
+        while self.moves.len() < MOVES_MAX {
+            let busiest = (0..targets.len())
+                .filter(|at| !passed_over.contains(at) && targets[*at].part() > limit)
+                .max_by(|left, right| targets[*left].part().total_cmp(&targets[*right].part()));
+            let Some(busiest) = busiest else { return };
+            if !self.relieve_one(busiest, limit, objects, targets) {
+                passed_over.insert(busiest);
+            }
+        }
+    }
+
+    /// Moves the object away that fits best what is too much.
+    fn relieve_one(
+        &mut self,
+        from: usize,
+        limit: f64,
+        objects: &mut [Object],
+        targets: &mut [Target<'_>],
+    ) -> bool {
+        let excess = targets[from].busy - limit * f64::from(targets[from].listed.slots);
+        let mut there: Vec<usize> = (0..objects.len())
+            .filter(|at| objects[*at].at == from && !self.settled.contains(&objects[*at].id))
+            .collect();
+        there.sort_by(|left, right| {
+            let misfit = |at: &usize| (objects[*at].busy - excess).abs();
+            misfit(left).total_cmp(&misfit(right))
+        });
+        for at in there {
+            let object = &objects[at];
+            let to = self.best_target(object, targets);
+            if let Some(to) = to
+                .filter(|to| targets[*to].part_with(object.busy) + GAIN_MIN < targets[from].part())
+            {
+                return self.shift(&mut objects[at], to, targets);
+            }
+        }
+        false
+    }
+
+    fn best_target(&self, object: &Object, targets: &[Target<'_>]) -> Option<usize> {
+        let cost = |at: &usize| {
+            let target = &targets[*at];
+            let abroad = if *target.region == object.home { 0.0 } else { HOME_ADVANTAGE };
+            target.part_with(object.busy) + abroad
+        };
+        (0..targets.len())
+            .filter(|at| *at != object.at && self.may_shift(object, *at, targets))
+            .min_by(|left, right| cost(left).total_cmp(&cost(right)))
+    }
+
+    /// Brings objects back to the region that they are asked for in, those
+    /// with the most bytes first.
+    fn bring_home(&mut self, objects: &mut [Object], targets: &mut [Target<'_>]) {
+        let mut abroad: Vec<usize> = (0..objects.len())
+            .filter(|at| *targets[objects[*at].at].region != objects[*at].home)
+            .filter(|at| !self.settled.contains(&objects[*at].id))
+            .collect();
+        abroad.sort_by(|left, right| {
+            objects[*right].bytes_per_s.total_cmp(&objects[*left].bytes_per_s)
+        });
+        for at in abroad {
+            if self.moves.len() >= MOVES_MAX {
+                return;
+            }
+            let object = &objects[at];
+            let home = (0..targets.len())
+                .filter(|to| *targets[*to].region == object.home)
+                .filter(|to| targets[*to].part_with(object.busy) < HOME_BUSY_MAX)
+                .filter(|to| self.may_shift(object, *to, targets))
+                .min_by(|left, right| targets[*left].part().total_cmp(&targets[*right].part()));
+            if let Some(to) = home {
+                self.shift(&mut objects[at], to, targets);
+            }
+        }
+    }
+
+    /// Tells whether a move keeps within what may change its region.
+    fn may_shift(&self, object: &Object, to: usize, targets: &[Target<'_>]) -> bool {
+        targets[object.at].region == targets[to].region
+            // What an object needs beyond the allowance, later rounds go
+            // without.
+            || self.shift_left.get(&object.home).is_some_and(|left| *left > object.busy / 2.0)
+    }
+
+    fn shift(&mut self, object: &mut Object, to: usize, targets: &mut [Target<'_>]) -> bool {
+        if targets[object.at].region != targets[to].region
+            && let Some(left) = self.shift_left.get_mut(&object.home)
+        {
+            *left -= object.busy;
+        }
+        targets[object.at].busy -= object.busy;
+        targets[to].busy += object.busy;
+        object.at = to;
+        self.settled.insert(object.id);
+        self.moves.push((object.id, targets[to].listed.id.clone()));
+        true
+    }
+}
--- a/src/core/upstreams/mod.rs
+++ b/src/core/upstreams/mod.rs
@@ -1,10 +1,10 @@
 //! Describes upstreams as they are listed and as they describe themselves.
 
-mod ledger;
+mod list;
 mod listing;
 
 pub use self::{
-    ledger::{Ledger, LedgerChange},
+    list::UpstreamList,
     listing::{ListedState, ListedUpstream, Listing, ReportedLoad},
 };
 
--- a/src/net/wire.rs
+++ b/src/net/wire.rs
@@ -6,12 +6,14 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::core::{
+    LedgerChange,
     claims::ClaimEpoch,
     control::{
         AuditFilter, AuditRecord, Command, Holder, InstanceName, InstanceState, LoadReport,
         Outcome, Ownership, Policy, PolicyDelta, Preset, PresetName, RegionName, Revision,
         UpstreamName, Version, ZoneName,
     },
+    placement::{DemandReport, ObjectId},
     replication::{Envelope, LogIndex, Members, ReplicaId, Term},
     steering::Layout,
     upstreams::{ListedUpstream, UpstreamId},
@@ -265,14 +267,18 @@
     /// it does not ask for the policy.
     pub version: Option<Version>,
     /// What the instance holds of the list of upstreams.
-    pub list: ListMark,
+    pub list: Mark,
+    /// What the instance holds of the placement of objects.
+    pub placement: Mark,
+    /// How much objects are asked for at entry instances, since the last call.
+    pub demand: Vec<DemandReport>,
     /// How long the answer may be held back while there is nothing to tell.
     pub hold_ms: u64,
 }
 
-/// Marks a point in the changes of a list as one process counts them.
+/// Marks a point in changes as one process counts them.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct ListMark {
+pub struct Mark {
     /// The process that counts, a random number.
     pub counter: u64,
     /// The count.
@@ -285,9 +291,11 @@
     /// What changed in the policy.
     pub update: Update,
     /// What changed in the list of upstreams.
-    pub list: Option<ListChange>,
+    pub list: Option<Marked<UpstreamId, ListedUpstream>>,
     /// How long ago the list was read.
     pub list_age_ms: Option<u64>,
+    /// What changed in the placement of objects.
+    pub placement: Option<Marked<ObjectId, UpstreamId>>,
     /// Where control replicas are reached.
     pub replicas: Vec<InstanceName>,
     /// How long ago the replica last knew itself to be current.
@@ -296,17 +304,20 @@
     pub entries: u32,
 }
 
-/// Says what changed in the list of upstreams.
+/// Holds changes with the process that counts them.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct ListChange {
-    /// The point that the change leads to.
-    pub mark: ListMark,
-    /// Whether the change replaces all that was held.
-    pub whole: bool,
-    /// The upstreams that are new or changed.
-    pub put: Vec<ListedUpstream>,
-    /// The upstreams that are gone.
-    pub removed: Vec<UpstreamId>,
+pub struct Marked<K, V> {
+    /// The process that counts, a random number.
+    pub counter: u64,
+    /// The changes.
+    pub change: LedgerChange<K, V>,
+}
+
+impl<K, V> Marked<K, V> {
+    /// Returns the point that the changes lead to.
+    pub fn mark(&self) -> Mark {
+        Mark { counter: self.counter, count: self.change.count }
+    }
 }
 
 /// Tells control replicas that an entry instance is up. It is sent again and
--- a/src/runtime/control_node/calls.rs
+++ b/src/runtime/control_node/calls.rs
@@ -1,6 +1,7 @@
 //! Answers other processes, and asks the leader.
 
 use std::{
+    collections::BTreeSet,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -10,15 +11,20 @@
 
 use super::{Datagrams, Shared, lock, peers::address_of};
 use crate::{
-    core::{control::InstanceName, roster::RosterEntry, upstreams::LedgerChange},
+    core::{
+        control::{InstanceName, ZoneName},
+        placement::{DemandReport, ObjectId},
+        roster::RosterEntry,
+        upstreams::{ListedUpstream, UpstreamId},
+    },
     net::{
         mesh::MeshHandler,
         wire::{
-            Announcement, FollowReply, FollowRequest, ListChange, ListMark, NodeAnswer, NodeCall,
+            Announcement, FollowReply, FollowRequest, Mark, Marked, NodeAnswer, NodeCall,
             QueryReply, QueryRequest, SubmitReply, SubmitRequest, Update, decode,
         },
     },
-    runtime::replica::{Changed, Changes, Deliver, Query, Submit, Subscribe},
+    runtime::replica::{Changed, Changes, CurrentPolicy, Deliver, Query, Submit, Subscribe},
 };
 
 /// The pause before the leader is asked again.
@@ -137,15 +143,17 @@
 
 /// Tells what changed, as soon as something did or the time to hold is over.
 async fn follow(shared: &Shared, request: FollowRequest) -> Option<FollowReply> {
+    take_demand(shared, request.demand);
     let replica = shared.replica()?;
     let mut versions = replica.send(Subscribe).await.ok()?;
     let until = Instant::now() + Duration::from_millis(request.hold_ms);
     loop {
         let changed = replica.send(Changes(request.version)).await.ok()?;
         let list = list_change(shared, request.list);
-        let news = list.is_some() || !is_empty(&changed.update);
+        let placement = placement_change(shared, request.placement);
+        let news = list.is_some() || placement.is_some() || !is_empty(&changed.update);
         if news || Instant::now() >= until {
-            return Some(reply(shared, changed, list));
+            return Some(reply(shared, changed, list, placement));
         }
         let left = until.saturating_duration_since(Instant::now()).min(HOLD_STEP);
         tokio::time::timeout(left, versions.changed()).await.ok();
@@ -156,12 +164,18 @@
     matches!(update, Update::Deltas(deltas) if deltas.is_empty())
 }
 
-fn reply(shared: &Shared, changed: Changed, list: Option<ListChange>) -> FollowReply {
+fn reply(
+    shared: &Shared,
+    changed: Changed,
+    list: Option<Marked<UpstreamId, ListedUpstream>>,
+    placement: Option<Marked<ObjectId, UpstreamId>>,
+) -> FollowReply {
     let now = shared.clock.now();
-    let read_at = lock(&shared.ledger).read_at();
+    let read_at = lock(&shared.list).read_at();
     FollowReply {
         update: changed.update,
         list,
+        placement,
         list_age_ms: read_at.map(|at| now.saturating_sub(at).as_millis() as u64),
         replicas: changed.replicas,
         behind_ms: changed.behind.map(|behind| behind.as_millis() as u64),
@@ -169,17 +183,41 @@
     }
 }
 
-fn list_change(shared: &Shared, mark: ListMark) -> Option<ListChange> {
-    let now = shared.clock.now();
-    let ledger = lock(&shared.ledger);
-    ledger.read_at()?;
-    let known = (mark.counter == shared.ledger_counter).then_some(mark.count);
-    if known == Some(ledger.count()) {
+fn list_change(shared: &Shared, mark: Mark) -> Option<Marked<UpstreamId, ListedUpstream>> {
+    let list = lock(&shared.list);
+    list.read_at()?;
+    let known = known_count(shared, mark);
+    if known == Some(list.count()) {
+        return None;
+    }
+    let change = list.changes_since(known, shared.clock.now());
+    Some(Marked { counter: shared.counter, change })
+}
+
+fn placement_change(shared: &Shared, mark: Mark) -> Option<Marked<ObjectId, UpstreamId>> {
+    let placement = lock(&shared.placement);
+    let known = known_count(shared, mark);
+    let has_all = known.map_or(placement.is_empty(), |count| count == placement.count());
+    if has_all {
         return None;
     }
-    let LedgerChange { count, whole, put, removed } = ledger.change_since(known, now);
-    let mark = ListMark { counter: shared.ledger_counter, count };
-    Some(ListChange { mark, whole, put, removed })
+    Some(Marked { counter: shared.counter, change: placement.changes_since(known) })
+}
+
+/// Returns the count that a mark names, if this process counted it.
+fn known_count(shared: &Shared, mark: Mark) -> Option<u64> {
+    (mark.counter == shared.counter).then_some(mark.count)
+}
+
+/// Keeps what entry instances reported for the planner, here or at the leader.
+fn take_demand(shared: &Shared, reports: Vec<DemandReport>) {
+    let now = shared.clock.now();
+    let mut planner = lock(&shared.planner);
+    let mut demand = lock(&shared.demand);
+    for report in reports {
+        planner.note(report.clone(), now);
+        demand.insert(report.instance.clone(), report);
+    }
 }
 
 /// Hears entry instances announce themselves.
@@ -210,3 +248,8 @@
     let mine = shared.settings.cluster_address().to_string();
     changed.leader.map(|leader| (leader.clone(), leader == mine))
 }
+
+/// Returns the availability zones that are evacuated.
+pub(super) async fn evacuated(shared: &Shared) -> Option<BTreeSet<ZoneName>> {
+    shared.replica()?.send(CurrentPolicy).await.ok().map(|policy| policy.evacuated)
+}
--- a/src/runtime/control_node/list_reader.rs
+++ b/src/runtime/control_node/list_reader.rs
@@ -4,10 +4,18 @@
 
 use tracing::{info, warn};
 
-use super::{Shared, calls::leader, lock, peers::address_of};
+use super::{
+    Shared,
+    calls::{evacuated, leader},
+    lock,
+    peers::address_of,
+};
 use crate::{
-    core::upstreams::{LedgerChange, Listing},
-    net::wire::{FollowRequest, ListMark, NodeAnswer, NodeCall},
+    core::{
+        placement::{DemandReport, PlannerInputs},
+        upstreams::Listing,
+    },
+    net::wire::{FollowRequest, Mark, NodeAnswer, NodeCall},
     platform::listing::{decode_page, page_target},
     runtime::http_get::HttpGet,
 };
@@ -29,47 +37,81 @@
 pub(super) async fn keep_list(shared: Arc<Shared>) {
     let Some(source) = shared.settings.upstream_list else { return };
     let mut reader = HttpGet::new(source.address);
-    let mut followed = ListMark::default();
+    let mut followed = Followed::default();
     loop {
         let began = shared.clock.now();
         match leader(&shared).await {
             Some((leader, false)) if !is_stale(&shared) => {
                 follow(&shared, &leader, &mut followed).await;
             }
-            _ => read(&shared, &mut reader).await,
+            known => {
+                read(&shared, &mut reader).await;
+                if known.is_some_and(|(_, leads)| leads) {
+                    plan(&shared).await;
+                }
+            }
         }
         let spent = shared.clock.now().saturating_sub(began);
         tokio::time::sleep(READ_INTERVAL.saturating_sub(spent)).await;
     }
 }
 
+/// Holds what was last taken over from the leader.
+#[derive(Default)]
+struct Followed {
+    list: Mark,
+    placement: Mark,
+}
+
 fn is_stale(shared: &Shared) -> bool {
-    let age = lock(&shared.ledger).read_at().map(|at| shared.clock.now().saturating_sub(at));
+    let age = lock(&shared.list).read_at().map(|at| shared.clock.now().saturating_sub(at));
     let since_start = shared.clock.now();
     age.unwrap_or(since_start) > FOLLOWED_AGE_MAX
 }
 
-async fn follow(shared: &Shared, leader: &str, followed: &mut ListMark) {
+async fn follow(shared: &Shared, leader: &str, followed: &mut Followed) {
     let Some(address) = address_of(&leader.to_owned()) else { return };
     let hold_ms = HOLD.as_millis() as u64;
-    let request = FollowRequest { version: None, list: *followed, hold_ms };
+    let demand: Vec<DemandReport> =
+        std::mem::take(&mut *lock(&shared.demand)).into_values().collect();
+    let request = FollowRequest {
+        version: None,
+        list: followed.list,
+        placement: followed.placement,
+        demand,
+        hold_ms,
+    };
     let client = shared.links.client(address);
     let Ok(NodeAnswer::Follow(reply)) =
         client.call(NodeCall::Follow(request), FOLLOW_PATIENCE).await
     else {
         return;
     };
+    if let Some(marked) = reply.placement {
+        followed.placement = marked.mark();
+        lock(&shared.placement).merge(marked.change);
+    }
     let Some(age_ms) = reply.list_age_ms else { return };
     let read_at = shared.clock.now().saturating_sub(Duration::from_millis(age_ms));
-    let Some(change) = reply.list else {
-        lock(&shared.ledger).confirm(read_at);
-        return;
-    };
-    *followed = change.mark;
-    let count = change.mark.count;
-    let merged =
-        LedgerChange { count, whole: change.whole, put: change.put, removed: change.removed };
-    lock(&shared.ledger).merge(merged, read_at);
+    let mut list = lock(&shared.list);
+    match reply.list {
+        Some(marked) => {
+            followed.list = marked.mark();
+            list.merge(marked.change, read_at);
+        }
+        None => list.confirm(read_at),
+    }
+}
+
+/// Plans where objects are placed.
+async fn plan(shared: &Shared) {
+    let Some(evacuated) = evacuated(shared).await else { return };
+    let list = lock(&shared.list);
+    let inputs = PlannerInputs { list: &list, evacuated: &evacuated, now: shared.clock.now() };
+    let moves = lock(&shared.planner).plan(&inputs, &mut lock(&shared.placement));
+    if moves > 0 {
+        info!(moves, "objects are placed elsewhere");
+    }
 }
 
 /// Reads all pages.
@@ -100,8 +142,8 @@
             break;
         }
     }
-    let mut ledger = lock(&shared.ledger);
-    if ledger.replace(listing, began) {
-        info!(upstreams = ledger.len(), count = ledger.count(), "the list of upstreams changed");
+    let mut list = lock(&shared.list);
+    if list.replace(listing, began) {
+        info!(upstreams = list.len(), count = list.count(), "the list of upstreams changed");
     }
 }
--- a/src/runtime/control_node/mod.rs
+++ b/src/runtime/control_node/mod.rs
@@ -9,6 +9,7 @@
 mod peers;
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     path::Path,
     sync::{Arc, Mutex},
@@ -32,10 +33,11 @@
 };
 use crate::{
     core::{
-        control::Command,
+        control::{Command, InstanceName},
+        placement::{DemandReport, Placement, Planner},
         replication::{Durable, ReplicaId},
         roster::Roster,
-        upstreams::Ledger,
+        upstreams::UpstreamList,
     },
     net::mesh::serve_mesh,
     settings::{NodeSettings, Timing},
@@ -58,9 +60,13 @@
     /// Where control replicas are reached according to the settings.
     seeds: Mutex<Vec<SocketAddr>>,
     roster: Mutex<Roster>,
-    ledger: Mutex<Ledger>,
-    /// Tells this process's counts of the list from those of others.
-    ledger_counter: u64,
+    list: Mutex<UpstreamList>,
+    placement: Mutex<Placement>,
+    planner: Mutex<Planner>,
+    /// What entry instances reported, for the leader.
+    demand: Mutex<BTreeMap<InstanceName, DemandReport>>,
+    /// Tells this process's counts of changes from those of others.
+    counter: u64,
 }
 
 /// How long things take among control replicas.
@@ -91,8 +97,14 @@
         let announcements = listen_datagrams(settings.cluster_address()).await?;
         let shared = Arc::new(Shared {
             roster: Mutex::new(Roster::new(settings.regions_of_zones.clone(), clock.now())),
-            ledger: Mutex::default(),
-            ledger_counter: rand::random(),
+            list: Mutex::default(),
+            placement: Mutex::default(),
+            planner: Mutex::new(Planner::new(
+                settings.regions_of_zones.clone(),
+                settings.bounds.shift_max,
+            )),
+            demand: Mutex::default(),
+            counter: rand::random(),
             links: peers::Links::default(),
             seeds: Mutex::new(settings.seed_cluster_addresses()),
             replica: Mutex::default(),
--- a/src/runtime/control_node/operators.rs
+++ b/src/runtime/control_node/operators.rs
@@ -19,7 +19,7 @@
     },
     runtime::{
         http_answers::{Asked, HttpAnswer, HttpAnswers},
-        replica::{CatchUp, CurrentRouting},
+        replica::{CatchUp, CurrentPolicy},
     },
 };
 
@@ -102,6 +102,6 @@
     let replica = shared.replica()?;
     replica.send(CatchUp(index, reply)).await.ok()?;
     applied.await.ok()?;
-    let routing = replica.send(CurrentRouting).await.ok()?;
-    Some(routing).filter(|routing| routing.version > 0)
+    let policy = replica.send(CurrentPolicy).await.ok()?;
+    Some(policy.routing).filter(|routing| routing.version > 0)
 }
--- a/src/runtime/entry_node/exchange.rs
+++ b/src/runtime/entry_node/exchange.rs
@@ -14,7 +14,8 @@
     core::{
         balance::{Choice, Wanted},
         control::ServiceName,
-        routing::Route,
+        placement::{AnsweredRequest, ObjectId, object_of},
+        routing::{Execution, Route},
         upstreams::UpstreamId,
     },
     platform::headers,
@@ -60,6 +61,7 @@
         route,
         service,
         key,
+        object: object_of(name, key),
         until: request.arrived + limit,
         tried: Vec::new(),
         attempts: 0,
@@ -79,6 +81,7 @@
     route: &'a Route,
     service: &'a ServiceName,
     key: &'a str,
+    object: ObjectId,
     /// When the answer is due, by the instance's clock.
     until: Duration,
     tried: Vec<UpstreamId>,
@@ -110,10 +113,11 @@
             let Some(choice) = self.choose() else {
                 return self.refuse("no_upstream", RETRY_AFTER);
             };
-            let left = self.until.saturating_sub(self.state.clock.now());
+            let sent = self.state.clock.now();
+            let left = self.until.saturating_sub(sent);
             self.begin(&choice, left);
             let outcome = attempt(self.state, &choice, self.request, left).await;
-            if let Some(answer) = self.conclude(&choice, outcome) {
+            if let Some(answer) = self.conclude(&choice, outcome, sent) {
                 return answer;
             }
         }
@@ -122,8 +126,8 @@
     fn choose(&self) -> Option<Choice> {
         let wanted = Wanted {
             service: self.service,
-            route: self.name,
-            key: self.key,
+            object: self.object,
+            has_large_body: self.route.execution == Execution::OnceWithLargeBody,
             home_regions: &self.route.home_regions,
             tried: &self.tried,
         };
@@ -150,9 +154,12 @@
     }
 
     /// Returns the answer, if the request goes to no further upstream.
-    fn conclude(&mut self, choice: &Choice, outcome: Outcome) -> Option<Answer> {
+    fn conclude(&mut self, choice: &Choice, outcome: Outcome, sent: Duration) -> Option<Answer> {
         match outcome {
-            Outcome::Answered(answer) => Some(answer),
+            Outcome::Answered(answer) => {
+                self.note_demand(&answer, sent);
+                Some(answer)
+            }
             Outcome::NotSent(error) => {
                 self.note_failure(choice, &error, "unreachable");
                 self.may_have_run = false;
@@ -178,6 +185,17 @@
         }
     }
 
+    fn note_demand(&self, answer: &Answer, sent: Duration) {
+        self.state.demand.borrow_mut().note(&AnsweredRequest {
+            service: self.service,
+            route: self.name,
+            object: self.object,
+            has_large_body: self.route.execution == Execution::OnceWithLargeBody,
+            took: self.state.clock.now().saturating_sub(sent),
+            bytes: (self.request.body.len() + answer.body_len()) as u64,
+        });
+    }
+
     fn take_retry(&self) -> bool {
         let taken = self.state.take_retry(self.service);
         if !taken {
--- a/src/runtime/entry_node/follow.rs
+++ b/src/runtime/entry_node/follow.rs
@@ -9,7 +9,7 @@
     core::routing::Matched,
     net::{
         mesh::MeshClient,
-        wire::{FollowReply, FollowRequest, ListChange, ListMark, NodeAnswer, NodeCall, Update},
+        wire::{FollowReply, FollowRequest, Mark, NodeAnswer, NodeCall, Update},
     },
 };
 
@@ -24,12 +24,12 @@
 
 /// Follows one control replica after the other.
 pub(super) async fn follow_control(state: Rc<EntryState>) {
-    let mut list = ListMark::default();
+    let mut followed = Followed::default();
     let mut turn = 0;
     loop {
         let known = state.known_control();
         if let Some(address) = known.get(turn % known.len().max(1)).copied() {
-            follow_one(&state, address, &mut list).await;
+            follow_one(&state, address, &mut followed).await;
         }
         turn += 1;
         tokio::time::sleep(RETRY_PAUSE).await;
@@ -37,20 +37,26 @@
 }
 
 /// Follows one replica until it fails or falls behind.
-async fn follow_one(state: &Rc<EntryState>, address: SocketAddr, list: &mut ListMark) {
+async fn follow_one(state: &Rc<EntryState>, address: SocketAddr, followed: &mut Followed) {
     let client = MeshClient::<NodeCall, NodeAnswer>::new(address);
     let mut hold = Duration::ZERO;
     loop {
         let version = Some(state.policy.borrow().version);
         let hold_ms = hold.as_millis() as u64;
-        let request = FollowRequest { version, list: *list, hold_ms };
+        let request = FollowRequest {
+            version,
+            list: followed.list,
+            placement: followed.placement,
+            demand: state.take_demand().into_iter().collect(),
+            hold_ms,
+        };
         let answer = client.call(NodeCall::Follow(request), hold + HOLD_SLACK).await;
         let Ok(NodeAnswer::Follow(reply)) = answer else {
             warn!(%address, "the control replica does not answer; another is followed");
             return;
         };
         let behind = reply.behind_ms.map(Duration::from_millis);
-        take(state, *reply, list);
+        take(state, *reply, followed);
         if behind.is_none_or(|behind| behind > BEHIND_MAX) {
             warn!(%address, ?behind, "the control replica is out of touch; another is followed");
             return;
@@ -59,14 +65,29 @@
     }
 }
 
-fn take(state: &EntryState, reply: FollowReply, list: &mut ListMark) {
+/// Holds what was last taken over.
+#[derive(Default)]
+struct Followed {
+    list: Mark,
+    placement: Mark,
+}
+
+fn take(state: &EntryState, reply: FollowReply, followed: &mut Followed) {
     take_policy(state, reply.update);
     if let Some(age) = reply.list_age_ms {
         let read = state.clock.now().saturating_sub(Duration::from_millis(age));
         state.list_read.set(Some(read));
     }
-    if let Some(change) = reply.list {
-        take_list(state, change, list);
+    if let Some(marked) = reply.list {
+        followed.list = marked.mark();
+        let mut balancer = state.balancer.borrow_mut();
+        balancer.update(marked.change, state.clock.now());
+        info!(upstreams = balancer.len(), list_age_ms = state.list_age_ms(), "upstreams changed");
+    }
+    if let Some(marked) = reply.placement {
+        followed.placement = marked.mark();
+        info!(objects = marked.change.put.len(), "objects are placed elsewhere");
+        state.balancer.borrow_mut().place(marked.change);
     }
     let replicas: Vec<SocketAddr> =
         reply.replicas.iter().filter_map(|name| name.parse().ok()).collect();
@@ -98,10 +119,3 @@
     balancer.set_services(policy.routing.services.clone());
     balancer.set_evacuated(policy.evacuated.clone(), state.clock.now());
 }
-
-fn take_list(state: &EntryState, change: ListChange, list: &mut ListMark) {
-    let mut balancer = state.balancer.borrow_mut();
-    balancer.update(change.whole, change.put, &change.removed, state.clock.now());
-    *list = change.mark;
-    info!(upstreams = balancer.len(), list_age_ms = state.list_age_ms(), "upstreams changed");
-}
--- a/src/runtime/entry_node/state.rs
+++ b/src/runtime/entry_node/state.rs
@@ -18,6 +18,7 @@
         admission::RetryBudget,
         balance::{Balancer, ColdLimit, Place},
         control::{Policy, ServiceName},
+        placement::{DemandMeter, DemandReport},
         routing::{CallerLimits, Matched},
     },
     runtime::clock::Clock,
@@ -32,6 +33,8 @@
     pub(super) routes: RefCell<Rc<Matched>>,
     pub(super) balancer: RefCell<Balancer>,
     pub(super) pool: RefCell<Pool>,
+    pub(super) demand: RefCell<DemandMeter>,
+    demand_due: Cell<Duration>,
     retries: RefCell<BTreeMap<ServiceName, RetryBudget>>,
     entries: RefCell<RecentMax>,
     /// How many entry instances share the limits.
@@ -58,6 +61,8 @@
 /// The part of the retries that is used, for instances that join meanwhile.
 const RETRIES_USED_PART: f64 = 0.8;
 
+/// The time between two reports of demand.
+const DEMAND_INTERVAL: Duration = Duration::from_millis(1500);
 /// How long after a stop began new requests are still taken. What is taken
 /// later might not end before the process must.
 const STOP_TAKES: Duration = Duration::from_millis(2500);
@@ -76,6 +81,8 @@
         };
         Self {
             seeds: RefCell::new(settings.seed_cluster_addresses()),
+            demand: RefCell::new(DemandMeter::new(Duration::ZERO)),
+            demand_due: Cell::new(DEMAND_INTERVAL),
             retries: RefCell::default(),
             entries: RefCell::new(RecentMax::new(ENTRIES_WINDOW)),
             entry_count: Cell::new(ENTRIES_ASSUMED),
@@ -123,6 +130,17 @@
         self.retries.borrow_mut().values_mut().for_each(|budget| budget.limit_saved(saved));
     }
 
+    /// Returns how much objects are asked for, if that is due to be told.
+    pub(super) fn take_demand(&self) -> Option<DemandReport> {
+        let now = self.clock.now();
+        if now < self.demand_due.get() {
+            return None;
+        }
+        self.demand_due.set(now + DEMAND_INTERVAL);
+        let (instance, region) = (&self.settings.instance, &self.settings.region);
+        Some(self.demand.borrow_mut().report(instance, region, now))
+    }
+
     /// Notes a request for a service.
     pub(super) fn note_request(&self, service: &ServiceName) {
         self.with_budget(service, RetryBudget::note_request);
--- a/src/runtime/replica/mod.rs
+++ b/src/runtime/replica/mod.rs
@@ -21,14 +21,13 @@
 use crate::{
     core::{
         control::{
-            Command, ControlLimits, ControlState, InstanceName, Outcome, PlanInputs, Seed,
+            Command, ControlLimits, ControlState, InstanceName, Outcome, PlanInputs, Policy, Seed,
             Sessions, SessionsConfig, Topology, Version, plan,
         },
         replication::{
             Durable, Entry, Envelope, Input, LogIndex, Node, Outputs, Payload, Round, Snapshot,
             Term, Timers, TimersConfig,
         },
-        routing::RoutingTable,
     },
     net::wire::{
         ProbeReply, QueryReply, QueryRequest, SubmitReply, SubmitRequest, Update, WatchReply,
@@ -135,8 +134,8 @@
 /// Returns the policy's changes since a version, if one is given, and how
 /// current they are, whether or not this replica leads.
 pub(super) struct Changes(pub(super) Option<Version>);
-/// Returns the routing table that this replica has applied.
-pub(super) struct CurrentRouting;
+/// Returns the policy that this replica has applied.
+pub(super) struct CurrentPolicy;
 /// Returns what tells of new versions of the policy.
 pub(super) struct Subscribe;
 
@@ -582,11 +581,11 @@
     }
 }
 
-impl Handler<CurrentRouting> for Replica {
-    type Return = Arc<RoutingTable>;
+impl Handler<CurrentPolicy> for Replica {
+    type Return = Policy;
 
-    async fn handle(&mut self, _: CurrentRouting, _ctx: &mut Context<Self>) -> Self::Return {
-        self.state.policy().routing.clone()
+    async fn handle(&mut self, _: CurrentPolicy, _ctx: &mut Context<Self>) -> Policy {
+        self.state.policy().clone()
     }
 }
 
