Serve what is known to be committed before a leader is known

Cause: after every process was killed, requests were refused for about 2.5 s: entry instances start without a configuration, and the control replicas told them none before an election, a round trip and a commit in the new term.

What: replicas record how far the log is committed, and apply that at their start; entry instances take over such a policy from any replica, though it may lack the newest change. Reads of the configuration still wait for a leader's round. Replicas that start do not wait a whole election timeout first.

--- a/src/core/replication/log.rs
+++ b/src/core/replication/log.rs
@@ -14,6 +14,9 @@
     pub snapshot: Snapshot,
     /// The entries that follow the snapshot, without a gap.
     pub entries: Vec<Entry<C>>,
+    /// An index up to which the log is known to be committed. It may lag far
+    /// behind.
+    pub committed: LogIndex,
 }
 
 /// Holds the current term and the vote given in it.
@@ -70,6 +73,7 @@
             ballot: Ballot::default(),
             snapshot: Snapshot { members, ..Snapshot::default() },
             entries: Vec::new(),
+            committed: 0,
         }
     }
 
--- a/src/core/replication/node.rs
+++ b/src/core/replication/node.rs
@@ -63,6 +63,8 @@
     Propose(C),
     /// The members are to be replaced.
     ProposeMembers(Members),
+    /// The index up to which the log is committed is to be made durable.
+    RecordCommit,
     /// The state as of `index` was encoded; the log up to there may go.
     Compact {
         /// The index of the snapshot.
@@ -82,6 +84,8 @@
     /// The entries to make durable; each replaces what stood at its index and
     /// after it.
     pub entries: Vec<Entry<C>>,
+    /// The index up to which the log is committed, to make durable.
+    pub committed_mark: Option<LogIndex>,
     /// The messages to send once the above is durable.
     pub messages: Vec<Envelope<C>>,
     /// The state to restore before `committed` is applied.
@@ -103,6 +107,7 @@
             ballot: None,
             snapshot: None,
             entries: Vec::new(),
+            committed_mark: None,
             messages: Vec::new(),
             restore: None,
             committed: Vec::new(),
@@ -128,7 +133,9 @@
 impl<C: Clone> Node<C> {
     /// Returns a follower with the given durable state.
     pub fn new(id: ReplicaId, durable: Durable<C>) -> Self {
-        let commit = durable.snapshot.index;
+        // What was committed before a restart may be applied before a leader
+        // is known.
+        let commit = durable.snapshot.index.max(durable.committed.min(durable.last_index()));
         Self {
             id,
             limits: Limits::default(),
@@ -212,6 +219,7 @@
             Input::Receive(envelope) => self.receive(envelope, &mut out),
             Input::Propose(command) => self.propose(Payload::Command(command), &mut out),
             Input::ProposeMembers(members) => self.propose_members(members, &mut out),
+            Input::RecordCommit => self.record_commit(&mut out),
             Input::Compact { index, data } => self.compact(index, data, &mut out),
         }
         out
@@ -276,6 +284,13 @@
         self.send(from, reply, out);
     }
 
+    fn record_commit(&mut self, out: &mut Outputs<C>) {
+        if self.commit > self.durable.committed {
+            self.durable.committed = self.commit;
+            out.committed_mark = Some(self.commit);
+        }
+    }
+
     fn hear_leader(&mut self, leader: ReplicaId, out: &mut Outputs<C>) {
         self.role = Role::Follower;
         self.leader = Some(leader);
--- a/src/core/replication/timers.rs
+++ b/src/core/replication/timers.rs
@@ -25,11 +25,13 @@
 }
 
 impl Timers {
-    /// Returns timers that start at `now`.
-    pub fn new(config: TimersConfig, now: Duration) -> Self {
+    /// Returns timers of a replica that starts at `now`. When all start at
+    /// once there is no leader to wait for, so `spread`, between 0 and 1 and
+    /// different for each replica, decides who stands first.
+    pub fn new(config: TimersConfig, spread: f64, now: Duration) -> Self {
         Self {
             config,
-            election_due: now + config.election,
+            election_due: now + config.heartbeat + config.election.mul_f64(spread),
             heartbeat_due: now,
             quorum_due: now,
             led: false,
--- a/src/runtime/entry_node/follow.rs
+++ b/src/runtime/entry_node/follow.rs
@@ -19,8 +19,10 @@
 const HOLD_SLACK: Duration = Duration::from_millis(700);
 /// A replica that has been out of touch with the others for longer is left.
 const BEHIND_MAX: Duration = Duration::from_millis(1200);
-/// The pause before the next replica is asked.
+/// The pause before the next replica is asked when one does not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// The pause before the next replica is asked when one is out of touch.
+const OUT_OF_TOUCH_PAUSE: Duration = Duration::from_millis(150);
 
 /// Follows one control replica after the other.
 pub(super) async fn follow_control(state: Rc<EntryState>) {
@@ -29,15 +31,20 @@
     loop {
         let known = state.known_control();
         if let Some(address) = known.get(turn % known.len().max(1)).copied() {
-            follow_one(&state, address, &mut followed).await;
+            let pause = follow_one(&state, address, &mut followed).await;
+            tokio::time::sleep(pause).await;
         }
         turn += 1;
-        tokio::time::sleep(RETRY_PAUSE).await;
     }
 }
 
-/// Follows one replica until it fails or falls behind.
-async fn follow_one(state: &Rc<EntryState>, address: SocketAddr, followed: &mut Followed) {
+/// Follows one replica until it fails or falls behind. Returns the pause
+/// before the next one is followed.
+async fn follow_one(
+    state: &Rc<EntryState>,
+    address: SocketAddr,
+    followed: &mut Followed,
+) -> Duration {
     let client = MeshClient::<NodeCall, NodeAnswer>::new(address);
     let mut hold = Duration::ZERO;
     loop {
@@ -52,15 +59,16 @@
         };
         let answer = client.call(NodeCall::Follow(request), hold + HOLD_SLACK).await;
         let Ok(NodeAnswer::Follow(reply)) = answer else {
-            warn!(%address, "the control replica does not answer; another is followed");
-            return;
+            followed.note_touch(false, address);
+            return RETRY_PAUSE;
         };
         let behind = reply.behind_ms.map(Duration::from_millis);
         take(state, *reply, followed);
         if behind.is_none_or(|behind| behind > BEHIND_MAX) {
-            warn!(%address, ?behind, "the control replica is out of touch; another is followed");
-            return;
+            followed.note_touch(false, address);
+            return OUT_OF_TOUCH_PAUSE;
         }
+        followed.note_touch(true, address);
         hold = HOLD;
     }
 }
@@ -70,6 +78,20 @@
 struct Followed {
     list: Mark,
     placement: Mark,
+    /// Whether a replica that is in touch with the others is followed.
+    in_touch: bool,
+}
+
+impl Followed {
+    fn note_touch(&mut self, in_touch: bool, replica: SocketAddr) {
+        if in_touch && !self.in_touch {
+            info!(%replica, "control regained");
+        }
+        if self.in_touch && !in_touch {
+            warn!(%replica, "control lost: the replica is silent or out of touch");
+        }
+        self.in_touch = in_touch;
+    }
 }
 
 fn take(state: &EntryState, reply: FollowReply, followed: &mut Followed) {
--- a/src/runtime/replica/disk.rs
+++ b/src/runtime/replica/disk.rs
@@ -60,6 +60,7 @@
             ballot: outputs.ballot.take(),
             snapshot: outputs.snapshot.take(),
             entries: std::mem::take(&mut outputs.entries),
+            committed_mark: outputs.committed_mark.take(),
             ..Outputs::default()
         };
         if durable_part == Outputs::default() {
--- a/src/runtime/replica/mod.rs
+++ b/src/runtime/replica/mod.rs
@@ -53,6 +53,8 @@
     flush_queued: bool,
     proposals: BTreeMap<LogIndex, (Term, oneshot::Sender<SubmitReply>)>,
     lead: Option<Lead>,
+    /// When it was last looked how far the log is committed.
+    commit_noted: Duration,
     /// When this replica, as a follower, last heard its leader.
     heard_leader: Option<Duration>,
     watchers: Vec<Watcher>,
@@ -166,6 +168,8 @@
 const COMPACT_BYTES: u64 = 4 * 1024 * 1024;
 /// How long a read waits until the leader is sure of its leadership.
 const READ_WAIT: Duration = Duration::from_secs(3);
+/// How often it is made durable how far the log is committed.
+const RECORD_COMMIT_AFTER: Duration = Duration::from_millis(250);
 /// The most rounds whose beginning is remembered.
 const ROUNDS_MAX: usize = 256;
 
@@ -182,8 +186,9 @@
         let state = decode_state(&durable.snapshot)?;
         let disk = Disk::new(store);
         let node = Node::new(disk.replica(), durable);
-        let timers = Timers::new(timers_config(&setup.timing), clock.now());
-        Ok(Self {
+        let spread = rand::random();
+        let timers = Timers::new(timers_config(&setup.timing), spread, clock.now());
+        let mut replica = Self {
             setup,
             clock,
             metrics,
@@ -197,13 +202,24 @@
             flush_queued: false,
             proposals: BTreeMap::new(),
             lead: None,
+            commit_noted: Duration::ZERO,
             heard_leader: None,
             watchers: Vec::new(),
             readers: Vec::new(),
             catching_up: Vec::new(),
             published: watch::Sender::new(0),
             fail: Some(fail),
-        })
+        };
+        replica.apply_committed();
+        Ok(replica)
+    }
+
+    /// Applies what is known to be committed from before the start.
+    fn apply_committed(&mut self) {
+        let durable = self.node.durable();
+        let count = self.node.commit().saturating_sub(durable.snapshot.index);
+        let committed = durable.slice(durable.snapshot.index + 1, count as usize).to_vec();
+        committed.into_iter().for_each(|entry| self.apply_entry(entry));
     }
 
     /// Gathers an input. All that are in the mailbox by then are carried out
@@ -487,6 +503,7 @@
     }
     into.committed.extend(out.committed);
     into.heard_leader |= out.heard_leader;
+    into.committed_mark = out.committed_mark.or(into.committed_mark);
 }
 
 impl Handler<Deliver> for Replica {
@@ -605,6 +622,12 @@
         for input in self.timers.due(&self.node, now) {
             self.queue(input, None, ctx);
         }
+        if now >= self.commit_noted + RECORD_COMMIT_AFTER {
+            self.commit_noted = now;
+            if self.node.commit() > self.node.durable().committed {
+                self.queue(Input::RecordCommit, None, ctx);
+            }
+        }
         self.plan(ctx);
         self.answer_waiting();
         let version = self.state.policy().version;
--- a/src/storage/store.rs
+++ b/src/storage/store.rs
@@ -35,6 +35,7 @@
     Base { index: LogIndex, term: Term, members: Members },
     Ballot(Ballot),
     Entry(Entry<C>),
+    Committed(LogIndex),
 }
 
 impl<C: Clone + Serialize + DeserializeOwned> Store<C> {
@@ -97,7 +98,8 @@
         }
         let ballot = outputs.ballot.map(LogRecord::Ballot);
         let entries = outputs.entries.iter().cloned().map(LogRecord::Entry);
-        let batch: Vec<LogRecord<C>> = ballot.into_iter().chain(entries).collect();
+        let committed = outputs.committed_mark.map(LogRecord::Committed);
+        let batch: Vec<LogRecord<C>> = ballot.into_iter().chain(entries).chain(committed).collect();
         if batch.is_empty() {
             return Ok(());
         }
@@ -138,7 +140,8 @@
             term: snapshot.term,
             members: snapshot.members.clone(),
         };
-        let mut batch = vec![base, LogRecord::Ballot(durable.ballot)];
+        let committed = LogRecord::Committed(durable.committed);
+        let mut batch = vec![base, LogRecord::Ballot(durable.ballot), committed];
         batch.extend(durable.entries.iter().cloned().map(LogRecord::Entry));
         let buffer = encode_batch(&batch)?;
         replace_file(&self.folder, LOG, &buffer)?;
@@ -286,6 +289,7 @@
         }
         LogRecord::Ballot(ballot) => durable.ballot = ballot,
         LogRecord::Entry(entry) => durable.put(entry),
+        LogRecord::Committed(index) => durable.committed = index,
     }
 }
 
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod control;
+mod replication;
 mod settings;
 mod sizes;
 mod steering;
--- a/tests/it/storage.rs
+++ b/tests/it/storage.rs
@@ -36,9 +36,11 @@
     let out = Outputs {
         ballot: Some(Ballot { term: 2, voted_for: Some(5) }),
         entries: vec![entry(1, 1), entry(2, 1), entry(2, 2)],
+        committed_mark: Some(1),
         ..Outputs::default()
     };
     durable.ballot = Ballot { term: 2, voted_for: Some(5) };
+    durable.committed = 1;
     out.entries.iter().for_each(|entry| durable.put(entry.clone()));
     store.save(&out, &durable).unwrap();
     durable
