--- a/src/core/balance/balancer.rs
+++ b/src/core/balance/balancer.rs
@@ -14,7 +14,7 @@
 use crate::core::{
     LedgerChange,
     control::{RegionName, ServiceName, ZoneName},
-    placement::{self, Candidate, ObjectId, default_order},
+    placement::{self, Candidate, ObjectId, Placement, default_order},
     routing::ServiceSpec,
     upstreams::{ListedState, ListedUpstream, UpstreamId},
 };
@@ -30,7 +30,7 @@
     upstreams: BTreeMap<UpstreamId, Upstream>,
     evacuated: BTreeSet<ZoneName>,
     /// Where objects are placed, other than by default.
-    placement: BTreeMap<ObjectId, UpstreamId>,
+    placement: Placement,
 }
 
 /// Says where an instance is, and how availability zones lie.
@@ -87,7 +87,7 @@
             services: BTreeMap::new(),
             upstreams: BTreeMap::new(),
             evacuated: BTreeSet::new(),
-            placement: BTreeMap::new(),
+            placement: Placement::default(),
         }
     }
 
@@ -137,15 +137,9 @@
         }
     }
 
-    /// Takes over what changed in the placement of objects.
-    pub fn place(&mut self, change: LedgerChange<ObjectId, UpstreamId>) {
-        if change.whole {
-            self.placement.clear();
-        }
-        for object in &change.removed {
-            self.placement.remove(object);
-        }
-        self.placement.extend(change.put);
+    /// Sets where objects are placed, other than by default.
+    pub fn set_placement(&mut self, placement: Placement) {
+        self.placement = placement;
     }
 
     /// Counts the upstreams that are known.
--- a/src/core/control/command.rs
+++ b/src/core/control/command.rs
@@ -11,6 +11,7 @@
 };
 use crate::core::{
     claims::{ClaimCommand, ClaimOutcome},
+    placement::PlacementChange,
     routing::{ConfigVersion, RoutingTable},
     steering::Layout,
 };
@@ -61,6 +62,8 @@
     /// Puts a routing table in force unless one of the same or a higher
     /// version is.
     Routing(Box<RoutingTable>),
+    /// Places objects on upstreams.
+    Place(PlacementChange),
     /// Evacuates an availability zone or ends its evacuation.
     Evacuate {
         /// The availability zone.
--- a/src/core/control/policy.rs
+++ b/src/core/control/policy.rs
@@ -14,6 +14,7 @@
 };
 use crate::core::{
     claims::ClaimEpoch,
+    placement::{Placement, PlacementChange},
     routing::{RoutingDelta, RoutingTable},
     steering::Layout,
 };
@@ -57,6 +58,9 @@
     /// The availability zones whose upstreams get no new work.
     #[serde(default)]
     pub evacuated: BTreeSet<ZoneName>,
+    /// Where objects are placed, other than by default.
+    #[serde(default)]
+    pub placement: Placement,
 }
 
 /// Says whether an instance takes part.
@@ -131,6 +135,8 @@
     Routing(RoutingDelta),
     /// Evacuates an availability zone or ends its evacuation.
     Evacuated(ZoneName, bool),
+    /// Places objects.
+    Placed(PlacementChange),
 }
 
 /// Holds the edits that lead to one version from the one before.
@@ -187,6 +193,15 @@
             }
             PolicyEdit::ClaimEpoch(epoch) => self.claim_epoch = epoch,
             PolicyEdit::Routing(delta) => Arc::make_mut(&mut self.routing).advance(&delta),
+            PolicyEdit::Placed(change) => {
+                let placement = Arc::make_mut(&mut self.placement);
+                for (object, upstream) in change {
+                    match upstream {
+                        Some(upstream) => placement.insert(object, upstream),
+                        None => placement.remove(&object),
+                    };
+                }
+            }
             PolicyEdit::Evacuated(zone, evacuated) => {
                 put_or_remove(&mut self.evacuated, zone, evacuated);
             }
--- a/src/core/control/state.rs
+++ b/src/core/control/state.rs
@@ -128,6 +128,7 @@
                 self.put_routing(&table, limits);
                 return Outcome::Routing { version: self.policy.routing.version };
             }
+            Command::Place(change) => self.commit(vec![PolicyEdit::Placed(change)], limits),
             Command::Evacuate { zone, evacuated } => self.evacuate(zone, evacuated, limits),
             Command::Claim(command) => {
                 let outcome = self.claims.apply(command, &limits.claims);
--- a/src/core/placement/affinity.rs
+++ b/src/core/placement/affinity.rs
@@ -30,7 +30,7 @@
 
 /// A region is taken to need this much more than its even share of slots,
 /// before anything is known of demand.
-const EVEN_SHARE_MARGIN: f64 = 1.3;
+const EVEN_SHARE_MARGIN: f64 = 1.8;
 
 /// Returns the number that stands for an object.
 pub fn object_of(route: &str, key: &str) -> ObjectId {
--- a/src/core/placement/demand.rs
+++ b/src/core/placement/demand.rs
@@ -25,10 +25,8 @@
     service: ServiceName,
     has_large_body: bool,
     busy: Duration,
-    bytes: u64,
-    /// Averages over several reports.
+    /// The average over several reports.
     busy_permille: f64,
-    bytes_per_s: f64,
 }
 
 /// Describes a request that was answered.
@@ -44,8 +42,6 @@
     pub has_large_body: bool,
     /// The time from sending the request to having the answer.
     pub took: Duration,
-    /// The bytes of the bodies of request and answer.
-    pub bytes: u64,
 }
 
 /// Says how much some objects are asked for at one entry instance.
@@ -68,9 +64,6 @@
     /// The slots that its requests keep busy, in thousandths.
     #[serde(rename = "b")]
     pub busy_permille: u32,
-    /// The bytes a second of requests and answers.
-    #[serde(rename = "n")]
-    pub bytes_per_s: u32,
     /// Whether its requests have large bodies.
     #[serde(rename = "l", default, skip_serializing_if = "std::ops::Not::not")]
     pub has_large_body: bool,
@@ -79,7 +72,7 @@
 /// The most objects in one report.
 const OBJECTS_MAX: usize = 256;
 /// The time over which demand is averaged.
-const AVERAGED: Duration = Duration::from_secs(4);
+const AVERAGED: Duration = Duration::from_secs(6);
 /// Objects that are asked for less are forgotten, in thousandths of a slot.
 const FORGOTTEN_PERMILLE: f64 = 2.0;
 
@@ -103,12 +96,9 @@
             service: request.service.clone(),
             has_large_body: request.has_large_body,
             busy: Duration::ZERO,
-            bytes: 0,
             busy_permille: 0.0,
-            bytes_per_s: 0.0,
         });
         metered.busy += run_time;
-        metered.bytes += request.bytes;
     }
 
     /// Returns what was measured up to `now`.
@@ -133,7 +123,6 @@
             objects.entry(metered.service.clone()).or_default().push(ObjectDemand {
                 object: *object,
                 busy_permille: metered.busy_permille as u32,
-                bytes_per_s: metered.bytes_per_s as u32,
                 has_large_body: metered.has_large_body,
             });
         }
@@ -144,11 +133,8 @@
 impl Metered {
     fn average(&mut self, span_s: f64, weight: f64) {
         let busy_permille = self.busy.as_secs_f64() * 1000.0 / span_s;
-        let bytes_per_s = self.bytes as f64 / span_s;
         self.busy_permille += (busy_permille - self.busy_permille) * weight;
-        self.bytes_per_s += (bytes_per_s - self.bytes_per_s) * weight;
         self.busy = Duration::ZERO;
-        self.bytes = 0;
     }
 }
 
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -4,8 +4,8 @@
 //! requests for an object go to one upstream. By default that follows from
 //! hashing alone ([`default_order`]). The leading control replica hears from
 //! entry instances how much each object is asked for and places those
-//! elsewhere that would overload an upstream ([`Planner`]); entry instances
-//! follow these exceptions.
+//! elsewhere that would overload an upstream ([`Planner`]); these exceptions
+//! are part of the policy that entry instances follow.
 
 mod affinity;
 mod demand;
@@ -17,10 +17,16 @@
     planner::{Planner, PlannerInputs},
 };
 
+use std::{collections::BTreeMap, sync::Arc};
+
 use super::upstreams::UpstreamId;
 
 /// Identifies an object of a route.
 pub type ObjectId = u64;
 
 /// Says on which upstreams objects are placed, where that is not the default.
-pub type Placement = super::Ledger<ObjectId, UpstreamId>;
+/// Copies share it until one of them changes.
+pub type Placement = Arc<BTreeMap<ObjectId, UpstreamId>>;
+
+/// Says where objects are to be placed; `None` is the default.
+pub type PlacementChange = Vec<(ObjectId, Option<UpstreamId>)>;
--- a/src/core/placement/planner.rs
+++ b/src/core/placement/planner.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use super::{Candidate, DemandReport, ObjectId, Placement, Wanted, default_order};
+use super::{Candidate, DemandReport, ObjectId, Placement, PlacementChange, Wanted, default_order};
 use crate::core::{
     control::{InstanceName, RegionName, ServiceName, ZoneName},
     upstreams::{ListedState, ListedUpstream, UpstreamId, UpstreamList},
@@ -29,6 +29,8 @@
 pub struct PlannerInputs<'a> {
     /// The upstreams.
     pub list: &'a UpstreamList,
+    /// Where objects are placed, other than by default.
+    pub placement: &'a Placement,
     /// The availability zones whose upstreams get no new work.
     pub evacuated: &'a BTreeSet<ZoneName>,
     /// The time.
@@ -38,18 +40,18 @@
 /// A report counts for this long.
 const REPORT_KEPT: Duration = Duration::from_secs(5);
 /// An object that was moved stays for this long.
-const SETTLED_AFTER: Duration = Duration::from_secs(8);
+const SETTLED_AFTER: Duration = Duration::from_secs(30);
 /// Upstreams that are busier than this part of their slots are relieved.
-const BUSY_MAX: f64 = 0.65;
+const BUSY_MAX: f64 = 0.9;
 /// Upstreams are relieved if they are busier than the average by this factor.
-const BUSY_OVER_AVERAGE: f64 = 1.25;
+const BUSY_OVER_AVERAGE: f64 = 1.6;
 /// A move must make this much of a difference, as a part of slots.
-const GAIN_MIN: f64 = 0.08;
-/// An object comes home where an upstream stays below this part of its slots.
-const HOME_BUSY_MAX: f64 = 0.55;
+const GAIN_MIN: f64 = 0.3;
 /// How much busier an upstream at home may be than one abroad that is
 /// preferred to it, as a part of slots.
 const HOME_ADVANTAGE: f64 = 0.3;
+/// The most objects whose place is kept without a report of them.
+const PLACED_MAX: usize = 4096;
 /// The most objects of a service that move in one round.
 const MOVES_MAX: usize = 6;
 /// The part of the permitted shift that one round uses. Two rounds and what
@@ -64,7 +66,6 @@
     has_large_body: bool,
     /// The slots that its requests keep busy.
     busy: f64,
-    bytes_per_s: f64,
     at: usize,
 }
 
@@ -98,45 +99,55 @@
         self.reports.insert(report.instance.clone(), (now, report));
     }
 
-    /// Plans one round: changes the placement and returns how many objects
-    /// moved.
-    pub fn plan(&mut self, inputs: &PlannerInputs<'_>, placement: &mut Placement) -> usize {
+    /// Plans one round and returns what is to change in the placement.
+    pub fn plan(&mut self, inputs: &PlannerInputs<'_>) -> PlacementChange {
         let now = inputs.now;
         self.reports.retain(|_, (at, _)| now <= *at + REPORT_KEPT);
         self.moved.retain(|_, at| now <= *at + SETTLED_AFTER);
         let services: BTreeSet<ServiceName> =
             self.reports.values().flat_map(|(_, r)| r.objects.keys().cloned()).collect();
-        let mut moves = 0;
+        let mut change = self.forgotten(inputs);
         for service in services {
-            moves += self.plan_service(&service, inputs, placement);
+            change.extend(self.plan_service(&service, inputs));
         }
-        moves
+        change
+    }
+
+    /// Returns objects whose place need not be kept, once there are many.
+    fn forgotten(&self, inputs: &PlannerInputs<'_>) -> PlacementChange {
+        let excess = inputs.placement.len().saturating_sub(PLACED_MAX);
+        if excess == 0 {
+            return Vec::new();
+        }
+        let reported: BTreeSet<ObjectId> = self
+            .reports
+            .values()
+            .flat_map(|(_, report)| report.objects.values().flatten())
+            .map(|demand| demand.object)
+            .collect();
+        let unknown = inputs.placement.keys().filter(|object| !reported.contains(object));
+        unknown.take(excess).map(|object| (*object, None)).collect()
     }
 
     fn plan_service(
         &mut self,
         service: &ServiceName,
         inputs: &PlannerInputs<'_>,
-        placement: &mut Placement,
-    ) -> usize {
+    ) -> PlacementChange {
         let mut targets = self.targets(service, inputs);
         if targets.is_empty() {
-            return 0;
+            return Vec::new();
         }
         let mut objects = self.objects(service);
         for object in &mut objects {
-            object.at = self.location(object, &targets, placement);
+            object.at = self.location(object, &targets, inputs.placement);
             targets[object.at].busy += object.busy;
         }
         let settled: BTreeSet<ObjectId> = self.moved.keys().copied().collect();
         let mut round = Round::new(&objects, self.shift_max, settled);
         round.relieve(&mut objects, &mut targets);
-        round.bring_home(&mut objects, &mut targets);
-        for (object, to) in &round.moves {
-            placement.put(*object, to.clone());
-            self.moved.insert(*object, inputs.now);
-        }
-        round.moves.len()
+        self.moved.extend(round.moves.iter().map(|(object, _)| (*object, inputs.now)));
+        round.moves.into_iter().map(|(object, to)| (object, Some(to))).collect()
     }
 
     fn targets<'a>(&'a self, service: &ServiceName, inputs: &PlannerInputs<'a>) -> Vec<Target<'a>> {
@@ -160,28 +171,26 @@
     /// it is asked for most.
     fn objects(&self, service: &ServiceName) -> Vec<Object> {
         let mut large = BTreeSet::new();
-        let mut by_region: BTreeMap<ObjectId, BTreeMap<&RegionName, (f64, f64)>> = BTreeMap::new();
+        let mut by_region: BTreeMap<ObjectId, BTreeMap<&RegionName, f64>> = BTreeMap::new();
         for (_, report) in self.reports.values() {
             for demand in report.objects.get(service).into_iter().flatten() {
                 if demand.has_large_body {
                     large.insert(demand.object);
                 }
                 let regions = by_region.entry(demand.object).or_default();
-                let (busy, bytes) = regions.entry(&report.region).or_default();
-                *busy += f64::from(demand.busy_permille) / 1000.0;
-                *bytes += f64::from(demand.bytes_per_s);
+                *regions.entry(&report.region).or_default() +=
+                    f64::from(demand.busy_permille) / 1000.0;
             }
         }
         by_region
             .into_iter()
             .filter_map(|(id, regions)| {
                 let (home, _) =
-                    regions.iter().max_by(|(_, left), (_, right)| left.0.total_cmp(&right.0))?;
+                    regions.iter().max_by(|(_, left), (_, right)| left.total_cmp(right))?;
                 let home = (*home).clone();
-                let busy = regions.values().map(|(busy, _)| busy).sum();
-                let bytes_per_s = regions.values().map(|(_, bytes)| bytes).sum();
+                let busy = regions.values().sum();
                 let has_large_body = large.contains(&id);
-                Some(Object { id, home, has_large_body, busy, bytes_per_s, at: 0 })
+                Some(Object { id, home, has_large_body, busy, at: 0 })
             })
             .collect()
     }
@@ -289,32 +298,6 @@
             .min_by(|left, right| cost(left).total_cmp(&cost(right)))
     }
 
-    /// Brings objects back to the region that they are asked for in, those
-    /// with the most bytes first.
-    fn bring_home(&mut self, objects: &mut [Object], targets: &mut [Target<'_>]) {
-        let mut abroad: Vec<usize> = (0..objects.len())
-            .filter(|at| *targets[objects[*at].at].region != objects[*at].home)
-            .filter(|at| !self.settled.contains(&objects[*at].id))
-            .collect();
-        abroad.sort_by(|left, right| {
-            objects[*right].bytes_per_s.total_cmp(&objects[*left].bytes_per_s)
-        });
-        for at in abroad {
-            if self.moves.len() >= MOVES_MAX {
-                return;
-            }
-            let object = &objects[at];
-            let home = (0..targets.len())
-                .filter(|to| *targets[*to].region == object.home)
-                .filter(|to| targets[*to].part_with(object.busy) < HOME_BUSY_MAX)
-                .filter(|to| self.may_shift(object, *to, targets))
-                .min_by(|left, right| targets[*left].part().total_cmp(&targets[*right].part()));
-            if let Some(to) = home {
-                self.shift(&mut objects[at], to, targets);
-            }
-        }
-    }
-
     /// Tells whether a move keeps within what may change its region.
     fn may_shift(&self, object: &Object, to: usize, targets: &[Target<'_>]) -> bool {
         targets[object.at].region == targets[to].region
--- a/src/net/wire.rs
+++ b/src/net/wire.rs
@@ -13,7 +13,7 @@
         Outcome, Ownership, Policy, PolicyDelta, Preset, PresetName, RegionName, Revision,
         UpstreamName, Version, ZoneName,
     },
-    placement::{DemandReport, ObjectId},
+    placement::DemandReport,
     replication::{Envelope, LogIndex, Members, ReplicaId, Term},
     steering::Layout,
     upstreams::{ListedUpstream, UpstreamId},
@@ -268,8 +268,6 @@
     pub version: Option<Version>,
     /// What the instance holds of the list of upstreams.
     pub list: Mark,
-    /// What the instance holds of the placement of objects.
-    pub placement: Mark,
     /// How much objects are asked for at entry instances, since the last call.
     pub demand: Vec<DemandReport>,
     /// How long the answer may be held back while there is nothing to tell.
@@ -288,14 +286,14 @@
 /// Says what changed.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct FollowReply {
+    /// The availability zone of the replica that answers.
+    pub zone: ZoneName,
     /// What changed in the policy.
     pub update: Update,
     /// What changed in the list of upstreams.
     pub list: Option<Marked<UpstreamId, ListedUpstream>>,
     /// How long ago the list was read.
     pub list_age_ms: Option<u64>,
-    /// What changed in the placement of objects.
-    pub placement: Option<Marked<ObjectId, UpstreamId>>,
     /// Where control replicas are reached.
     pub replicas: Vec<InstanceName>,
     /// How long ago the replica last knew itself to be current.
--- a/src/runtime/control_node/calls.rs
+++ b/src/runtime/control_node/calls.rs
@@ -1,7 +1,6 @@
 //! Answers other processes, and asks the leader.
 
 use std::{
-    collections::BTreeSet,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -12,8 +11,8 @@
 use super::{Datagrams, Shared, lock, peers::address_of};
 use crate::{
     core::{
-        control::{InstanceName, ZoneName},
-        placement::{DemandReport, ObjectId},
+        control::{InstanceName, Policy},
+        placement::DemandReport,
         roster::RosterEntry,
         upstreams::{ListedUpstream, UpstreamId},
     },
@@ -60,7 +59,7 @@
     }
 }
 
-async fn submit_here(shared: &Shared, request: SubmitRequest) -> Option<SubmitReply> {
+pub(super) async fn submit_here(shared: &Shared, request: SubmitRequest) -> Option<SubmitReply> {
     let (reply, answered) = oneshot::channel();
     shared.replica()?.send(Submit(request, reply)).await.ok()?;
     answered.await.ok()
@@ -150,10 +149,9 @@
     loop {
         let changed = replica.send(Changes(request.version)).await.ok()?;
         let list = list_change(shared, request.list);
-        let placement = placement_change(shared, request.placement);
-        let news = list.is_some() || placement.is_some() || !is_empty(&changed.update);
+        let news = list.is_some() || !is_empty(&changed.update);
         if news || Instant::now() >= until {
-            return Some(reply(shared, changed, list, placement));
+            return Some(reply(shared, changed, list));
         }
         let left = until.saturating_duration_since(Instant::now()).min(HOLD_STEP);
         tokio::time::timeout(left, versions.changed()).await.ok();
@@ -168,14 +166,13 @@
     shared: &Shared,
     changed: Changed,
     list: Option<Marked<UpstreamId, ListedUpstream>>,
-    placement: Option<Marked<ObjectId, UpstreamId>>,
 ) -> FollowReply {
     let now = shared.clock.now();
     let read_at = lock(&shared.list).read_at();
     FollowReply {
+        zone: shared.settings.zone.clone(),
         update: changed.update,
         list,
-        placement,
         list_age_ms: read_at.map(|at| now.saturating_sub(at).as_millis() as u64),
         replicas: changed.replicas,
         behind_ms: changed.behind.map(|behind| behind.as_millis() as u64),
@@ -194,16 +191,6 @@
     Some(Marked { counter: shared.counter, change })
 }
 
-fn placement_change(shared: &Shared, mark: Mark) -> Option<Marked<ObjectId, UpstreamId>> {
-    let placement = lock(&shared.placement);
-    let known = known_count(shared, mark);
-    let has_all = known.map_or(placement.is_empty(), |count| count == placement.count());
-    if has_all {
-        return None;
-    }
-    Some(Marked { counter: shared.counter, change: placement.changes_since(known) })
-}
-
 /// Returns the count that a mark names, if this process counted it.
 fn known_count(shared: &Shared, mark: Mark) -> Option<u64> {
     (mark.counter == shared.counter).then_some(mark.count)
@@ -249,7 +236,7 @@
     changed.leader.map(|leader| (leader.clone(), leader == mine))
 }
 
-/// Returns the availability zones that are evacuated.
-pub(super) async fn evacuated(shared: &Shared) -> Option<BTreeSet<ZoneName>> {
-    shared.replica()?.send(CurrentPolicy).await.ok().map(|policy| policy.evacuated)
+/// Returns the policy that this replica has applied.
+pub(super) async fn policy(shared: &Shared) -> Option<Policy> {
+    shared.replica()?.send(CurrentPolicy).await.ok()
 }
--- a/src/runtime/control_node/list_reader.rs
+++ b/src/runtime/control_node/list_reader.rs
@@ -6,16 +6,17 @@
 
 use super::{
     Shared,
-    calls::{evacuated, leader},
+    calls::{leader, policy, submit_here},
     lock,
     peers::address_of,
 };
 use crate::{
     core::{
+        control::Command,
         placement::{DemandReport, PlannerInputs},
         upstreams::Listing,
     },
-    net::wire::{FollowRequest, Mark, NodeAnswer, NodeCall},
+    net::wire::{FollowRequest, Mark, NodeAnswer, NodeCall, SubmitRequest},
     platform::listing::{decode_page, page_target},
     runtime::http_get::HttpGet,
 };
@@ -37,7 +38,7 @@
 pub(super) async fn keep_list(shared: Arc<Shared>) {
     let Some(source) = shared.settings.upstream_list else { return };
     let mut reader = HttpGet::new(source.address);
-    let mut followed = Followed::default();
+    let mut followed = Mark::default();
     loop {
         let began = shared.clock.now();
         match leader(&shared).await {
@@ -56,47 +57,30 @@
     }
 }
 
-/// Holds what was last taken over from the leader.
-#[derive(Default)]
-struct Followed {
-    list: Mark,
-    placement: Mark,
-}
-
 fn is_stale(shared: &Shared) -> bool {
     let age = lock(&shared.list).read_at().map(|at| shared.clock.now().saturating_sub(at));
     let since_start = shared.clock.now();
     age.unwrap_or(since_start) > FOLLOWED_AGE_MAX
 }
 
-async fn follow(shared: &Shared, leader: &str, followed: &mut Followed) {
+async fn follow(shared: &Shared, leader: &str, followed: &mut Mark) {
     let Some(address) = address_of(&leader.to_owned()) else { return };
     let hold_ms = HOLD.as_millis() as u64;
     let demand: Vec<DemandReport> =
         std::mem::take(&mut *lock(&shared.demand)).into_values().collect();
-    let request = FollowRequest {
-        version: None,
-        list: followed.list,
-        placement: followed.placement,
-        demand,
-        hold_ms,
-    };
+    let request = FollowRequest { version: None, list: *followed, demand, hold_ms };
     let client = shared.links.client(address);
     let Ok(NodeAnswer::Follow(reply)) =
         client.call(NodeCall::Follow(request), FOLLOW_PATIENCE).await
     else {
         return;
     };
-    if let Some(marked) = reply.placement {
-        followed.placement = marked.mark();
-        lock(&shared.placement).merge(marked.change);
-    }
     let Some(age_ms) = reply.list_age_ms else { return };
     let read_at = shared.clock.now().saturating_sub(Duration::from_millis(age_ms));
     let mut list = lock(&shared.list);
     match reply.list {
         Some(marked) => {
-            followed.list = marked.mark();
+            *followed = marked.mark();
             list.merge(marked.change, read_at);
         }
         None => list.confirm(read_at),
@@ -105,13 +89,21 @@
 
 /// Plans where objects are placed.
 async fn plan(shared: &Shared) {
-    let Some(evacuated) = evacuated(shared).await else { return };
-    let list = lock(&shared.list);
-    let inputs = PlannerInputs { list: &list, evacuated: &evacuated, now: shared.clock.now() };
-    let moves = lock(&shared.planner).plan(&inputs, &mut lock(&shared.placement));
-    if moves > 0 {
-        info!(moves, "objects are placed elsewhere");
+    let Some(policy) = policy(shared).await else { return };
+    let change = {
+        let list = lock(&shared.list);
+        lock(&shared.planner).plan(&PlannerInputs {
+            list: &list,
+            placement: &policy.placement,
+            evacuated: &policy.evacuated,
+            now: shared.clock.now(),
+        })
+    };
+    if change.is_empty() {
+        return;
     }
+    info!(objects = change.len(), "objects are placed elsewhere");
+    submit_here(shared, SubmitRequest::Command(Command::Place(change))).await;
 }
 
 /// Reads all pages.
--- a/src/runtime/control_node/mod.rs
+++ b/src/runtime/control_node/mod.rs
@@ -34,7 +34,7 @@
 use crate::{
     core::{
         control::{Command, InstanceName},
-        placement::{DemandReport, Placement, Planner},
+        placement::{DemandReport, Planner},
         replication::{Durable, ReplicaId},
         roster::Roster,
         upstreams::UpstreamList,
@@ -61,7 +61,6 @@
     seeds: Mutex<Vec<SocketAddr>>,
     roster: Mutex<Roster>,
     list: Mutex<UpstreamList>,
-    placement: Mutex<Placement>,
     planner: Mutex<Planner>,
     /// What entry instances reported, for the leader.
     demand: Mutex<BTreeMap<InstanceName, DemandReport>>,
@@ -98,7 +97,6 @@
         let shared = Arc::new(Shared {
             roster: Mutex::new(Roster::new(settings.regions_of_zones.clone(), clock.now())),
             list: Mutex::default(),
-            placement: Mutex::default(),
             planner: Mutex::new(Planner::new(
                 settings.regions_of_zones.clone(),
                 settings.bounds.shift_max,
--- a/src/runtime/entry_node/answer.rs
+++ b/src/runtime/entry_node/answer.rs
@@ -64,11 +64,6 @@
         self
     }
 
-    /// Returns the length of the body.
-    pub(super) fn body_len(&self) -> usize {
-        self.body.len()
-    }
-
     /// Returns the answer as the last one of its connection.
     pub(super) fn closing(mut self) -> Self {
         self.closes = true;
--- a/src/runtime/entry_node/exchange.rs
+++ b/src/runtime/entry_node/exchange.rs
@@ -157,7 +157,7 @@
     fn conclude(&mut self, choice: &Choice, outcome: Outcome, sent: Duration) -> Option<Answer> {
         match outcome {
             Outcome::Answered(answer) => {
-                self.note_demand(&answer, sent);
+                self.note_demand(sent);
                 Some(answer)
             }
             Outcome::NotSent(error) => {
@@ -185,14 +185,13 @@
         }
     }
 
-    fn note_demand(&self, answer: &Answer, sent: Duration) {
+    fn note_demand(&self, sent: Duration) {
         self.state.demand.borrow_mut().note(&AnsweredRequest {
             service: self.service,
             route: self.name,
             object: self.object,
             has_large_body: self.route.execution == Execution::OnceWithLargeBody,
             took: self.state.clock.now().saturating_sub(sent),
-            bytes: (self.request.body.len() + answer.body_len()) as u64,
         });
     }
 
--- a/src/runtime/entry_node/state.rs
+++ b/src/runtime/entry_node/state.rs
@@ -17,7 +17,7 @@
         RecentMax,
         admission::RetryBudget,
         balance::{Balancer, ColdLimit, Place},
-        control::{Policy, ServiceName},
+        control::{Policy, ServiceName, ZoneName},
         placement::{DemandMeter, DemandReport},
         routing::{CallerLimits, Matched},
     },
@@ -118,6 +118,16 @@
         known
     }
 
+    /// Returns 0 for the instance's own availability zone, 1 for its region
+    /// and 2 for others.
+    pub(super) fn distance_to(&self, zone: &ZoneName) -> u8 {
+        if *zone == self.settings.zone {
+            return 0;
+        }
+        let region = self.settings.regions_of_zones.get(zone);
+        if region == Some(&self.settings.region) { 1 } else { 2 }
+    }
+
     /// Notes how many entry instances there are. They share the limits, so
     /// the greatest number of late counts.
     pub(super) fn note_entries(&self, entries: u32) {
