Refuse at once what would wait too long at its upstream

What: the wait at an upstream is estimated from the load that its answers report and from what was sent since; a request that would wait more than 0.6 of its route's objective is refused as not run, with that wait as the time to come back.

--- a/src/core/balance/balancer.rs
+++ b/src/core/balance/balancer.rs
@@ -10,13 +10,14 @@
 use super::{
     cold::{COLD_MARGIN, ColdLimit},
     health::{CheckResult, Health},
+    load::Load,
 };
 use crate::core::{
     LedgerChange,
     control::{RegionName, ServiceName, ZoneName},
     placement::{self, Candidate, ObjectId, Placement, default_order},
     routing::ServiceSpec,
-    upstreams::{ListedState, ListedUpstream, UpstreamId},
+    upstreams::{ListedState, ListedUpstream, ReportedLoad, UpstreamId},
 };
 
 /// Knows the upstreams and how busy they are, and chooses among them.
@@ -62,7 +63,7 @@
 #[derive(Clone, Debug)]
 struct Upstream {
     listed: ListedUpstream,
-    in_flight: u32,
+    load: Load,
     health: Health,
     cold_until: Duration,
     /// When this instance may next send a request while the upstream is cold.
@@ -76,6 +77,8 @@
     pub id: UpstreamId,
     /// Where it listens.
     pub address: SocketAddr,
+    /// How long the request is expected to wait for a slot.
+    pub expected_wait: Duration,
 }
 
 impl Balancer {
@@ -116,7 +119,7 @@
                     held.list_again(listed, now);
                     continue;
                 }
-                Some(held) => held.in_flight,
+                Some(held) => held.load.in_flight(),
                 None => 0,
             };
             self.upstreams.insert(listed.id.clone(), Upstream::new(listed, in_flight, now));
@@ -159,10 +162,10 @@
         let (cold, warm): (Vec<&Upstream>, Vec<&Upstream>) =
             self.upstreams.values().filter(usable).partition(|upstream| now < upstream.cold_until);
         if !warm.is_empty() {
-            return self.first(warm, wanted).map(Upstream::choice);
+            return self.first(warm, wanted).map(|upstream| upstream.choice(now));
         }
         let in_turn = cold.into_iter().filter(|upstream| now >= upstream.cold_turn).collect();
-        let choice = self.first(in_turn, wanted).map(Upstream::choice)?;
+        let choice = self.first(in_turn, wanted).map(|upstream| upstream.choice(now))?;
         let spacing = self.cold_spacing(wanted.service);
         if let Some(upstream) = self.upstreams.get_mut(&choice.id) {
             upstream.cold_turn = now + spacing;
@@ -197,16 +200,31 @@
     }
 
     /// Counts a request that is sent to an upstream.
-    pub fn begin(&mut self, id: &UpstreamId) {
+    pub fn begin(&mut self, id: &UpstreamId, now: Duration) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
-            upstream.in_flight += 1;
+            upstream.load.begin(now);
         }
     }
 
     /// Counts the end of a request at an upstream.
     pub fn end(&mut self, id: &UpstreamId) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
-            upstream.in_flight = upstream.in_flight.saturating_sub(1);
+            upstream.load.end();
+        }
+    }
+
+    /// Notes the load that an upstream reports.
+    pub fn note_load(&mut self, id: &UpstreamId, report: ReportedLoad, now: Duration) {
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            upstream.load.note_report(report, now);
+        }
+    }
+
+    /// Notes how long an upstream took to answer, given the wait that was
+    /// expected when it was chosen.
+    pub fn note_took(&mut self, choice: &Choice, took: Duration) {
+        if let Some(upstream) = self.upstreams.get_mut(&choice.id) {
+            upstream.load.note_took(took, choice.expected_wait);
         }
     }
 
@@ -230,7 +248,7 @@
         due.filter_map(|upstream| {
             upstream.health = upstream.health.checking();
             let service = services.get(&upstream.listed.service)?;
-            Some((upstream.choice(), service.clone()))
+            Some((upstream.choice(now), service.clone()))
         })
         .collect()
     }
@@ -277,9 +295,10 @@
 impl Upstream {
     fn new(listed: ListedUpstream, in_flight: u32, now: Duration) -> Self {
         let cold_left = listed.cold_left;
+        let load = Load::new(listed.slots, in_flight, now);
         let mut upstream = Self {
             listed,
-            in_flight,
+            load,
             health: Health::Sound,
             cold_until: Duration::ZERO,
             cold_turn: Duration::ZERO,
@@ -299,7 +318,11 @@
         }
     }
 
-    fn choice(&self) -> Choice {
-        Choice { id: self.listed.id.clone(), address: self.listed.address }
+    fn choice(&self, now: Duration) -> Choice {
+        Choice {
+            id: self.listed.id.clone(),
+            address: self.listed.address,
+            expected_wait: self.load.expected_wait(now),
+        }
     }
 }
--- a/src/core/balance/mod.rs
+++ b/src/core/balance/mod.rs
@@ -6,6 +6,7 @@
 mod balancer;
 mod cold;
 mod health;
+mod load;
 
 pub use self::{
     balancer::{Balancer, Choice, Place, Wanted},
--- a/src/runtime/entry_node/attempt.rs
+++ b/src/runtime/entry_node/attempt.rs
@@ -24,7 +24,7 @@
 #[derive(Debug)]
 pub(super) enum Outcome {
     /// The upstream answered.
-    Answered(Answer),
+    Answered { answer: Answer, load: Option<ReportedLoad> },
     /// The upstream says that it did not run the request.
     NotRun { status: u16, load: Option<ReportedLoad> },
     /// Nothing was sent.
@@ -44,7 +44,7 @@
 
 impl InFlight {
     fn new(state: &Rc<EntryState>, id: &UpstreamId) -> Self {
-        state.balancer.borrow_mut().begin(id);
+        state.balancer.borrow_mut().begin(id, state.clock.now());
         Self { state: state.clone(), id: id.clone() }
     }
 }
@@ -91,11 +91,11 @@
         let keep = keep_alive_timeout(&head);
         state.pool.borrow_mut().put(choice.address, connection.stream, keep);
     }
+    let load = headers::reported_load(&head.headers);
     if headers::says_not_run(&head.headers) || head.status == 421 {
-        let load = headers::reported_load(&head.headers);
         return Ok(Outcome::NotRun { status: head.status, load });
     }
-    Ok(Outcome::Answered(Answer::from_upstream(head.status, head.headers, body)))
+    Ok(Outcome::Answered { answer: Answer::from_upstream(head.status, head.headers, body), load })
 }
 
 fn encode(request: &Request, choice: &Choice, left: Duration) -> Bytes {
--- a/src/runtime/entry_node/exchange.rs
+++ b/src/runtime/entry_node/exchange.rs
@@ -28,6 +28,9 @@
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 /// When a caller that should use another instance should ask again.
 const RETRY_ELSEWHERE: Duration = Duration::from_millis(20);
+/// A request that would wait longer than this part of its route's objective
+/// is refused.
+const WAIT_PART: f64 = 0.6;
 /// The most upstreams that are tried without anything being sent.
 const UNREACHABLE_MAX: usize = 3;
 
@@ -113,6 +116,9 @@
             let Some(choice) = self.choose() else {
                 return self.refuse("no_upstream", RETRY_AFTER);
             };
+            if choice.expected_wait > self.route.objective.mul_f64(WAIT_PART) {
+                return self.refuse("busy", choice.expected_wait);
+            }
             let sent = self.state.clock.now();
             let left = self.until.saturating_sub(sent);
             self.begin(&choice, left);
@@ -156,7 +162,13 @@
     /// Returns the answer, if the request goes to no further upstream.
     fn conclude(&mut self, choice: &Choice, outcome: Outcome, sent: Duration) -> Option<Answer> {
         match outcome {
-            Outcome::Answered(answer) => {
+            Outcome::Answered { answer, load } => {
+                let now = self.state.clock.now();
+                let mut balancer = self.state.balancer.borrow_mut();
+                balancer.note_took(choice, now.saturating_sub(sent));
+                if let Some(load) = load {
+                    balancer.note_load(&choice.id, load, now);
+                }
                 self.note_demand(sent);
                 Some(answer)
             }
@@ -170,6 +182,10 @@
             }
             Outcome::NotRun { status, load } => {
                 self.may_have_run = false;
+                if let Some(load) = load {
+                    let now = self.state.clock.now();
+                    self.state.balancer.borrow_mut().note_load(&choice.id, load, now);
+                }
                 let (upstream, load) = (&choice.id, load.map(|load| load.to_string()));
                 info!(target: REQUEST, request = self.id, upstream, status, load, "not run");
                 let again = self.attempts < self.route.attempts_max && self.take_retry();
