Pass large request bodies on while they arrive

Cause: on links of 2 Mbit/s an upload was received in full before its first byte was sent on, so it crossed the entry instance's link twice in a row. What was ruled out: streaming answers, whose size is unknown before; bodies under 16 KiB, which gain nothing; dropping pieces once sent, because a request that an upstream did not run is sent again. After the last answer of a connection the rest of an unwanted body is read for up to a second, as closing at once resets the connection under the answer.

--- a/src/runtime/entry_node/mod.rs
+++ b/src/runtime/entry_node/mod.rs
@@ -4,6 +4,7 @@
 mod announce;
 mod answer;
 mod attempt;
+mod body;
 mod callers;
 mod exchange;
 mod follow;
--- a/src/runtime/entry_node/request.rs
+++ b/src/runtime/entry_node/request.rs
@@ -1,14 +1,15 @@
 //! Holds one request of a caller.
 
-use bytes::Bytes;
+use std::rc::Rc;
 
+use super::body::RequestBody;
 use crate::net::http1::RequestHead;
 
-/// Holds one request of a caller, received in full.
+/// Holds one request of a caller, whose body may still arrive.
 #[derive(Debug)]
 pub(super) struct Request {
     pub(super) head: RequestHead,
-    pub(super) body: Bytes,
+    pub(super) body: Rc<RequestBody>,
     /// When the head had arrived, by the instance's clock.
     pub(super) arrived: std::time::Duration,
 }
