Count and serve what entry instances and control replicas do

Cause: on-call engineers have only logs and metrics, and the new roles served none; dropped log lines were counted but not shown. Each role serves its metrics on the port that the deploy file gives it. What was ruled out: a port from the settings file, which names none for this; per-upstream labels, whose number is not bounded.

--- a/src/cli/node.rs
+++ b/src/cli/node.rs
@@ -18,7 +18,7 @@
 use super::{CommandResult, Failure};
 use crate::{
     platform::node_file,
-    runtime::{ControlNode, EntryNode, start_logs, stop_signal},
+    runtime::{ControlNode, DroppedLines, EntryNode, Exposed, start_logs, stop_signal},
     settings::NodeSettings,
 };
 
@@ -30,6 +30,10 @@
     /// the settings file; the default is the one that the environment names
     #[argh(option)]
     settings: Option<PathBuf>,
+
+    /// the port on which metrics are served; without it, there are none
+    #[argh(option)]
+    metrics_port: Option<u16>,
 }
 
 /// Runs a control replica until SIGTERM: the replicated state, the directory
@@ -40,13 +44,19 @@
     /// the settings file; the default is the one that the environment names
     #[argh(option)]
     settings: Option<PathBuf>,
+
+    /// the port on which metrics are served; without it, there are none
+    #[argh(option)]
+    metrics_port: Option<u16>,
 }
 
 impl Entry {
     pub(super) fn run(self) -> CommandResult {
         let file = SettingsFile::open(self.settings)?;
-        block_on(async {
-            let node = EntryNode::start(file.settings.clone()).await.map_err(eyre::Report::from)?;
+        block_on(async |dropped| {
+            let exposed = Exposed { metrics_port: self.metrics_port, dropped };
+            let started = EntryNode::start(file.settings.clone(), exposed).await;
+            let node = started.map_err(eyre::Report::from)?;
             let stopped = reload_until_stopped(file, |settings| node.reload(settings)).await;
             stopped.map_err(eyre::Report::from)?;
             node.stop().await;
@@ -58,9 +68,10 @@
 impl Control {
     pub(super) fn run(self) -> CommandResult {
         let file = SettingsFile::open(self.settings)?;
-        block_on(async {
-            let node =
-                ControlNode::start(file.settings.clone()).await.map_err(eyre::Report::from)?;
+        block_on(async |dropped| {
+            let exposed = Exposed { metrics_port: self.metrics_port, dropped };
+            let started = ControlNode::start(file.settings.clone(), exposed).await;
+            let node = started.map_err(eyre::Report::from)?;
             let stopped = reload_until_stopped(file, |settings| node.reload(settings)).await;
             stopped.map_err(eyre::Report::from)?;
             node.stop();
@@ -137,13 +148,13 @@
 }
 
 /// Runs on one thread: these roles get a part of one core.
-fn block_on(command: impl Future<Output = CommandResult>) -> CommandResult {
-    let _logs = start_logs().map_err(eyre::Report::from)?;
+fn block_on(command: impl AsyncFnOnce(DroppedLines) -> CommandResult) -> CommandResult {
+    let logs = start_logs().map_err(eyre::Report::from)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(eyre::Report::from)?;
-    let ended = runtime.block_on(LocalSet::new().run_until(command));
+    let ended = runtime.block_on(LocalSet::new().run_until(command(logs.dropped.clone())));
     runtime.shutdown_background();
     ended
 }
--- a/src/core/balance/balancer.rs
+++ b/src/core/balance/balancer.rs
@@ -150,6 +150,11 @@
         self.upstreams.len()
     }
 
+    /// Counts the upstreams that are not used until a health check passes.
+    pub fn count_unsound(&self) -> usize {
+        self.upstreams.values().filter(|upstream| upstream.health != Health::Sound).count()
+    }
+
     /// Tells whether no upstream is known.
     pub fn is_empty(&self) -> bool {
         self.upstreams.is_empty()
--- /dev/null
+++ b/src/runtime/control_node/metrics.rs
@@ -0,0 +1,73 @@
+//! Tells how a control replica stands.
+
+use std::sync::Arc;
+
+use prometheus::{IntGauge, IntGaugeVec, Registry};
+
+use super::{Shared, calls::policy, lock};
+use crate::runtime::{
+    logs::DroppedLines,
+    metrics::{opts, registry_text},
+};
+
+/// Holds the gauges of a control replica that the replica itself does not
+/// keep.
+#[derive(Clone, Debug)]
+pub(super) struct ControlGauges {
+    registry: Registry,
+    config_version: IntGauge,
+    evacuated_zones: IntGauge,
+    list_age_ms: IntGauge,
+    upstreams: IntGauge,
+    entries: IntGauge,
+    dropped_lines: IntGaugeVec,
+}
+
+impl ControlGauges {
+    /// Returns gauges with a registry of their own.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when two metrics share a name, which a test rules out.
+    pub(super) fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let gauge = |name, help| -> Result<IntGauge, prometheus::Error> {
+            let made = IntGauge::with_opts(opts(name, help))?;
+            registry.register(Box::new(made.clone()))?;
+            Ok(made)
+        };
+        let dropped_lines = IntGaugeVec::new(
+            opts("dropped_log_lines", "Log lines dropped since the start, by reason."),
+            &["reason"],
+        )?;
+        registry.register(Box::new(dropped_lines.clone()))?;
+        Ok(Self {
+            config_version: gauge("config_version", "Version of the configuration applied here.")?,
+            evacuated_zones: gauge("evacuated_zones", "Availability zones that are evacuated.")?,
+            list_age_ms: gauge(
+                "list_age_milliseconds",
+                "Age of the list of upstreams; -1 while there is none.",
+            )?,
+            upstreams: gauge("listed_upstreams", "Upstreams that are listed.")?,
+            entries: gauge("entry_instances", "Entry instances that are up.")?,
+            dropped_lines,
+            registry,
+        })
+    }
+
+    /// Returns all metrics of a control replica as text.
+    pub(super) async fn text(&self, shared: &Arc<Shared>, dropped: &DroppedLines) -> String {
+        if let Some(policy) = policy(shared).await {
+            self.config_version.set(policy.routing.version as i64);
+            self.evacuated_zones.set(policy.evacuated.len() as i64);
+        }
+        let now = shared.clock.now();
+        let read_at = lock(&shared.list).read_at();
+        let age_ms = read_at.map_or(-1, |at| now.saturating_sub(at).as_millis() as i64);
+        self.list_age_ms.set(age_ms);
+        self.upstreams.set(lock(&shared.list).len() as i64);
+        self.entries.set(lock(&shared.roster).count(now) as i64);
+        dropped.write_to(&self.dropped_lines);
+        shared.metrics.text() + &registry_text(&self.registry)
+    }
+}
--- a/src/runtime/control_node/mod.rs
+++ b/src/runtime/control_node/mod.rs
@@ -5,6 +5,7 @@
 mod directory;
 mod list_reader;
 mod membership;
+mod metrics;
 mod operators;
 mod peers;
 
@@ -26,7 +27,9 @@
 use super::{
     clock::Clock,
     http_answers::{HttpAnswers, listen, listen_datagrams, serve_answers},
+    logs::DroppedLines,
     metrics::Metrics,
+    metrics_server::{Exposed, Text, serve_metrics},
     node_error::NodeError,
     replica::{Probe, Replica, ReplicaSetup, TICK, Tick},
     replica_start::tick,
@@ -86,7 +89,7 @@
     /// # Errors
     ///
     /// Returns an error when an address or the data folder can't be used.
-    pub async fn start(settings: NodeSettings) -> Result<Self, NodeError> {
+    pub async fn start(settings: NodeSettings, exposed: Exposed) -> Result<Self, NodeError> {
         let Some(folder) = settings.data_folder.clone() else {
             return Err(NodeError::Settings("control needs a data folder".to_owned()));
         };
@@ -120,6 +123,9 @@
         let listen_addresses = shared.settings.listen;
         serve_where(listen_addresses.operators, operators::answers(shared.clone())).await?;
         serve_where(listen_addresses.directory, directory::answers(shared.clone())).await?;
+        if let Some(port) = exposed.metrics_port {
+            serve_gauges(shared.clone(), port, exposed.dropped).await?;
+        }
         info!(instance = shared.settings.instance, "control started");
         Ok(Self { shared })
     }
@@ -136,6 +142,20 @@
     }
 }
 
+async fn serve_gauges(
+    shared: Arc<Shared>,
+    port: u16,
+    dropped: DroppedLines,
+) -> Result<(), NodeError> {
+    let gauges = metrics::ControlGauges::new().map_err(NodeError::Metrics)?;
+    let address = (shared.settings.ip, port).into();
+    let text = move || -> Text {
+        let (gauges, shared, dropped) = (gauges.clone(), shared.clone(), dropped.clone());
+        Box::pin(async move { gauges.text(&shared, &dropped).await })
+    };
+    serve_metrics(address, text).await
+}
+
 /// Opens the data folder. One that is damaged is set aside: its replica gives
 /// way to one under a new id.
 fn open(
--- a/src/runtime/entry_node/announce.rs
+++ b/src/runtime/entry_node/announce.rs
@@ -23,6 +23,7 @@
     let mut stopping = state.stopping.subscribe();
     loop {
         state.pool.borrow_mut().close_old();
+        state.note_metrics();
         let announcement = Announcement {
             instance: state.settings.instance.clone(),
             zone: state.settings.zone.clone(),
--- a/src/runtime/entry_node/answer.rs
+++ b/src/runtime/entry_node/answer.rs
@@ -64,6 +64,11 @@
         self
     }
 
+    /// Tells whether the answer is the instance's own.
+    pub(super) fn is_own(&self) -> bool {
+        matches!(self.source, Source::Own { .. })
+    }
+
     /// Returns the answer as the last one of its connection.
     pub(super) fn closing(mut self) -> Self {
         self.closes = true;
--- a/src/runtime/entry_node/exchange.rs
+++ b/src/runtime/entry_node/exchange.rs
@@ -8,6 +8,7 @@
     answer::Answer,
     attempt::{Outcome, attempt},
     body::BodyState,
+    metrics::RequestOutcome,
     request::Request,
     state::EntryState,
 };
@@ -106,6 +107,7 @@
             Err(_) => self.refuse("timeout", RETRY_AFTER),
         };
         self.is_done = true;
+        self.note_outcome(RequestOutcome::new(answer.status, answer.is_own()));
         let (status, by, attempts) = (answer.status, self.tried.last(), self.attempts);
         let took_ms = self.took_ms();
         info!(target: REQUEST, request = self.id, status, upstream = by, attempts, took_ms, "answered");
@@ -145,6 +147,7 @@
         self.tried.push(choice.id.clone());
         self.attempts += 1;
         self.may_have_run = true;
+        self.state.metrics.note_attempt(self.service);
         info!(
             target: REQUEST,
             request = self.id,
@@ -235,14 +238,23 @@
         refuse(self.state, self.id, reason, retry_after)
     }
 
+    fn note_outcome(&self, outcome: RequestOutcome) {
+        self.state.metrics.note_request(self.service, self.route, outcome, self.took());
+    }
+
+    fn took(&self) -> Duration {
+        self.state.clock.now().saturating_sub(self.request.arrived)
+    }
+
     fn took_ms(&self) -> u64 {
-        self.state.clock.now().saturating_sub(self.request.arrived).as_millis() as u64
+        self.took().as_millis() as u64
     }
 }
 
 impl Drop for Exchange<'_> {
     fn drop(&mut self) {
         if !self.is_done {
+            self.note_outcome(RequestOutcome::CallerLeft);
             let (upstream, took_ms) = (self.tried.last(), self.took_ms());
             info!(target: REQUEST, request = self.id, upstream, took_ms, "caller left");
         }
@@ -251,6 +263,7 @@
 
 /// Refuses a request that has not run.
 fn refuse(state: &EntryState, id: &str, reason: &'static str, retry_after: Duration) -> Answer {
+    state.metrics.note_refused(reason);
     info!(
         target: REQUEST,
         request = id,
--- /dev/null
+++ b/src/runtime/entry_node/metrics.rs
@@ -0,0 +1,188 @@
+//! Counts what an entry instance does.
+
+use std::time::Duration;
+
+use prometheus::{HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Registry};
+
+use super::state::EntryState;
+use crate::{
+    core::{control::ServiceName, routing::Route},
+    runtime::{
+        logs::DroppedLines,
+        metrics::{opts, registry_text, seconds},
+    },
+};
+
+/// Holds the metrics of an entry instance. Clones count together.
+#[derive(Clone, Debug)]
+pub(super) struct EntryMetrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    latency: HistogramVec,
+    attempts: IntCounterVec,
+    refused: IntCounterVec,
+    retries: IntCounterVec,
+    open_requests: IntGauge,
+    ready: IntGauge,
+    config_version: IntGauge,
+    list_age_ms: IntGauge,
+    upstreams: IntGaugeVec,
+    entries: IntGauge,
+    dropped_lines: IntGaugeVec,
+}
+
+/// Says what became of a request, as a label.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum RequestOutcome {
+    /// An upstream answered with success.
+    Served,
+    /// An upstream answered with a failure.
+    UpstreamError,
+    /// It did not run, and the caller was told so.
+    Refused,
+    /// It may have run, and the caller got no answer of an upstream.
+    Failed,
+    /// The caller left first.
+    CallerLeft,
+}
+
+impl RequestOutcome {
+    /// Returns the outcome that a status and its source tell.
+    pub(super) fn new(status: u16, is_own: bool) -> Self {
+        match (is_own, status) {
+            (false, ..400) => Self::Served,
+            (false, _) => Self::UpstreamError,
+            (true, 408 | 421 | 429 | 503) => Self::Refused,
+            (true, _) => Self::Failed,
+        }
+    }
+
+    fn label(self) -> &'static str {
+        match self {
+            Self::Served => "served",
+            Self::UpstreamError => "upstream_error",
+            Self::Refused => "refused",
+            Self::Failed => "failed",
+            Self::CallerLeft => "caller_left",
+        }
+    }
+}
+
+impl EntryMetrics {
+    /// Returns metrics with a registry of their own.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when two metrics share a name, which a test rules out.
+    pub(super) fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let counter = |name, help, labels: &[&str]| -> Result<IntCounterVec, prometheus::Error> {
+            let made = IntCounterVec::new(opts(name, help), labels)?;
+            registry.register(Box::new(made.clone()))?;
+            Ok(made)
+        };
+        let gauge = |name, help| -> Result<IntGauge, prometheus::Error> {
+            let made = IntGauge::with_opts(opts(name, help))?;
+            registry.register(Box::new(made.clone()))?;
+            Ok(made)
+        };
+        let gauges = |name, help, labels: &[&str]| -> Result<IntGaugeVec, prometheus::Error> {
+            let made = IntGaugeVec::new(opts(name, help), labels)?;
+            registry.register(Box::new(made.clone()))?;
+            Ok(made)
+        };
+        let latency = HistogramVec::new(
+            seconds("request_seconds", "Time from a request's head to its answer."),
+            &["service", "priority"],
+        )?;
+        registry.register(Box::new(latency.clone()))?;
+        Ok(Self {
+            requests: counter(
+                "requests_total",
+                "Requests that were routed, by service, priority and outcome.",
+                &["service", "priority", "outcome"],
+            )?,
+            attempts: counter(
+                "attempts_total",
+                "Requests that were sent to upstreams, by service.",
+                &["service"],
+            )?,
+            refused: counter(
+                "refused_total",
+                "Requests that were refused without being run, by reason.",
+                &["reason"],
+            )?,
+            retries: counter(
+                "retries_total",
+                "Retries that were asked of the budget, by service and whether granted.",
+                &["service", "granted"],
+            )?,
+            open_requests: gauge("open_requests", "Requests in progress.")?,
+            ready: gauge("ready", "1 while the directory may name this instance.")?,
+            config_version: gauge("config_version", "Version of the configuration in force.")?,
+            list_age_ms: gauge(
+                "list_age_milliseconds",
+                "Age of the list of upstreams; -1 while there is none.",
+            )?,
+            upstreams: gauges("upstreams", "Upstreams that are listed, by state.", &["state"])?,
+            entries: gauge("entry_instances", "Entry instances that share the limits.")?,
+            dropped_lines: gauges(
+                "dropped_log_lines",
+                "Log lines dropped since the start, by reason.",
+                &["reason"],
+            )?,
+            latency,
+            registry,
+        })
+    }
+
+    /// Counts the end of a request.
+    pub(super) fn note_request(
+        &self,
+        service: &ServiceName,
+        route: &Route,
+        outcome: RequestOutcome,
+        took: Duration,
+    ) {
+        let priority = route.priority.to_string();
+        let labels = [service.as_str(), &priority];
+        self.requests.with_label_values(&[labels[0], labels[1], outcome.label()]).inc();
+        self.latency.with_label_values(&labels).observe(took.as_secs_f64());
+    }
+
+    /// Counts a request that is sent to an upstream.
+    pub(super) fn note_attempt(&self, service: &ServiceName) {
+        self.attempts.with_label_values(&[service.as_str()]).inc();
+    }
+
+    /// Counts a refusal.
+    pub(super) fn note_refused(&self, reason: &str) {
+        self.refused.with_label_values(&[reason]).inc();
+    }
+
+    /// Counts a retry that was asked of the budget.
+    pub(super) fn note_retry(&self, service: &ServiceName, is_granted: bool) {
+        let granted = if is_granted { "yes" } else { "no" };
+        self.retries.with_label_values(&[service.as_str(), granted]).inc();
+    }
+
+    /// Takes over how things stand.
+    pub(super) fn note_state(&self, state: &EntryState, dropped: &DroppedLines) {
+        self.open_requests.set(state.requests_open.get() as i64);
+        self.ready.set(i64::from(state.is_ready.load(std::sync::atomic::Ordering::Relaxed)));
+        self.config_version.set(state.config_version() as i64);
+        self.list_age_ms.set(state.list_age_ms().map_or(-1, |age_ms| age_ms as i64));
+        self.entries.set(i64::from(state.entry_count()));
+        let balancer = state.balancer.borrow();
+        let unsound = balancer.count_unsound();
+        let sound = balancer.len() - unsound;
+        self.upstreams.with_label_values(&["sound"]).set(sound as i64);
+        self.upstreams.with_label_values(&["unsound"]).set(unsound as i64);
+        dropped.write_to(&self.dropped_lines);
+    }
+
+    /// Returns all metrics as text.
+    pub(super) fn text(&self) -> String {
+        registry_text(&self.registry)
+    }
+}
--- a/src/runtime/entry_node/mod.rs
+++ b/src/runtime/entry_node/mod.rs
@@ -9,6 +9,7 @@
 mod exchange;
 mod follow;
 mod health;
+mod metrics;
 mod pool;
 mod ready;
 mod request;
@@ -18,9 +19,10 @@
 
 use tracing::info;
 
-use self::state::EntryState;
+use self::{metrics::EntryMetrics, state::EntryState};
 use super::{
     http_answers::{listen, serve_answers},
+    metrics_server::{Exposed, Text, serve_metrics},
     node_error::NodeError,
 };
 use crate::settings::NodeSettings;
@@ -41,13 +43,19 @@
     /// # Errors
     ///
     /// Returns an error when an address can't be used.
-    pub async fn start(settings: NodeSettings) -> Result<Self, NodeError> {
+    pub async fn start(settings: NodeSettings, exposed: Exposed) -> Result<Self, NodeError> {
         let Some(callers_address) = settings.listen.callers else {
             return Err(NodeError::Settings("entry needs an address for callers".to_owned()));
         };
         let readiness = settings.listen.readiness;
         let listener = listen(callers_address).await?;
-        let state = Rc::new(EntryState::new(settings));
+        let metrics = EntryMetrics::new().map_err(NodeError::Metrics)?;
+        if let Some(port) = exposed.metrics_port {
+            let metrics = metrics.clone();
+            let text = move || -> Text { Box::pin(std::future::ready(metrics.text())) };
+            serve_metrics((settings.ip, port).into(), text).await?;
+        }
+        let state = Rc::new(EntryState::new(settings, metrics, exposed.dropped));
         if let Some(address) = readiness {
             let listener = listen(address).await?;
             tokio::spawn(serve_answers(listener, ready::answers(state.is_ready.clone())));
--- a/src/runtime/entry_node/state.rs
+++ b/src/runtime/entry_node/state.rs
@@ -11,7 +11,7 @@
 
 use tokio::sync::{Notify, watch};
 
-use super::{Flag, pool::Pool};
+use super::{Flag, metrics::EntryMetrics, pool::Pool};
 use crate::{
     core::{
         RecentMax,
@@ -21,7 +21,7 @@
         placement::{DemandMeter, DemandReport},
         routing::{CallerLimits, Matched},
     },
-    runtime::clock::Clock,
+    runtime::{clock::Clock, logs::DroppedLines},
     settings::NodeSettings,
 };
 
@@ -52,6 +52,8 @@
     /// When the stop began.
     stop_began: Cell<Option<Duration>>,
     pub(super) requests_open: Cell<usize>,
+    pub(super) metrics: EntryMetrics,
+    dropped: DroppedLines,
 }
 
 /// How many entry instances are assumed before control tells.
@@ -68,7 +70,11 @@
 const STOP_TAKES: Duration = Duration::from_millis(2500);
 
 impl EntryState {
-    pub(super) fn new(settings: NodeSettings) -> Self {
+    pub(super) fn new(
+        settings: NodeSettings,
+        metrics: EntryMetrics,
+        dropped: DroppedLines,
+    ) -> Self {
         let place = Place {
             region: settings.region.clone(),
             zone: settings.zone.clone(),
@@ -98,6 +104,8 @@
             stopping: watch::Sender::new(false),
             stop_began: Cell::new(None),
             requests_open: Cell::new(0),
+            metrics,
+            dropped,
             settings,
         }
     }
@@ -158,7 +166,9 @@
 
     /// Takes a retry from the budget of a service, if there is one.
     pub(super) fn take_retry(&self, service: &ServiceName) -> bool {
-        self.with_budget(service, RetryBudget::take)
+        let taken = self.with_budget(service, RetryBudget::take);
+        self.metrics.note_retry(service, taken);
+        taken
     }
 
     fn with_budget<T>(&self, service: &ServiceName, run: impl FnOnce(&mut RetryBudget) -> T) -> T {
@@ -177,6 +187,16 @@
         (slack / f64::from(self.entry_count.get())) as u32
     }
 
+    /// Brings the metrics up to date that tell how things stand.
+    pub(super) fn note_metrics(&self) {
+        self.metrics.note_state(self, &self.dropped);
+    }
+
+    /// Returns how many entry instances share the limits.
+    pub(super) fn entry_count(&self) -> u32 {
+        self.entry_count.get()
+    }
+
     /// Returns what callers may send.
     pub(super) fn limits(&self) -> CallerLimits {
         self.policy.borrow().routing.limits.clone()
--- a/src/runtime/logs.rs
+++ b/src/runtime/logs.rs
@@ -10,6 +10,7 @@
     atomic::{AtomicU64, Ordering},
 };
 
+use prometheus::IntGaugeVec;
 use tracing::{Event, Subscriber, level_filters::LevelFilter};
 use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::{
@@ -28,10 +29,10 @@
 const QUEUE_LINES: usize = 2000;
 
 /// Counts the lines that were dropped.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct DroppedLines {
     over_rate: Arc<AtomicU64>,
-    queue_full: ErrorCounter,
+    queue_full: Option<ErrorCounter>,
 }
 
 /// Keeps the writing thread alive; lines that wait are written when it goes.
@@ -50,7 +51,13 @@
 
     /// Returns how many lines were dropped because the queue was full.
     pub fn queue_full(&self) -> u64 {
-        self.queue_full.dropped_lines() as u64
+        self.queue_full.as_ref().map_or(0, |counter| counter.dropped_lines() as u64)
+    }
+
+    /// Sets gauges, by reason.
+    pub(super) fn write_to(&self, gauges: &IntGaugeVec) {
+        gauges.with_label_values(&["over_rate"]).set(self.over_rate() as i64);
+        gauges.with_label_values(&["queue_full"]).set(self.queue_full() as i64);
     }
 }
 
@@ -63,7 +70,8 @@
     let builder = NonBlockingBuilder::default().lossy(true).buffered_lines_limit(QUEUE_LINES);
     let (writer, guard) = builder.finish(std::io::stdout());
     let over_rate = Arc::new(AtomicU64::new(0));
-    let dropped = DroppedLines { over_rate: over_rate.clone(), queue_full: writer.error_counter() };
+    let dropped =
+        DroppedLines { over_rate: over_rate.clone(), queue_full: Some(writer.error_counter()) };
     let lines = tracing_subscriber::fmt::layer().json().flatten_event(true).with_writer(writer);
     tracing_subscriber::registry()
         .with(lines)
--- a/src/runtime/metrics.rs
+++ b/src/runtime/metrics.rs
@@ -146,16 +146,25 @@
 
     /// Returns all metrics as text.
     pub(super) fn text(&self) -> String {
-        let mut buffer = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut buffer).ok();
-        String::from_utf8_lossy(&buffer).into_owned()
+        registry_text(&self.registry)
     }
 }
 
-fn opts(name: &str, help: &str) -> Opts {
+/// Returns all metrics of a registry as text.
+pub(super) fn registry_text(registry: &Registry) -> String {
+    let mut buffer = Vec::new();
+    if let Err(error) = TextEncoder::new().encode(&registry.gather(), &mut buffer) {
+        tracing::warn!(%error, "the metrics can't be written in full");
+    }
+    String::from_utf8_lossy(&buffer).into_owned()
+}
+
+/// Names and describes a metric.
+pub(super) fn opts(name: &str, help: &str) -> Opts {
     Opts::new(name, help).namespace("bulrushspan")
 }
 
-fn seconds(name: &str, help: &str) -> HistogramOpts {
+/// Names and describes a histogram of times.
+pub(super) fn seconds(name: &str, help: &str) -> HistogramOpts {
     HistogramOpts::new(name, help).namespace("bulrushspan").buckets(LATENCY_BOUNDS_S.to_vec())
 }
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -13,6 +13,7 @@
 mod instance;
 mod logs;
 mod metrics;
+mod metrics_server;
 mod node_error;
 mod operators;
 mod peers;
@@ -28,6 +29,7 @@
     entry_node::EntryNode,
     instance::{Instance, InstanceError, stop_signal},
     logs::{DroppedLines, LogGuard, start_logs},
+    metrics_server::Exposed,
     node_error::NodeError,
     operators::{ChangeAnswer, LookUpAnswer, OfferedInstance},
     platform::{ListedInstance, PlatformList},
