Explain a request from its id and the logs

Cause: from a failed request's id one had to join the lines of several processes by hand and know what each reason means. `bulrushspan explain ID FILE...` joins the lines of one request over all processes, tells its path and its cause, and names lines that can't be read. The line about an answer now says whether it is an upstream's or the instance's own; without that a 502 of an upstream and one of our own looked alike. What was ruled out: the process's name in every line, which costs bytes and which collectors add anyway.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -5,6 +5,7 @@
 mod check;
 mod client;
 mod demo;
+mod explain;
 mod instance;
 mod lookup;
 mod node;
@@ -43,6 +44,7 @@
     Status(status::StatusFlags),
     Audit(audit::AuditFlags),
     Lookup(lookup::LookupFlags),
+    Explain(explain::Explain),
     StandIn(stand_in::StandInFlags),
 }
 
@@ -82,6 +84,7 @@
         Command::Status(flags) => block_on(flags.run()),
         Command::Audit(flags) => block_on(flags.run()),
         Command::Lookup(flags) => block_on(flags.run()),
+        Command::Explain(flags) => flags.run(),
         Command::StandIn(flags) => block_on(flags.run()),
     };
     match ended {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod cli;
 pub mod core;
 pub mod demo;
+pub mod explain;
 pub mod net;
 #[path = "../platform/mod.rs"]
 pub mod platform;
--- a/src/runtime/entry_node/exchange.rs
+++ b/src/runtime/entry_node/exchange.rs
@@ -110,7 +110,8 @@
         self.note_outcome(RequestOutcome::new(answer.status, answer.is_own()));
         let (status, by, attempts) = (answer.status, self.tried.last(), self.attempts);
         let took_ms = self.took_ms();
-        info!(target: REQUEST, request = self.id, status, upstream = by, attempts, took_ms, "answered");
+        let source = if answer.is_own() { "instance" } else { "upstream" };
+        info!(target: REQUEST, request = self.id, status, source, upstream = by, attempts, took_ms, "answered");
         answer
     }
 
--- /dev/null
+++ b/tests/it/balance.rs
@@ -0,0 +1,200 @@
+//! Which upstream a request goes to.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use bulrushspan::core::{
+    LedgerChange, RecentMax,
+    admission::RetryBudget,
+    balance::{Balancer, CheckResult, ColdLimit, Place, Wanted},
+    placement::object_of,
+    routing::ServiceSpec,
+    upstreams::{ListedState, ListedUpstream, ReportedLoad},
+};
+
+const SERVICE: &str = "orders";
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn upstream(id: &str, zone: &str) -> ListedUpstream {
+    ListedUpstream {
+        id: id.to_owned(),
+        service: SERVICE.to_owned(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        zone: zone.to_owned(),
+        version: "v1".to_owned(),
+        slots: 4,
+        state: ListedState::Ready,
+        cold_left: Duration::ZERO,
+        started_unix_ms: Some(1),
+    }
+}
+
+fn whole(listed: &[ListedUpstream]) -> LedgerChange<String, ListedUpstream> {
+    let put = listed.iter().map(|upstream| (upstream.id.clone(), upstream.clone())).collect();
+    LedgerChange { count: 1, whole: true, put, removed: Vec::new() }
+}
+
+fn balancer(listed: &[ListedUpstream]) -> Balancer {
+    let zones = [("a", "north"), ("b", "north"), ("c", "south")];
+    let place = Place {
+        region: "north".to_owned(),
+        zone: "a".to_owned(),
+        regions_of_zones: zones.map(|(zone, region)| (zone.to_owned(), region.to_owned())).into(),
+    };
+    let mut balancer = Balancer::new(place, ColdLimit { factor: 1.5, slack: 5.0, entries: 2 });
+    let service = ServiceSpec {
+        health_path: "/health".to_owned(),
+        connections_max: 100,
+        protocol: "h1".to_owned(),
+        tls: false,
+        cold_start: at(3000),
+        cold_rate_per_s: 8.0,
+    };
+    balancer.set_services([(SERVICE.to_owned(), service.into())].into());
+    balancer.update(whole(listed), at(0));
+    balancer
+}
+
+fn choose(
+    balancer: &mut Balancer,
+    key: u32,
+    homes: &[String],
+    tried: &[String],
+    now: Duration,
+) -> Option<String> {
+    let service = SERVICE.to_owned();
+    let object = object_of("route", &key.to_string());
+    let wanted =
+        Wanted { service: &service, object, has_large_body: false, home_regions: homes, tried };
+    balancer.choose(&wanted, now).map(|choice| choice.id)
+}
+
+/// Returns all that keys are sent to.
+fn chosen(balancer: &mut Balancer, homes: &[String], now: Duration) -> BTreeSet<String> {
+    (0..200).filter_map(|key| choose(balancer, key, homes, &[], now)).collect()
+}
+
+fn names(names: &[&str]) -> BTreeSet<String> {
+    names.iter().map(|name| (*name).to_owned()).collect()
+}
+
+#[test]
+fn instances_agree_on_where_an_object_goes_and_others_stay_when_one_upstream_leaves() {
+    let all = ["u1", "u2", "u3", "u4"].map(|id| upstream(id, "a"));
+    let (mut one, mut other) = (balancer(&all), balancer(&all));
+    let mut fewer = balancer(&all[..3]);
+    for key in 0..200 {
+        let here = choose(&mut one, key, &[], &[], at(1));
+        assert_eq!(here, choose(&mut other, key, &[], &[], at(1)));
+        if here.as_deref() != Some("u4") {
+            assert_eq!(here, choose(&mut fewer, key, &[], &[], at(1)));
+        }
+    }
+}
+
+#[test]
+fn leaving_evacuated_failed_and_tried_upstreams_get_nothing() {
+    let mut leaving = upstream("leaving", "a");
+    leaving.state = ListedState::Leaving;
+    let listed = [
+        upstream("sound", "a"),
+        leaving,
+        upstream("failed", "a"),
+        upstream("tried", "a"),
+        upstream("evacuated", "b"),
+    ];
+    let mut balancer = balancer(&listed);
+    balancer.set_evacuated(["b".to_owned()].into(), at(0));
+    balancer.note_failure(&"failed".to_owned(), at(0));
+    let tried = ["tried".to_owned()];
+    for key in 0..200 {
+        let id = choose(&mut balancer, key, &[], &tried, at(1));
+        assert_eq!(id.as_deref(), Some("sound"));
+    }
+}
+
+#[test]
+fn a_failed_upstream_is_used_again_after_a_health_check_and_is_cold_as_it_says() {
+    let mut balancer = balancer(&[upstream("u1", "a")]);
+    let id = "u1".to_owned();
+    balancer.note_failure(&id, at(0));
+    assert!(balancer.take_due_checks(at(10)).is_empty());
+    assert_eq!(balancer.take_due_checks(at(30)).len(), 1);
+    assert!(balancer.take_due_checks(at(30)).is_empty(), "one check at a time");
+    assert!(!balancer.note_check(&id, CheckResult::Silent, at(40)));
+    assert_eq!(choose(&mut balancer, 1, &[], &[], at(50)), None);
+    assert!(balancer.note_check(&id, CheckResult::Healthy { cold_left: at(2000) }, at(400)));
+    assert_eq!(choose(&mut balancer, 1, &[], &[], at(400)).as_deref(), Some("u1"));
+    assert_eq!(choose(&mut balancer, 1, &[], &[], at(401)), None, "cold: not twice at once");
+}
+
+#[test]
+fn a_cold_upstream_gets_no_more_than_this_instances_part_of_what_it_bears() {
+    let mut cold = upstream("u1", "a");
+    cold.cold_left = at(3000);
+    let mut balancer = balancer(&[cold]);
+    let sent = (0..1000).filter(|ms| choose(&mut balancer, 1, &[], &[], at(*ms)).is_some());
+    let bound = (8.0 * 1.5 + 5.0) / 2.0;
+    let sent = sent.count();
+    assert!(sent > 0 && (sent as f64) <= bound, "{sent} of {bound} a second");
+}
+
+#[test]
+fn zones_that_are_taken_back_count_as_cold() {
+    let mut balancer = balancer(&[upstream("u1", "b")]);
+    balancer.set_evacuated(["b".to_owned()].into(), at(0));
+    balancer.set_evacuated(BTreeSet::new(), at(1000));
+    let sent = (1000..2000).filter(|ms| choose(&mut balancer, 1, &[], &[], at(*ms)).is_some());
+    assert!(sent.count() <= 9);
+}
+
+#[test]
+fn home_regions_bind() {
+    let mut balancer = balancer(&[upstream("near", "a"), upstream("far", "c")]);
+    assert_eq!(chosen(&mut balancer, &["south".to_owned()], at(1)), names(&["far"]));
+    assert_eq!(chosen(&mut balancer, &["west".to_owned()], at(1)), names(&[]));
+}
+
+#[test]
+fn the_expected_wait_follows_what_an_upstream_reports_and_shrinks_with_time() {
+    let mut balancer = balancer(&[upstream("u1", "a")]);
+    let report = ReportedLoad { running: 4, waiting: 4, slots: 4 };
+    balancer.note_load(&"u1".to_owned(), report, at(1000));
+    let service = SERVICE.to_owned();
+    let wanted = Wanted {
+        service: &service,
+        object: object_of("route", "1"),
+        has_large_body: false,
+        home_regions: &[],
+        tried: &[],
+    };
+    let mut wait = |ms| balancer.choose(&wanted, at(ms)).unwrap().expected_wait;
+    let waits = [wait(1000), wait(1100), wait(2000)];
+    assert!(waits[0] > waits[1] && waits[1] > waits[2], "{waits:?}");
+    assert_eq!(waits[2], Duration::ZERO);
+}
+
+#[test]
+fn the_parts_of_a_retry_budget_add_up_to_no_more_than_the_whole() {
+    let (entries, slack, percent) = (7, 62, 16);
+    let mut taken = 0;
+    for _ in 0..entries {
+        let mut budget = RetryBudget::new(percent).with_saved(slack / entries);
+        (0..100).for_each(|_| budget.note_request());
+        taken += (0..1000).filter(|_| budget.take()).count() as u32;
+    }
+    assert!(taken <= slack + entries * 100 * percent / 100, "{taken}");
+    let mut budget = RetryBudget::new(percent).with_saved(9);
+    budget.limit_saved(1);
+    assert_eq!((0..100).filter(|_| budget.take()).count(), 1);
+}
+
+#[test]
+fn the_greatest_number_counts_until_the_window_is_over() {
+    let mut seen = RecentMax::new(at(20));
+    let noted = [(0, 3), (5, 9), (10, 4), (25, 4), (26, 2), (50, 1)];
+    let greatest = noted.map(|(ms, number)| seen.note(number, at(ms)));
+    assert_eq!(greatest, [3, 9, 9, 9, 4, 1]);
+}
--- /dev/null
+++ b/tests/it/http1.rs
@@ -0,0 +1,91 @@
+//! Messages of HTTP/1.1 that are whole, in pieces, and ambiguous.
+
+use bulrushspan::net::http1::{
+    BodyReader, Framing, HeadError, parse_request_head, parse_response_head,
+};
+use bytes::BytesMut;
+
+const HEAD_MAX: usize = 1024;
+
+fn refused(head: &str) -> bool {
+    let mut buffer = BytesMut::from(head);
+    matches!(parse_request_head(&mut buffer, HEAD_MAX), Err(HeadError::Malformed(_)))
+}
+
+#[test]
+fn requests_whose_end_is_ambiguous_are_refused() {
+    let heads = [
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +4\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4, 4\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: x\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost : a\r\n\r\n",
+        "GET /\u{0} HTTP/1.1\r\nHost: a\r\n\r\n",
+    ];
+    let accepted: Vec<&&str> = heads.iter().filter(|head| !refused(head)).collect();
+    assert!(accepted.is_empty(), "{accepted:?}");
+}
+
+#[test]
+fn a_head_is_taken_once_it_is_whole_and_what_follows_stays() {
+    let text = "\r\nGET /a?b HTTP/1.1\r\nHost: h\r\n\r\nGET /next";
+    for end in 0..text.len() - "GET /next".len() {
+        let mut buffer = BytesMut::from(&text[..end]);
+        let parsed = parse_request_head(&mut buffer, HEAD_MAX).unwrap();
+        assert!(parsed.is_none(), "{:?} is no whole head", &text[..end]);
+    }
+    let mut buffer = BytesMut::from(text);
+    let head = parse_request_head(&mut buffer, HEAD_MAX).unwrap().unwrap();
+    assert_eq!((head.target.as_str(), head.framing), ("/a?b", Framing::Length(0)));
+    assert_eq!(&buffer[..], b"GET /next");
+}
+
+#[test]
+fn a_head_over_the_limit_is_refused_before_it_has_ended() {
+    let text = format!("GET /{} HTTP/1.1\r\n", "x".repeat(HEAD_MAX));
+    let mut buffer = BytesMut::from(text.as_str());
+    let parsed = parse_request_head(&mut buffer, HEAD_MAX).map(|head| head.is_some());
+    assert_eq!(parsed, Err(HeadError::TooLarge));
+}
+
+#[test]
+fn chunks_come_out_as_they_arrive_in_any_pieces() {
+    let text = b"3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nTrailer: t\r\n\r\nnext";
+    for size in 1..text.len() {
+        let mut reader = BodyReader::new(Framing::Chunked);
+        let (mut buffer, mut body) = (BytesMut::new(), Vec::new());
+        for piece in text.chunks(size) {
+            buffer.extend_from_slice(piece);
+            while let Some(piece) = reader.next(&mut buffer).unwrap() {
+                body.extend_from_slice(&piece);
+            }
+        }
+        assert!(reader.is_done());
+        assert_eq!((body.as_slice(), &buffer[..]), (&b"abcde"[..], &b"next"[..]));
+    }
+}
+
+#[test]
+fn a_body_that_ends_early_is_not_whole() {
+    for framing in [Framing::Length(5), Framing::Chunked] {
+        let mut reader = BodyReader::new(framing);
+        let mut buffer = BytesMut::from("3\r\nab");
+        while reader.next(&mut buffer).unwrap().is_some() {}
+        assert!(!reader.is_done() || reader.end().is_ok());
+        if framing == Framing::Chunked {
+            assert!(reader.end().is_err());
+        }
+    }
+}
+
+#[test]
+fn a_response_without_a_length_ends_with_its_connection() {
+    let mut buffer = BytesMut::from("HTTP/1.1 200 OK\r\nX: y\r\n\r\nab");
+    let head = parse_response_head(&mut buffer, HEAD_MAX, "GET").unwrap().unwrap();
+    assert_eq!((head.framing, head.keeps_alive), (Framing::UntilClose, false));
+    let mut reader = BodyReader::new(head.framing);
+    assert_eq!(reader.next(&mut buffer).unwrap().unwrap(), "ab");
+    assert!(reader.end().is_ok() && reader.is_done());
+}
--- /dev/null
+++ b/tests/it/platform.rs
@@ -0,0 +1,93 @@
+//! What the platform sends, sound and damaged.
+
+use bulrushspan::platform::{configuration, listing, node_file};
+
+#[test]
+fn damaged_entries_of_the_list_are_reported_and_the_others_hold() {
+    let page = br#"{"instances": [
+        {"id": "i-1", "service": "s", "addr": "10.0.0.1:80", "zone": "a", "slots": 4,
+         "state": "ready", "cold_left_s": 1.5, "born": 7, "unheard": {}},
+        {"id": "i-2", "service": "s", "addr": "10.0.0.2:80", "zone": "a", "slots": "4",
+         "state": "ready", "cold_left_s": 0},
+        {"id": "i-3", "service": "s", "addr": "10.0.0.3:80", "zone": "a", "slots": 4,
+         "state": "asleep", "cold_left_s": 0},
+        17,
+        {"id": "i-5", "service": "s", "addr": "10.0.0.5:80", "zone": "b", "slots": 4,
+         "state": "draining", "cold_left_s": -1}
+    ], "next_token": "p 2"}"#;
+    let page = listing::decode_page(page).unwrap();
+    insta::assert_debug_snapshot!("listing_page", page);
+    assert_eq!(listing::page_target(page.next.as_deref()), "/instances?page_token=p+2");
+}
+
+#[test]
+fn a_list_that_is_cut_short_is_no_list() {
+    assert!(listing::decode_page(br#"{"instances": [{"id": "i-1""#).is_err());
+}
+
+const SERVICE: &str = r#"{"type": "services", "meta": {"name": "s"}, "spec":
+    {"health_path": "/h", "max_conns": 9, "protocol": "h1", "tls": false,
+     "cold_start_s": 3.0, "cold_per_s": 7.8}}"#;
+
+fn route(name: &str, host: &str, prefix: &str, rest: &str) -> String {
+    format!(
+        r#"{{"type": "routes", "meta": {{"name": "{name}"}}, "spec": {{"host": "{host}",
+        "path_prefix": "{prefix}", "kind": "safe", "slo_s": 0.5, "priority": 2,
+        "max_attempts": 2, {rest}}}}}"#
+    )
+}
+
+fn configured(routes: &[String]) -> String {
+    let routes = routes.join(",");
+    format!(r#"{{"version": "r7", "resources": [{SERVICE}, {routes}]}}"#)
+}
+
+#[test]
+fn every_fault_of_a_configuration_is_found_at_once() {
+    let faulty = configured(&[
+        route("unknown", "a", "/x/", r#""timeout_s": 1, "service": "t""#),
+        route("first", "b", "/x/", r#""timeout_s": 1, "service": "s""#),
+        route("second", "b", "/x/", r#""timeout_s": 1, "service": "s""#),
+        route("weight", "c", "/", r#""timeout_s": 1, "split": [{"service": "s", "weight": -1}]"#),
+        route("timeout", "d", "/", r#""timeout_s": 0, "service": "s""#),
+        route("prefix", "e", "x", r#""timeout_s": 1, "service": "s""#),
+        route("host", "", "/", r#""timeout_s": 1, "service": "s""#),
+    ]);
+    let findings = match configuration::decode(faulty.as_bytes()) {
+        Ok(table) => table.findings(),
+        Err(findings) => findings,
+    };
+    insta::assert_debug_snapshot!("configuration_findings", findings);
+}
+
+#[test]
+fn a_configuration_is_read_back_as_it_was_sent() {
+    let sent = configured(&[
+        route("one", "b", "/x/", r#""timeout_s": 1.5, "service": "s", "home_regions": ["r"]"#),
+        route("two", "b", "/", r#""timeout_s": 2, "split": [{"service": "s", "weight": 90}]"#),
+    ]);
+    let table = configuration::decode(sent.as_bytes()).unwrap();
+    let again = configuration::decode(&configuration::encode(&table).unwrap()).unwrap();
+    assert_eq!(table, again);
+    for end in 0..sent.len() {
+        assert!(configuration::decode(&sent.as_bytes()[..end]).is_err(), "cut at {end}");
+    }
+}
+
+const NODE: &str = r#"{"node": "n", "ip": "10.0.0.1", "zone": "a", "region": "r",
+    "zones": {"a": "r"}, "listen": {"front": "10.0.0.1:80"}, "cluster_ports": [7, 9],
+    "limits": {"cpu_share": 0.2, "memory_mb": 200, "max_fds": 400}, "new": 1,
+    "bounds": {"drain_s": 3, "retry_ratio": 0.1}}"#;
+
+#[test]
+fn a_settings_file_may_begin_with_a_byte_order_mark_and_hold_more() {
+    let settings = node_file::decode(&format!("\u{feff}{NODE}")).unwrap();
+    assert_eq!(settings.bounds.drain.as_secs(), 3);
+    assert_eq!(settings.bounds.retry_ratio, 0.1);
+}
+
+#[test]
+fn a_bound_that_is_no_time_is_found_by_its_name() {
+    let findings = node_file::decode(&NODE.replace("\"drain_s\": 3", "\"drain_s\": -3"));
+    insta::assert_debug_snapshot!("node_file_findings", findings.unwrap_err());
+}
