--- a/src/core/admission/mod.rs
+++ b/src/core/admission/mod.rs
@@ -7,6 +7,7 @@
 mod desk;
 mod fairness;
 mod link;
+mod offers;
 mod pool;
 mod queue;
 mod retry;
@@ -16,6 +17,7 @@
 pub use self::{
     desk::{Admission, AdmissionConfig, Released},
     link::LinkBucket,
+    offers::Offers,
     pool::{Offer, Pool, PoolConfig, PoolEvent, RefusalReason},
     queue::{WaitQueue, Waiting},
     retry::RetryBudget,
--- a/src/explain/story.rs
+++ b/src/explain/story.rs
@@ -85,7 +85,12 @@
             show("retry_after_ms"),
         ),
         "not run" => {
-            format!("{} answered {}: not run; load {}", show("upstream"), show("status"), show("load"))
+            format!(
+                "{} answered {}: not run; load {}",
+                show("upstream"),
+                show("status"),
+                show("load")
+            )
         }
         "unreachable" => format!("{} could not be reached: {}", show("upstream"), show("error")),
         "broken off" => format!("{} broke off: {}", show("upstream"), show("error")),
--- a/src/runtime/gateway/callers.rs
+++ b/src/runtime/gateway/callers.rs
@@ -27,6 +27,7 @@
 };
 use crate::{
     core::{
+        admission::Offers,
         control::RequestClass,
         steering::{OwnerChoice, choose_owners},
     },
@@ -34,9 +35,6 @@
     runtime::operators::LookUpAnswer,
 };
 
-/// The most owners that a request is offered to without a retry budget: the
-/// first refuses because its load report was old.
-const FREE_OFFERS: usize = 2;
 /// The most owners that a request is offered to.
 const OFFERS_MAX: usize = 4;
 
@@ -277,20 +275,26 @@
     /// hop. Where the request waits, if it has to, goes by the load reports.
     async fn run_offers(&self, call: &Call) -> Result<Incoming, Problem> {
         let owners = self.owners_for(call);
+        let mut offers = Offers::default();
         if owners.iter().any(|owner| owner.holder == self.shared.me) {
             match self.run_here(call, false).await {
-                Err(problem) if passes_on(&problem) => {}
+                Err(problem) if passes_on(&problem) => {
+                    if problem.error == "shed" {
+                        offers.note();
+                    }
+                }
                 ended => return ended,
             }
         }
         let mut last = refused("no_upstream");
-        for (number, owner) in owners.iter().take(OFFERS_MAX).enumerate() {
-            if !call.body.is_whole() || !self.may_offer_again(call, number) {
+        for owner in owners.iter().take(OFFERS_MAX) {
+            if !call.body.is_whole() || !self.may_offer_again(call, offers) {
                 break;
             }
-            if number > 0 {
+            if offers.made() > 0 {
                 self.shared.metrics.retries.with_label_values(&[call.service.as_str()]).inc();
             }
+            offers.note();
             let answer = if owner.holder == self.shared.me {
                 self.run_here(call, true).await
             } else {
@@ -304,9 +308,9 @@
         Err(last)
     }
 
-    fn may_offer_again(&self, call: &Call, number: usize) -> bool {
+    fn may_offer_again(&self, call: &Call, offers: Offers) -> bool {
         let in_time = self.now() < call.deadline;
-        in_time && (number < FREE_OFFERS || self.may_retry(&call.service))
+        in_time && (!offers.needs_retry() || self.may_retry(&call.service))
     }
 
     fn owners_for(&self, call: &Call) -> Vec<OwnerChoice> {
--- a/src/settings/parse.rs
+++ b/src/settings/parse.rs
@@ -37,7 +37,9 @@
         Findings { file: file.clone(), list: vec![Finding { line: 1, column: 1, text }] }
     })?;
     let folder = path.parent().unwrap_or(Path::new("")).to_owned();
-    parse(&file, &text, &folder)
+    // Some editors put a byte order mark in front.
+    let text = text.strip_prefix('\u{feff}').unwrap_or(&text);
+    parse(&file, text, &folder)
 }
 
 /// Checks the text of a settings file. `file` names it in findings, `folder`
--- a/tests/it/admission.rs
+++ b/tests/it/admission.rs
@@ -4,8 +4,8 @@
 
 use bulrushspan::core::{
     admission::{
-        Finish, LinkBucket, Offer, Pool, PoolConfig, PoolEvent, RefusalReason, RetryBudget, Slots,
-        Waiting,
+        Finish, LinkBucket, Offer, Offers, Pool, PoolConfig, PoolEvent, RefusalReason, RetryBudget,
+        Slots, Waiting,
     },
     control::{Link, RequestClass},
 };
@@ -134,3 +134,14 @@
     }
     assert!(retries <= 101, "{retries}");
 }
+
+#[test]
+fn an_offer_that_reached_an_upstream_at_once_counts_among_the_free_ones() {
+    let mut offers = Offers::default();
+    // The immediate attempt at the instance's own upstream, which refused.
+    offers.note();
+    assert!(!offers.needs_retry(), "one more is free");
+    offers.note();
+    assert!(offers.needs_retry(), "the third upstream is paid for by the budget");
+    assert_eq!(offers.made(), 2);
+}
--- a/tests/it/platform.rs
+++ b/tests/it/platform.rs
@@ -86,6 +86,12 @@
     assert_eq!(settings.bounds.retry_ratio, 0.1);
 }
 
+#[test]
+fn settings_of_the_platform_are_told_from_the_projects_own() {
+    let own = include_str!("../../examples/settings/demo.jsonc");
+    assert!(node_file::is_node_file(NODE) && !node_file::is_node_file(own));
+}
+
 #[test]
 fn a_bound_that_is_no_time_is_found_by_its_name() {
     let findings = node_file::decode(&NODE.replace("\"drain_s\": 3", "\"drain_s\": -3"));
