Find control with small probes, allow for a narrow link, read a long list by zone

Now replicas are asked how they stand, and one of them is followed; time-outs allow for 256 KiB on the own link; a list of more than two pages is read by availability zone, side by side. Ruled out: a shorter interval between readings, which is priced and leaves the time of one reading as it is.

--- a/src/net/http1/body.rs
+++ b/src/net/http1/body.rs
@@ -16,9 +16,12 @@
 }
 
 impl Framing {
-    /// Tells whether there is no body at all.
-    pub fn is_empty(self) -> bool {
-        self == Self::Length(0)
+    /// Returns the length in bytes, where it is known from the start.
+    pub fn length(self) -> Option<u64> {
+        match self {
+            Self::Length(length) => Some(length),
+            Self::Chunked | Self::UntilClose => None,
+        }
     }
 }
 
--- a/src/net/wire.rs
+++ b/src/net/wire.rs
@@ -266,8 +266,9 @@
     /// The version of the policy that is in force at the instance; none when
     /// it does not ask for the policy.
     pub version: Option<Version>,
-    /// What the instance holds of the list of upstreams.
-    pub list: Mark,
+    /// What the instance holds of the list of upstreams; none when it does not
+    /// ask for the list.
+    pub list: Option<Mark>,
     /// How much objects are asked for at entry instances, since the last call.
     pub demand: Vec<DemandReport>,
     /// How long the answer may be held back while there is nothing to tell.
@@ -288,6 +289,8 @@
 pub struct FollowReply {
     /// The availability zone of the replica that answers.
     pub zone: ZoneName,
+    /// The version of the policy that the replica has applied.
+    pub version: Version,
     /// What changed in the policy.
     pub update: Update,
     /// What changed in the list of upstreams.
--- a/src/runtime/control_node/calls.rs
+++ b/src/runtime/control_node/calls.rs
@@ -148,7 +148,7 @@
     let until = Instant::now() + Duration::from_millis(request.hold_ms);
     loop {
         let changed = replica.send(Changes(request.version)).await.ok()?;
-        let list = list_change(shared, request.list);
+        let list = request.list.and_then(|mark| list_change(shared, mark));
         let news = list.is_some() || !is_empty(&changed.update);
         if news || Instant::now() >= until {
             return Some(reply(shared, changed, list));
@@ -171,6 +171,7 @@
     let read_at = lock(&shared.list).read_at();
     FollowReply {
         zone: shared.settings.zone.clone(),
+        version: changed.version,
         update: changed.update,
         list,
         list_age_ms: read_at.map(|at| now.saturating_sub(at).as_millis() as u64),
--- /dev/null
+++ b/src/runtime/control_node/list_pages.rs
@@ -0,0 +1,90 @@
+//! Reads the pages of the list of upstreams.
+
+use std::time::Duration;
+
+use futures_util::future::try_join_all;
+use tracing::warn;
+
+use crate::{
+    core::{control::ZoneName, upstreams::Listing},
+    platform::listing::{decode_page, page_target},
+    runtime::http_get::HttpGet,
+    settings::UpstreamListSource,
+};
+
+/// Reads the pages of the list of upstreams.
+///
+/// The pages of one list can only be read one after the other. A long list is
+/// therefore read by availability zone, side by side: what is read last is
+/// hardly older then than what is read first.
+pub(super) struct ListPages {
+    source: UpstreamListSource,
+    whole: HttpGet,
+    by_zone: Vec<(ZoneName, HttpGet)>,
+    /// The pages of the whole list, when it was last read.
+    pages: usize,
+}
+
+/// How long one page may take.
+const PAGE_PATIENCE: Duration = Duration::from_millis(1000);
+/// The most pages of one list.
+const PAGES_MAX: usize = 100;
+/// The most pages that are read one after the other.
+const PAGES_IN_TURN_MAX: usize = 2;
+/// Reading by availability zone takes no more than this part of the calls
+/// that all readers together may make.
+const CALLS_PART: f64 = 0.5;
+
+impl ListPages {
+    /// Returns a reader of the list in some availability zones.
+    pub(super) fn new(
+        source: UpstreamListSource,
+        zones: impl IntoIterator<Item = ZoneName>,
+    ) -> Self {
+        let zones = zones.into_iter();
+        let by_zone = zones.map(|zone| (zone, HttpGet::new(source.address))).collect();
+        Self { source, whole: HttpGet::new(source.address), by_zone, pages: 0 }
+    }
+
+    /// Reads all pages.
+    ///
+    /// # Errors
+    ///
+    /// Returns what went wrong when one of them can't be read.
+    pub(super) async fn read(&mut self) -> Result<Listing, String> {
+        let calls_max = self.source.calls_per_s * CALLS_PART;
+        let fits = self.by_zone.len() as f64 <= calls_max;
+        if self.pages <= PAGES_IN_TURN_MAX || !fits {
+            let (listing, pages) = read_in_turn(&mut self.whole, None).await?;
+            self.pages = pages;
+            return Ok(listing);
+        }
+        let parts = self.by_zone.iter_mut().map(|(zone, get)| read_in_turn(get, Some(zone)));
+        let parts = try_join_all(parts).await?;
+        Ok(parts.into_iter().flat_map(|(listing, _)| listing).collect())
+    }
+}
+
+/// Reads the pages of the list, or of one availability zone's part. Returns
+/// how many there were as well.
+async fn read_in_turn(get: &mut HttpGet, zone: Option<&str>) -> Result<(Listing, usize), String> {
+    let mut listing = Listing::new();
+    let mut token = None;
+    for number in 1..=PAGES_MAX {
+        let answer = get.get(&page_target(zone, token.as_deref()), PAGE_PATIENCE).await;
+        let page = match answer {
+            Ok((200, body)) => decode_page(&body).map_err(|error| error.to_string())?,
+            Ok((status, _)) => return Err(format!("status {status}")),
+            Err(error) => return Err(error.to_string()),
+        };
+        if !page.findings.is_empty() {
+            warn!(findings = ?page.findings, "some entries of the list can't be read");
+        }
+        listing.extend(page.upstreams.into_iter().map(|upstream| (upstream.id.clone(), upstream)));
+        token = page.next;
+        if token.is_none() {
+            return Ok((listing, number));
+        }
+    }
+    Err(format!("more than {PAGES_MAX} pages"))
+}
--- a/src/runtime/control_node/list_reader.rs
+++ b/src/runtime/control_node/list_reader.rs
@@ -7,6 +7,7 @@
 use super::{
     Shared,
     calls::{leader, policy, submit_here},
+    list_pages::ListPages,
     lock,
     peers::address_of,
 };
@@ -14,30 +15,24 @@
     core::{
         control::Command,
         placement::{DemandReport, PlannerInputs},
-        upstreams::Listing,
     },
     net::wire::{FollowRequest, Mark, NodeAnswer, NodeCall, SubmitRequest},
-    platform::listing::{decode_page, page_target},
-    runtime::http_get::HttpGet,
 };
 
 /// The time between two readings of the list.
 const READ_INTERVAL: Duration = Duration::from_millis(1000);
-/// How long one page may take.
-const PAGE_PATIENCE: Duration = Duration::from_millis(1000);
 /// A replica that does not lead reads the list itself when the one it follows
 /// is older than this.
 const FOLLOWED_AGE_MAX: Duration = Duration::from_millis(2500);
 /// How long the leader may hold an answer.
 const HOLD: Duration = Duration::from_millis(800);
 const FOLLOW_PATIENCE: Duration = Duration::from_millis(1500);
-/// The most pages of one list.
-const PAGES_MAX: usize = 100;
 
 /// Keeps the list of upstreams up to date.
 pub(super) async fn keep_list(shared: Arc<Shared>) {
     let Some(source) = shared.settings.upstream_list else { return };
-    let mut reader = HttpGet::new(source.address);
+    let zones = shared.settings.regions_of_zones.keys().cloned();
+    let mut reader = ListPages::new(source, zones);
     let mut followed = Mark::default();
     loop {
         let began = shared.clock.now();
@@ -68,7 +63,7 @@
     let hold_ms = HOLD.as_millis() as u64;
     let demand: Vec<DemandReport> =
         std::mem::take(&mut *lock(&shared.demand)).into_values().collect();
-    let request = FollowRequest { version: None, list: *followed, demand, hold_ms };
+    let request = FollowRequest { version: None, list: Some(*followed), demand, hold_ms };
     let client = shared.links.client(address);
     let Ok(NodeAnswer::Follow(reply)) =
         client.call(NodeCall::Follow(request), FOLLOW_PATIENCE).await
@@ -106,34 +101,16 @@
     submit_here(shared, SubmitRequest::Command(Command::Place(change))).await;
 }
 
-/// Reads all pages.
-async fn read(shared: &Shared, reader: &mut HttpGet) {
+/// Reads the list.
+async fn read(shared: &Shared, pages: &mut ListPages) {
     let began = shared.clock.now();
-    let mut listing = Listing::new();
-    let mut token = None;
-    for _ in 0..PAGES_MAX {
-        let answer = reader.get(&page_target(token.as_deref()), PAGE_PATIENCE).await;
-        let page = match answer {
-            Ok((200, body)) => decode_page(&body).map_err(|error| error.to_string()),
-            Ok((status, _)) => Err(format!("status {status}")),
-            Err(error) => Err(error.to_string()),
-        };
-        let page = match page {
-            Ok(page) => page,
-            Err(error) => {
-                warn!(error, "the list of upstreams can't be read; the last one counts");
-                return;
-            }
-        };
-        if !page.findings.is_empty() {
-            warn!(findings = ?page.findings, "some entries of the list can't be read");
-        }
-        listing.extend(page.upstreams.into_iter().map(|upstream| (upstream.id.clone(), upstream)));
-        token = page.next;
-        if token.is_none() {
-            break;
+    let listing = match pages.read().await {
+        Ok(listing) => listing,
+        Err(error) => {
+            warn!(error, "the list of upstreams can't be read; the last one counts");
+            return;
         }
-    }
+    };
     let mut list = lock(&shared.list);
     if list.replace(listing, began) {
         info!(upstreams = list.len(), count = list.count(), "the list of upstreams changed");
--- a/src/runtime/control_node/mod.rs
+++ b/src/runtime/control_node/mod.rs
@@ -3,6 +3,7 @@
 
 mod calls;
 mod directory;
+mod list_pages;
 mod list_reader;
 mod membership;
 mod metrics;
--- a/src/runtime/entry_node/attempt.rs
+++ b/src/runtime/entry_node/attempt.rs
@@ -70,7 +70,7 @@
     let kept = state.pool.borrow_mut().take(choice.address);
     let connection = match kept {
         Some(connection) => connection,
-        None => match connect(choice.address).await {
+        None => match connect(choice.address, state.settings.link_queue_time()).await {
             Ok(connection) => connection,
             Err(error) => return Outcome::NotSent(error),
         },
--- a/src/runtime/entry_node/exchange.rs
+++ b/src/runtime/entry_node/exchange.rs
@@ -158,6 +158,7 @@
             upstream = choice.id,
             attempt = self.attempts,
             left_ms = left.as_millis() as u64,
+            body_bytes = self.request.head.framing.length(),
             config = self.state.config_version(),
             list_age_ms = self.state.list_age_ms(),
             "sent"
--- a/src/runtime/entry_node/follow.rs
+++ b/src/runtime/entry_node/follow.rs
@@ -9,6 +9,7 @@
 use super::state::EntryState;
 use crate::{
     core::{
+        control::Version,
         routing::Matched,
         upstreams::{ListedUpstream, UpstreamId},
     },
@@ -42,36 +43,59 @@
     }
 }
 
-/// Asks all replicas that are known, takes over what each says, and returns
-/// the nearest of those that are in touch with the others.
+/// Asks all replicas that are known how they stand, and returns the nearest of
+/// those that are in touch with the others. Where none is, what the one with
+/// the newest policy holds is taken over.
+///
+/// The answers are small: on a narrow link, the list from every replica at
+/// once would hold up all else.
 async fn find(state: &Rc<EntryState>, followed: &mut Followed) -> Option<(SocketAddr, Client)> {
+    let patience = HOLD_SLACK + state.settings.link_queue_time();
     let asked = state.known_control().into_iter().map(|address| {
         let client = Client::new(address);
-        let request = request(state, followed, Duration::ZERO);
         async move {
-            let answer = client.call(NodeCall::Follow(request), HOLD_SLACK).await;
+            let probe = FollowRequest { version: None, list: None, demand: Vec::new(), hold_ms: 0 };
+            let answer = client.call(NodeCall::Follow(probe), patience).await;
             (address, client, answer)
         }
     });
     let mut answers: FuturesUnordered<_> = asked.collect();
     let mut best: Option<(u8, SocketAddr, Client)> = None;
-    let mut until = None;
-    loop {
-        let wait = until.map_or(HOLD_SLACK, |until: Instant| until - Instant::now());
-        let Ok(Some((address, client, answer))) = timeout(wait, answers.next()).await else {
-            return best.map(|(_, address, client)| (address, client));
-        };
+    let mut newest: Option<(Version, Client)> = None;
+    let mut until = Instant::now() + patience;
+    while let Ok(Some((address, client, answer))) =
+        timeout(until.saturating_duration_since(Instant::now()), answers.next()).await
+    {
         let Ok(NodeAnswer::Follow(reply)) = answer else { continue };
-        let (in_touch, distance) = (is_in_touch(&reply), state.distance_to(&reply.zone));
-        take(state, *reply, followed);
-        if in_touch && best.as_ref().is_none_or(|(held, ..)| distance < *held) {
-            best = Some((distance, address, client));
-            until = until.or(Some(Instant::now() + NEARER_WAIT));
+        take_replicas(state, &reply);
+        if is_in_touch(&reply) {
+            let distance = state.distance_to(&reply.zone);
+            if best.is_none() {
+                until = until.min(Instant::now() + NEARER_WAIT);
+            }
+            if best.as_ref().is_none_or(|(held, ..)| distance < *held) {
+                best = Some((distance, address, client));
+            }
+            if distance == 0 {
+                break;
+            }
+        } else if newest.as_ref().is_none_or(|(held, _)| reply.version > *held) {
+            newest = Some((reply.version, client));
         }
-        if best.as_ref().is_some_and(|(distance, ..)| *distance == 0) {
-            return best.map(|(_, address, client)| (address, client));
+    }
+    if let Some((_, address, client)) = best {
+        return Some((address, client));
+    }
+    let (version, client) = newest?;
+    if version > state.policy.borrow().version {
+        let request = request(state, followed, Duration::ZERO);
+        if let Ok(NodeAnswer::Follow(reply)) =
+            client.call(NodeCall::Follow(request), patience).await
+        {
+            take(state, *reply, followed);
         }
     }
+    None
 }
 
 /// Follows one replica until it fails or falls behind.
@@ -82,9 +106,10 @@
     followed: &mut Followed,
 ) {
     info!(replica = %address, "control regained");
+    let patience = HOLD + HOLD_SLACK + state.settings.link_queue_time();
     loop {
         let request = request(state, followed, HOLD);
-        let answer = client.call(NodeCall::Follow(request), HOLD + HOLD_SLACK).await;
+        let answer = client.call(NodeCall::Follow(request), patience).await;
         let Ok(NodeAnswer::Follow(reply)) = answer else {
             warn!(replica = %address, "control lost: the replica does not answer");
             return;
@@ -101,7 +126,7 @@
 fn request(state: &EntryState, followed: &Followed, hold: Duration) -> FollowRequest {
     FollowRequest {
         version: Some(state.policy.borrow().version),
-        list: followed.list,
+        list: Some(followed.list),
         demand: state.take_demand().into_iter().collect(),
         hold_ms: hold.as_millis() as u64,
     }
@@ -118,15 +143,19 @@
 }
 
 fn take(state: &EntryState, reply: FollowReply, followed: &mut Followed) {
+    take_replicas(state, &reply);
     take_policy(state, reply.update);
     take_list(state, reply.list, reply.list_age_ms, followed);
+    state.note_entries(reply.entries);
+    state.note_readiness();
+}
+
+fn take_replicas(state: &EntryState, reply: &FollowReply) {
     let replicas: Vec<SocketAddr> =
         reply.replicas.iter().filter_map(|name| name.parse().ok()).collect();
     if !replicas.is_empty() {
         *state.control.borrow_mut() = replicas;
     }
-    state.note_entries(reply.entries);
-    state.note_readiness();
 }
 
 /// Takes over the list of upstreams, unless a newer one is held.
--- a/src/runtime/entry_node/health.rs
+++ b/src/runtime/entry_node/health.rs
@@ -39,7 +39,9 @@
 }
 
 async fn check(state: Rc<EntryState>, choice: Choice, service: std::sync::Arc<ServiceSpec>) {
-    let checked = timeout(CHECK_PATIENCE, ask(&choice, &service.health_path)).await;
+    let queue_time = state.settings.link_queue_time();
+    let asked = ask(&choice, &service.health_path, queue_time);
+    let checked = timeout(CHECK_PATIENCE + queue_time, asked).await;
     let result = match checked {
         Ok(Ok(result)) => result,
         Ok(Err(_)) | Err(_) => CheckResult::Silent,
@@ -49,8 +51,8 @@
     info!(upstream = choice.id, ?result, usable, "upstream checked");
 }
 
-async fn ask(choice: &Choice, path: &str) -> io::Result<CheckResult> {
-    let mut connection = connect(choice.address).await?;
+async fn ask(choice: &Choice, path: &str, queue_time: Duration) -> io::Result<CheckResult> {
+    let mut connection = connect(choice.address, queue_time).await?;
     let mut head = HeadWriter::with_request("GET", path);
     head.field("Host", choice.address.to_string().as_bytes());
     head.field(headers::EXPECT_INSTANCE, choice.id.as_bytes());
--- a/src/runtime/entry_node/pool.rs
+++ b/src/runtime/entry_node/pool.rs
@@ -29,7 +29,8 @@
     pub(super) buffer: BytesMut,
 }
 
-/// The longest that a connection may take to come about.
+/// The longest that a connection may take to come about, where nothing waits
+/// on the own link.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long a connection is kept where the upstream does not say.
 const KEEP_DEFAULT: Duration = Duration::from_secs(4);
@@ -69,13 +70,13 @@
     matches!(stream.try_read(&mut byte), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
 }
 
-/// Opens a connection.
+/// Opens a connection. What is sent may wait for `queue_time` on the own link.
 ///
 /// # Errors
 ///
 /// Returns an error when it does not come about in time.
-pub(super) async fn connect(address: SocketAddr) -> io::Result<Connection> {
-    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+pub(super) async fn connect(address: SocketAddr, queue_time: Duration) -> io::Result<Connection> {
+    let connected = timeout(CONNECT_TIMEOUT + queue_time, TcpStream::connect(address)).await;
     let stream = connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
     prepare(&stream);
     Ok(Connection { stream, buffer: BytesMut::new() })
--- a/src/runtime/replica/mod.rs
+++ b/src/runtime/replica/mod.rs
@@ -143,6 +143,8 @@
 
 /// Answers [`Changes`].
 pub(super) struct Changed {
+    /// The version that is applied.
+    pub(super) version: Version,
     /// What changed.
     pub(super) update: Update,
     /// The replicas' instances.
@@ -594,7 +596,8 @@
         };
         let members = self.node.members().iter();
         let replicas = members.map(|(_, member)| member.instance.clone()).collect();
-        Changed { update, replicas, leader: self.leader_name(), behind: self.behind() }
+        let version = self.state.policy().version;
+        Changed { version, update, replicas, leader: self.leader_name(), behind: self.behind() }
     }
 }
 
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -157,7 +157,22 @@
     pub lag_max: Duration,
 }
 
+/// The bytes that may wait on an instance's own link: a few large request
+/// bodies.
+const LINK_QUEUE_BYTES: f64 = 256.0 * 1024.0;
+/// The longest wait that is allowed for on an instance's own link; beyond it,
+/// callers have given up.
+const LINK_QUEUE_TIME_MAX: Duration = Duration::from_secs(1);
+
 impl NodeSettings {
+    /// Returns how long what is sent may wait on the instance's own link.
+    pub fn link_queue_time(&self) -> Duration {
+        let link_bytes_per_s = self.resources.link_mbit * 125_000.0;
+        Duration::try_from_secs_f64(LINK_QUEUE_BYTES / link_bytes_per_s)
+            .unwrap_or_default()
+            .min(LINK_QUEUE_TIME_MAX)
+    }
+
     /// Returns the address that other instances reach this one at.
     pub fn cluster_address(&self) -> SocketAddr {
         SocketAddr::new(self.ip, self.cluster_ports.0)
