Receive request bodies in full again before they are passed on

Cause: an upstream holds a slot while a body still arrives, so that passing bodies on early takes room from all other requests. What was ruled out: a higher threshold, since the longest bodies hold slots the longest.

--- a/src/runtime/entry_node/attempt.rs
+++ b/src/runtime/entry_node/attempt.rs
@@ -3,14 +3,10 @@
 use std::{io, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use tokio::{
-    io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
-    net::TcpStream,
-};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 use super::{
     answer::{Answer, is_per_connection},
-    body::BodyState,
     pool::{Connection, connect},
     request::Request,
     state::EntryState,
@@ -88,16 +84,10 @@
     left: Duration,
     mut connection: Connection,
 ) -> io::Result<Outcome> {
-    let (reader, writer) = connection.stream.split();
-    let mut incoming = Incoming { stream: reader, buffer: &mut connection.buffer };
-    let head = encode(request, choice, left);
-    let (answer, is_sent) = {
-        let send = std::pin::pin!(send(writer, head, request));
-        let receive = std::pin::pin!(read_answer(&mut incoming, request));
-        send_and_receive(send, receive).await?
-    };
-    let (head, body) = answer;
-    if head.keeps_alive && is_sent && connection.buffer.is_empty() {
+    let bytes = encode(request, choice, left);
+    connection.stream.write_all(&bytes).await?;
+    let (head, body) = read_answer(&mut connection, request).await?;
+    if head.keeps_alive && connection.buffer.is_empty() {
         let keep = keep_alive_timeout(&head);
         state.pool.borrow_mut().put(choice.address, connection.stream, keep);
     }
@@ -108,49 +98,7 @@
     Ok(Outcome::Answered { answer: Answer::from_upstream(head.status, head.headers, body), load })
 }
 
-/// Runs both until the answer is there. Returns it, and whether the request
-/// was sent in full: an upstream may answer before.
-async fn send_and_receive<T>(
-    mut send: impl Future<Output = io::Result<()>> + Unpin,
-    mut receive: impl Future<Output = io::Result<T>> + Unpin,
-) -> io::Result<(T, bool)> {
-    tokio::select! {
-        biased;
-        sent = &mut send => {
-            // An upstream that closes early may have answered first.
-            let answer = receive.await.map_err(|error| sent.as_ref().err().map_or(error, copy))?;
-            Ok((answer, sent.is_ok()))
-        }
-        answer = &mut receive => Ok((answer?, false)),
-    }
-}
-
-fn copy(error: &io::Error) -> io::Error {
-    io::Error::new(error.kind(), error.to_string())
-}
-
-/// Sends a request, with as much of the body at a time as has arrived.
-async fn send(
-    mut writer: impl AsyncWrite + Unpin,
-    head: HeadWriter,
-    request: &Request,
-) -> io::Result<()> {
-    let mut buffer = BytesMut::from(head.finish());
-    let mut sent = 0;
-    // The head goes out at once, together with what is there of the body.
-    let mut more = request.body.pieces();
-    loop {
-        sent += more.len();
-        more.iter().for_each(|piece| buffer.extend_from_slice(piece));
-        writer.write_all_buf(&mut buffer).await?;
-        if request.body.state() == BodyState::Whole && sent == request.body.count() {
-            return Ok(());
-        }
-        more = request.body.pieces_after(sent).await?;
-    }
-}
-
-fn encode(request: &Request, choice: &Choice, left: Duration) -> HeadWriter {
+fn encode(request: &Request, choice: &Choice, left: Duration) -> Bytes {
     let mut head = HeadWriter::with_request(&request.head.method, &request.head.target);
     let fields = &request.head.headers;
     for (name, value) in fields.iter() {
@@ -163,34 +111,16 @@
     }
     head.number(headers::DEADLINE_MS, left.as_millis() as u64);
     head.field(headers::EXPECT_INSTANCE, choice.id.as_bytes());
-    match request.head.framing {
-        Framing::Length(0) => {}
-        Framing::Length(length) => head.number("Content-Length", length),
-        // Such a body has arrived in full.
-        Framing::Chunked | Framing::UntilClose => {
-            head.number("Content-Length", request.body.length());
-        }
-    }
-    head
-}
-
-/// Holds what arrives on a connection.
-pub(super) struct Incoming<'a, R> {
-    pub(super) stream: R,
-    pub(super) buffer: &'a mut BytesMut,
-}
-
-impl<'a> Incoming<'a, &'a mut TcpStream> {
-    /// Returns what arrives on a connection.
-    pub(super) fn new(connection: &'a mut Connection) -> Self {
-        Self { stream: &mut connection.stream, buffer: &mut connection.buffer }
+    if !request.body.is_empty() || request.head.framing != Framing::Length(0) {
+        head.number("Content-Length", request.body.len() as u64);
     }
+    head.finish_with(&request.body)
 }
 
 /// Reads the answer to a request. Answers to other requests that arrive
 /// before it are dropped.
 async fn read_answer(
-    connection: &mut Incoming<'_, impl AsyncRead + Unpin>,
+    connection: &mut Connection,
     request: &Request,
 ) -> io::Result<(ResponseHead, Bytes)> {
     let wanted = headers::request_id(&request.head.headers);
@@ -211,11 +141,11 @@
 }
 
 pub(super) async fn read_head(
-    connection: &mut Incoming<'_, impl AsyncRead + Unpin>,
+    connection: &mut Connection,
     method: &str,
 ) -> io::Result<ResponseHead> {
     loop {
-        let parsed = parse_response_head(connection.buffer, HEAD_MAX_BYTES, method);
+        let parsed = parse_response_head(&mut connection.buffer, HEAD_MAX_BYTES, method);
         if let Some(head) = parsed.map_err(io::Error::other)? {
             return Ok(head);
         }
@@ -224,24 +154,24 @@
 }
 
 pub(super) async fn read_body(
-    connection: &mut Incoming<'_, impl AsyncRead + Unpin>,
+    connection: &mut Connection,
     head: &ResponseHead,
 ) -> io::Result<Bytes> {
     let mut reader = BodyReader::new(head.framing);
     let mut body = BytesMut::new();
     while !reader.is_done() {
-        while let Some(piece) = reader.next(connection.buffer).map_err(io::Error::other)? {
+        while let Some(piece) = reader.next(&mut connection.buffer).map_err(io::Error::other)? {
             body.extend_from_slice(&piece);
         }
-        if !reader.is_done() && connection.stream.read_buf(connection.buffer).await? == 0 {
+        if !reader.is_done() && connection.stream.read_buf(&mut connection.buffer).await? == 0 {
             reader.end().map_err(io::Error::other)?;
         }
     }
     Ok(body.freeze())
 }
 
-async fn fill(connection: &mut Incoming<'_, impl AsyncRead + Unpin>) -> io::Result<()> {
-    if connection.stream.read_buf(connection.buffer).await? == 0 {
+async fn fill(connection: &mut Connection) -> io::Result<()> {
+    if connection.stream.read_buf(&mut connection.buffer).await? == 0 {
         return Err(io::ErrorKind::UnexpectedEof.into());
     }
     Ok(())
--- a/src/runtime/entry_node/callers.rs
+++ b/src/runtime/entry_node/callers.rs
@@ -12,13 +12,7 @@
 };
 use tracing::{info, warn};
 
-use super::{
-    answer::Answer,
-    body::{BodyState, RequestBody},
-    exchange,
-    request::Request,
-    state::EntryState,
-};
+use super::{answer::Answer, exchange, request::Request, state::EntryState};
 use crate::{
     core::routing::CallerLimits,
     net::{
@@ -32,8 +26,6 @@
 const PIPELINED_MAX: usize = 32;
 /// The pause after an accept failed, as it does without free descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// A body of at least this many bytes is passed on while it arrives.
-const PASSED_ON_MIN_BYTES: u64 = 16 * 1024;
 /// How long what a caller still sends is read after the last answer: closing
 /// at once would reset the connection and could destroy the answer.
 const CLOSE_LINGER: Duration = Duration::from_secs(1);
@@ -74,9 +66,6 @@
     limits: CallerLimits,
     reading: Reading,
     pending: FuturesOrdered<Pending>,
-    /// Whether the caller wants the connection closed after the last request
-    /// that was started.
-    is_last: bool,
     /// When the connection last did something, or the current head began.
     since: Instant,
 }
@@ -85,10 +74,10 @@
 enum Reading {
     Head,
     Body {
+        head: Box<RequestHead>,
         reader: BodyReader,
-        body: Rc<RequestBody>,
-        /// The request, if it is not in progress yet.
-        waiting: Option<Box<Request>>,
+        body: BytesMut,
+        arrived: Duration,
     },
     /// Nothing more: the connection ends after what is pending.
     Nothing,
@@ -104,7 +93,6 @@
             limits,
             reading: Reading::Head,
             pending: FuturesOrdered::new(),
-            is_last: false,
             since: Instant::now(),
         }
     }
@@ -175,7 +163,7 @@
                             continue;
                         }
                     };
-                    if body.length() > self.limits.body_max_bytes {
+                    if body.len() as u64 > self.limits.body_max_bytes {
                         self.give_up(413, "body_too_large");
                     } else if done {
                         self.finish_body();
@@ -199,17 +187,8 @@
             self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
         }
         let reader = BodyReader::new(head.framing);
-        let passed_on =
-            matches!(head.framing, Framing::Length(length) if length >= PASSED_ON_MIN_BYTES);
-        let body = Rc::new(RequestBody::default());
-        let request = Box::new(Request { head, body: body.clone(), arrived });
-        let waiting = if passed_on {
-            self.start(request);
-            None
-        } else {
-            Some(request)
-        };
-        self.reading = Reading::Body { reader, body, waiting };
+        self.reading =
+            Reading::Body { head: Box::new(head), reader, body: BytesMut::new(), arrived };
         Ok(())
     }
 
@@ -227,27 +206,17 @@
         }
     }
 
-    /// Notes that a body has arrived in full, and starts its request if it is
-    /// not in progress yet.
+    /// Starts a request that has arrived in full.
     fn finish_body(&mut self) {
         let reading = std::mem::replace(&mut self.reading, Reading::Head);
-        let Reading::Body { body, waiting, .. } = reading else { return };
+        let Reading::Body { head, body, arrived, .. } = reading else { return };
         self.since = Instant::now();
-        body.end(BodyState::Whole);
-        if let Some(request) = waiting {
-            self.start(request);
-        }
-        if self.is_last {
-            self.reading = Reading::Nothing;
-        }
-    }
-
-    /// Starts a request.
-    fn start(&mut self, request: Box<Request>) {
-        let head = &request.head;
         let keeps_alive =
             head.is_http11 && !head.headers.has_token(&http::header::CONNECTION, "close");
-        self.is_last = !keeps_alive;
+        if !keeps_alive {
+            self.reading = Reading::Nothing;
+        }
+        let request = Request { head: *head, body: body.freeze(), arrived };
         let state = self.state.clone();
         self.pending.push_back(Box::pin(async move {
             let _open = OpenRequest::new(&state);
@@ -255,21 +224,14 @@
             let closes = !keeps_alive || *state.stopping.borrow();
             let answer = if closes { answer.closing() } else { answer };
             let id = headers::request_id(&request.head.headers);
-            let broken = matches!(request.body.state(), BodyState::Broken(..));
             let bytes = answer.encode(&request.head.method, id);
-            Encoded { bytes, closes: answer.closes, leaves_unread: broken }
+            Encoded { bytes, closes: answer.closes, leaves_unread: false }
         }));
     }
 
     /// Answers what can't be read on, and reads no more.
-    fn give_up(&mut self, status: u16, error: &'static str) {
-        match &self.reading {
-            Reading::Body { body, waiting: None, .. } => {
-                body.end(BodyState::Broken(status, error));
-                self.reading = Reading::Nothing;
-            }
-            _ => self.push(Answer::own(status, error).closing()),
-        }
+    fn give_up(&mut self, status: u16, error: &str) {
+        self.push(Answer::own(status, error).closing());
     }
 
     fn push(&mut self, answer: Answer) {
@@ -283,11 +245,10 @@
         self.stream.write_all(&answer.bytes).await?;
         self.since = Instant::now();
         if answer.closes {
-            let unread = matches!(self.reading, Reading::Body { .. }) || answer.leaves_unread;
             self.reading = Reading::Nothing;
             self.pending = FuturesOrdered::new();
             self.stream.shutdown().await?;
-            if unread {
+            if answer.leaves_unread {
                 let drained = self.drain();
                 tokio::time::timeout(CLOSE_LINGER, drained).await.unwrap_or(Ok(()))?;
             }
@@ -330,11 +291,11 @@
 
 fn read_on(
     reader: &mut BodyReader,
-    body: &RequestBody,
+    body: &mut BytesMut,
     buffer: &mut BytesMut,
 ) -> Result<(), BodyError> {
     while let Some(piece) = reader.next(buffer)? {
-        body.push(piece);
+        body.extend_from_slice(&piece);
     }
     Ok(())
 }
--- a/src/runtime/entry_node/exchange.rs
+++ b/src/runtime/entry_node/exchange.rs
@@ -7,7 +7,6 @@
 use super::{
     answer::Answer,
     attempt::{Outcome, attempt},
-    body::BodyState,
     metrics::RequestOutcome,
     request::Request,
     state::EntryState,
@@ -198,10 +197,6 @@
                 (!again).then(|| self.refuse("shed", RETRY_AFTER))
             }
             Outcome::Unknown(error) => {
-                if let BodyState::Broken(status, reason) = self.request.body.state() {
-                    info!(target: REQUEST, request = self.id, status, reason, "body broken off");
-                    return Some(Answer::own(status, reason).closing());
-                }
                 self.note_failure(choice, &error, "broken off");
                 let may_repeat =
                     self.route.execution.is_repeatable() && self.attempts < self.route.attempts_max;
--- a/src/runtime/entry_node/health.rs
+++ b/src/runtime/entry_node/health.rs
@@ -6,7 +6,7 @@
 use tracing::info;
 
 use super::{
-    attempt::{Incoming, read_body, read_head},
+    attempt::{read_body, read_head},
     pool::connect,
     state::EntryState,
 };
@@ -58,9 +58,8 @@
     head.field(headers::EXPECT_INSTANCE, choice.id.as_bytes());
     head.field("Connection", b"close");
     connection.stream.write_all(&head.finish()).await?;
-    let mut incoming = Incoming::new(&mut connection);
-    let head = read_head(&mut incoming, "GET").await?;
-    read_body(&mut incoming, &head).await?;
+    let head = read_head(&mut connection, "GET").await?;
+    read_body(&mut connection, &head).await?;
     let other = headers::upstream_id(&head.headers).is_some_and(|id| id != choice.id);
     Ok(match head.status {
         421 => CheckResult::Misdirected,
--- a/src/runtime/entry_node/mod.rs
+++ b/src/runtime/entry_node/mod.rs
@@ -4,7 +4,6 @@
 mod announce;
 mod answer;
 mod attempt;
-mod body;
 mod callers;
 mod exchange;
 mod follow;
--- a/src/runtime/entry_node/request.rs
+++ b/src/runtime/entry_node/request.rs
@@ -1,15 +1,14 @@
 //! Holds one request of a caller.
 
-use std::rc::Rc;
+use bytes::Bytes;
 
-use super::body::RequestBody;
 use crate::net::http1::RequestHead;
 
-/// Holds one request of a caller, whose body may still arrive.
+/// Holds one request of a caller, received in full.
 #[derive(Debug)]
 pub(super) struct Request {
     pub(super) head: RequestHead,
-    pub(super) body: Rc<RequestBody>,
+    pub(super) body: Bytes,
     /// When the head had arrived, by the instance's clock.
     pub(super) arrived: std::time::Duration,
 }
