Write the pages of the platform, and check them against the code

Cause: the design note, the developers' page and the guide for the new roles were missing, and nothing kept wire names in platform/.

--- a/src/runtime/operators.rs
+++ b/src/runtime/operators.rs
@@ -421,7 +421,7 @@
 
 async fn explain(rejection: Rejection) -> Result<Response, Infallible> {
     if rejection.is_not_found() {
-        let message = "there is no such path; docs/OPERATING.md lists them".to_owned();
+        let message = "there is no such path; docs/OPERATIONS.md lists them".to_owned();
         return Ok(api_error(StatusCode::NOT_FOUND, "no_such_path", message));
     }
     if let Some(error) = rejection.find::<warp::filters::body::BodyDeserializeError>() {
--- /dev/null
+++ b/src/runtime/replica/handlers.rs
@@ -0,0 +1,208 @@
+//! Defines the messages that a replica takes, and takes them.
+
+use std::time::Duration;
+
+use tokio::sync::{oneshot, watch};
+use xtra::prelude::*;
+
+use super::{CatchingUp, RECORD_COMMIT_AFTER, Reader, Replica, Watcher};
+use crate::{
+    core::{
+        control::{Command, InstanceName, Policy, Version},
+        replication::{Envelope, Input, LogIndex},
+    },
+    net::wire::{
+        ProbeReply, QueryReply, QueryRequest, SubmitReply, SubmitRequest, Update, WatchReply,
+        WatchRequest,
+    },
+};
+
+/// Takes messages of the replicated log.
+pub(in crate::runtime) struct Deliver(pub(in crate::runtime) Vec<Envelope<Command>>);
+/// Commits something.
+pub(in crate::runtime) struct Submit(
+    pub(in crate::runtime) SubmitRequest,
+    pub(in crate::runtime) oneshot::Sender<SubmitReply>,
+);
+/// Renews a lease.
+pub(in crate::runtime) struct Watch(
+    pub(in crate::runtime) WatchRequest,
+    pub(in crate::runtime) oneshot::Sender<WatchReply>,
+);
+/// Reads the state.
+pub(in crate::runtime) struct Query(
+    pub(in crate::runtime) QueryRequest,
+    pub(in crate::runtime) oneshot::Sender<QueryReply>,
+);
+/// Says what the replica holds.
+pub(in crate::runtime) struct Probe;
+/// Waits until the state includes an index of the log.
+pub(in crate::runtime) struct CatchUp(
+    pub(in crate::runtime) LogIndex,
+    pub(in crate::runtime) oneshot::Sender<()>,
+);
+/// Returns the policy's changes since a version, if one is given, and how
+/// current they are, whether or not this replica leads.
+pub(in crate::runtime) struct Changes(pub(in crate::runtime) Option<Version>);
+/// Returns the policy that this replica has applied.
+pub(in crate::runtime) struct CurrentPolicy;
+/// Returns what tells of new versions of the policy.
+pub(in crate::runtime) struct Subscribe;
+
+/// Answers [`Changes`].
+pub(in crate::runtime) struct Changed {
+    /// The version that is applied.
+    pub(in crate::runtime) version: Version,
+    /// What changed.
+    pub(in crate::runtime) update: Update,
+    /// The replicas' instances.
+    pub(in crate::runtime) replicas: Vec<InstanceName>,
+    /// The leader's instance, as far as is known.
+    pub(in crate::runtime) leader: Option<InstanceName>,
+    /// How long ago this replica last knew itself to be current; none when
+    /// it never did.
+    pub(in crate::runtime) behind: Option<Duration>,
+}
+/// Lets time pass.
+pub(in crate::runtime) struct Tick;
+/// Carries out the inputs that were gathered.
+pub(super) struct Flush;
+
+impl Handler<Deliver> for Replica {
+    type Return = ();
+
+    async fn handle(&mut self, Deliver(messages): Deliver, ctx: &mut Context<Self>) {
+        for message in messages {
+            self.queue(Input::Receive(message), None, ctx);
+        }
+    }
+}
+
+impl Handler<Submit> for Replica {
+    type Return = ();
+
+    async fn handle(&mut self, Submit(request, reply): Submit, ctx: &mut Context<Self>) {
+        match request {
+            // A leader that has not caught up with its own term could decide
+            // on an old state only when it applies, which comes later; to
+            // write is always safe.
+            SubmitRequest::Command(command) => {
+                self.queue(Input::Propose(command), Some(reply), ctx);
+            }
+            SubmitRequest::Join { instance, replica } => {
+                reply.send(self.join(&instance, replica, ctx)).ok();
+            }
+        }
+    }
+}
+
+impl Handler<Watch> for Replica {
+    type Return = ();
+
+    async fn handle(&mut self, Watch(request, reply): Watch, _ctx: &mut Context<Self>) {
+        let arrived = self.clock.now();
+        if let Some(lead) = &mut self.lead {
+            lead.sessions.note_version(&request.holder, request.version);
+        }
+        self.watchers.push(Watcher { request, arrived, reply });
+        self.answer_waiting();
+    }
+}
+
+impl Handler<Query> for Replica {
+    type Return = ();
+
+    async fn handle(&mut self, Query(request, reply): Query, ctx: &mut Context<Self>) {
+        let arrived = self.clock.now();
+        self.readers.push(Reader { request, arrived, reply });
+        // A round that begins now makes sure of the leadership sooner than
+        // the next heartbeat would.
+        if self.lead.is_some() {
+            self.queue(Input::HeartbeatTimeout, None, ctx);
+        }
+        self.answer_waiting();
+    }
+}
+
+impl Handler<Probe> for Replica {
+    type Return = ProbeReply;
+
+    async fn handle(&mut self, _: Probe, _ctx: &mut Context<Self>) -> ProbeReply {
+        ProbeReply {
+            replica: self.node.id(),
+            members: Some(self.node.members().clone()),
+            commit: self.node.commit(),
+        }
+    }
+}
+
+impl Handler<CatchUp> for Replica {
+    type Return = ();
+
+    async fn handle(&mut self, CatchUp(index, reply): CatchUp, _ctx: &mut Context<Self>) {
+        self.catching_up.push(CatchingUp { index, reply });
+        self.publish();
+    }
+}
+
+impl Handler<Changes> for Replica {
+    type Return = Changed;
+
+    async fn handle(&mut self, Changes(after): Changes, _ctx: &mut Context<Self>) -> Changed {
+        let update = match after.map(|after| self.state.deltas_after(after)) {
+            None => Update::Deltas(Vec::new()),
+            Some(Some(deltas)) => Update::Deltas(deltas),
+            Some(None) => Update::Whole(Box::new(self.state.policy().clone())),
+        };
+        let members = self.node.members().iter();
+        let replicas = members.map(|(_, member)| member.instance.clone()).collect();
+        let version = self.state.policy().version;
+        Changed { version, update, replicas, leader: self.leader_name(), behind: self.behind() }
+    }
+}
+
+impl Handler<CurrentPolicy> for Replica {
+    type Return = Policy;
+
+    async fn handle(&mut self, _: CurrentPolicy, _ctx: &mut Context<Self>) -> Policy {
+        self.state.policy().clone()
+    }
+}
+
+impl Handler<Subscribe> for Replica {
+    type Return = watch::Receiver<Version>;
+
+    async fn handle(&mut self, _: Subscribe, _ctx: &mut Context<Self>) -> Self::Return {
+        self.published.subscribe()
+    }
+}
+
+impl Handler<Tick> for Replica {
+    type Return = ();
+
+    async fn handle(&mut self, _: Tick, ctx: &mut Context<Self>) {
+        let now = self.clock.now();
+        for input in self.timers.due(&self.node, now) {
+            self.queue(input, None, ctx);
+        }
+        if now >= self.commit_noted + RECORD_COMMIT_AFTER {
+            self.commit_noted = now;
+            if self.node.commit() > self.node.durable().committed {
+                self.queue(Input::RecordCommit, None, ctx);
+            }
+        }
+        self.plan(ctx);
+        self.answer_waiting();
+        let version = self.state.policy().version;
+        self.metrics.replica_version.set(version as i64);
+        self.metrics.claims_held.set(self.state.claims().len() as i64);
+    }
+}
+
+impl Handler<Flush> for Replica {
+    type Return = ();
+
+    async fn handle(&mut self, _: Flush, ctx: &mut Context<Self>) {
+        self.flush(ctx).await;
+    }
+}
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -26,7 +26,7 @@
     /// Where the process listens.
     pub listen: ListenAddresses,
     /// The first and the last port for traffic between instances.
-    pub cluster_ports: (u16, u16),
+    pub instance_ports: (u16, u16),
     /// The operators' addresses of some control replicas. They may be stale.
     pub seeds: Vec<SocketAddr>,
     /// Whether the whole system starts for the first time.
@@ -175,13 +175,13 @@
 
     /// Returns the address that other instances reach this one at.
     pub fn cluster_address(&self) -> SocketAddr {
-        SocketAddr::new(self.ip, self.cluster_ports.0)
+        SocketAddr::new(self.ip, self.instance_ports.0)
     }
 
     /// Returns the addresses of the control replicas that are known from the
     /// start, as other instances reach them. All instances use the same ports.
     pub fn seed_cluster_addresses(&self) -> Vec<SocketAddr> {
-        self.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), self.cluster_ports.0)).collect()
+        self.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), self.instance_ports.0)).collect()
     }
 
     /// Tells whether this process is one of the seeds.
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod control;
 mod explain;
 mod http1;
+mod layout;
 mod platform;
 mod replication;
 mod roster;
--- a/tests/processes/guide.rs
+++ b/tests/processes/guide.rs
@@ -11,7 +11,7 @@
 fn the_guides_commands_run_as_written() {
     let deployment = Deployment::start();
     deployment.wait_all_ready();
-    let guide = include_str!("../../docs/OPERATING.md");
+    let guide = include_str!("../../docs/OPERATIONS.md");
     let lines: Vec<&str> = guide.lines().filter_map(|line| line.strip_prefix("    $ ")).collect();
     assert!(lines.len() > 10, "the guide's commands were not found");
     for line in lines {
