Play the platform's roles as processes in a test of our own

Three control replicas and two entry instances now run against stand-ins for the list and the upstreams: a planned stop with requests in flight, a replica killed while the configuration changes, a damaged entry of the list; bookings run once, and none that was refused has run.

--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -3,6 +3,7 @@
 mod control;
 mod deployment;
 mod guide;
+mod platform;
 mod requests;
 mod stops;
 mod whole_path;
--- /dev/null
+++ b/tests/processes/platform.rs
@@ -0,0 +1,257 @@
+//! The roles of the users' platform, among stand-ins for its list and its
+//! upstreams.
+
+use std::{
+    collections::BTreeMap,
+    convert::Infallible,
+    fs,
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use serde_json::json;
+use warp::{Filter, http::Response};
+
+const WAIT_MAX: Duration = Duration::from_secs(60);
+const PAUSE: Duration = Duration::from_millis(50);
+const UPSTREAMS: usize = 3;
+
+/// Runs three control replicas and two entry instances, and ends them when it
+/// goes.
+struct Fleet {
+    folder: PathBuf,
+    net: String,
+    processes: BTreeMap<String, Child>,
+    http: reqwest::Client,
+    /// How often each request id ran.
+    runs: Runs,
+}
+
+type Runs = Arc<Mutex<BTreeMap<String, u32>>>;
+
+impl Fleet {
+    async fn start() -> Self {
+        let pid = std::process::id();
+        let net = format!("127.{}.{}", 100 + pid % 100, pid / 100 % 250);
+        let folder = std::env::temp_dir().join(format!("bulrushspan-fleet-{pid}"));
+        fs::create_dir_all(&folder).unwrap();
+        let mut fleet = Self {
+            folder,
+            net,
+            processes: BTreeMap::new(),
+            http: reqwest::Client::builder().no_proxy().build().unwrap(),
+            runs: Runs::default(),
+        };
+        fleet.start_stand_ins();
+        for name in ["c1", "c2", "c3", "e1", "e2"] {
+            fleet.start_process(name, true);
+        }
+        fleet
+    }
+
+    fn ip(&self, name: &str) -> String {
+        let number: u32 = name[1..].parse().unwrap();
+        let base = if name.starts_with('c') { 10 } else { 20 };
+        format!("{}.{}", self.net, base + number)
+    }
+
+    fn start_stand_ins(&self) {
+        let mut entries = Vec::new();
+        for number in 0..UPSTREAMS {
+            let address: SocketAddr = format!("{}.{}:8080", self.net, 30 + number).parse().unwrap();
+            entries.push(json!({
+                "id": format!("i-{number}"), "service": "orders", "addr": address, "zone": "a",
+                "version": "v1", "slots": 4, "state": "ready", "cold_left_s": 0,
+            }));
+            let runs = self.runs.clone();
+            tokio::spawn(warp::serve(upstream(number, runs)).run(address));
+        }
+        // A damaged entry names no upstream, and the others hold.
+        entries.push(json!({"id": "i-damaged", "slots": []}));
+        let list = json!({"instances": entries, "next_token": null}).to_string();
+        let address: SocketAddr = format!("{}.40:8142", self.net).parse().unwrap();
+        let listed = warp::path("instances").map(move || list.clone());
+        tokio::spawn(warp::serve(listed).run(address));
+    }
+
+    fn start_process(&mut self, name: &str, first: bool) {
+        let ip = self.ip(name);
+        let role = if name.starts_with('c') { "control" } else { "entry" };
+        let seeds: Vec<String> =
+            ["c1", "c2", "c3"].iter().map(|seed| format!("{}:8146", self.ip(seed))).collect();
+        let listen = match role {
+            "control" => {
+                json!({"control": format!("{ip}:8146"), "directory": format!("{ip}:8147")})
+            }
+            _ => json!({"front": format!("{ip}:8144"), "ready": format!("{ip}:8140")}),
+        };
+        let settings = json!({
+            "node": name, "ip": ip, "zone": "a", "region": "north", "zones": {"a": "north"},
+            "listen": listen, "cluster_ports": [7660, 7675], "seeds": seeds, "bootstrap": first,
+            "data_dir": self.folder.join(name),
+            "limits": {"cpu_share": 1.0, "memory_mb": 260, "max_fds": 4000, "link_mbps": 1000},
+            "bounds": {"grace_s": 6, "config_s": 2.5},
+            "cloud": {"addr": format!("{}.40:8142", self.net), "rate_per_s": 50, "max_lag_s": 0.8},
+        });
+        let file = self.folder.join(format!("{name}.json"));
+        fs::write(&file, settings.to_string()).unwrap();
+        fs::create_dir_all(self.folder.join(name)).unwrap();
+        let log = fs::File::create(self.folder.join(format!("{name}.log"))).unwrap();
+        let process = Command::new(env!("CARGO_BIN_EXE_bulrushspan"))
+            .args([role, "--metrics-port", "9464", "--settings"])
+            .arg(file)
+            .stdout(Stdio::from(log))
+            .spawn()
+            .unwrap();
+        self.processes.insert(name.to_owned(), process);
+    }
+
+    async fn get(&self, url: &str) -> Option<(u16, String)> {
+        let answer = self.http.get(url).timeout(Duration::from_secs(3)).send().await.ok()?;
+        let status = answer.status().as_u16();
+        Some((status, answer.text().await.ok()?))
+    }
+
+    /// Delivers a configuration until it is acknowledged.
+    async fn configure(&self, version: &str, prefix: &str) {
+        let began = Instant::now();
+        for turn in 0.. {
+            let url = format!("http://{}:8146/api/config", self.ip(["c1", "c2", "c3"][turn % 3]));
+            let body = configuration(version, prefix);
+            let sent = self.http.put(url).body(body).timeout(Duration::from_secs(3)).send().await;
+            if sent.is_ok_and(|answer| answer.status().is_success()) {
+                return;
+            }
+            assert!(began.elapsed() < WAIT_MAX, "no replica acknowledged {version}");
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    async fn wait_for(&self, url: &str, status: u16, has: &str) {
+        let began = Instant::now();
+        loop {
+            if self.get(url).await.is_some_and(|(got, text)| got == status && text.contains(has)) {
+                return;
+            }
+            assert!(began.elapsed() < WAIT_MAX, "{url} did not answer {status} with {has}");
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// Sends one request to an entry instance and returns the status.
+    async fn ask(&self, entry: &str, id: &str, path: &str) -> Option<u16> {
+        let url = format!("http://{}:8144{path}", self.ip(entry));
+        let request = self.http.post(url).header("Host", "shop.example").body("plates");
+        let request = request.header("Bulrushspan-Request-Id", id);
+        let answer = request.timeout(Duration::from_secs(5)).send().await.ok()?;
+        let status = answer.status().as_u16();
+        answer.bytes().await.ok()?;
+        Some(status)
+    }
+
+    fn signal(&self, name: &str, signal: &str) {
+        let pid = self.processes[name].id().to_string();
+        assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for process in self.processes.values_mut() {
+            process.kill().ok();
+            process.wait().ok();
+        }
+        if !std::thread::panicking() {
+            fs::remove_dir_all(&self.folder).ok();
+        }
+    }
+}
+
+/// Returns an upstream that runs each request for a moment and counts it.
+fn upstream(
+    number: usize,
+    runs: Runs,
+) -> impl Filter<Extract = (Response<String>,), Error = Infallible> + Clone {
+    let id = warp::header::optional::<String>("bulrushspan-request-id");
+    id.and(warp::body::bytes())
+        .then(move |id: Option<String>, _| {
+            let runs = runs.clone();
+            async move {
+                let id = id.unwrap_or_default();
+                *runs.lock().unwrap().entry(id.clone()).or_default() += 1;
+                tokio::time::sleep(Duration::from_millis(60)).await;
+                Response::builder()
+                    .header("Bulrushspan-Server-Stamp", format!("stamp-{number}"))
+                    .header("Bulrushspan-Instance-Id", format!("i-{number}"))
+                    .header("Bulrushspan-Request-Id", id)
+                    .body("done".to_owned())
+                    .unwrap()
+            }
+        })
+        .recover(|_| async { Ok::<_, Infallible>(Response::new(String::new())) })
+        .unify()
+}
+
+fn configuration(version: &str, prefix: &str) -> String {
+    json!({"version": version, "resources": [
+        {"type": "services", "meta": {"name": "orders"}, "spec": {
+            "health_path": "/health", "max_conns": 100, "protocol": "h1", "tls": false,
+            "cold_start_s": 0.0, "cold_per_s": 5.0}},
+        {"type": "routes", "meta": {"name": "book"}, "spec": {
+            "host": "shop.example", "path_prefix": prefix, "kind": "unsafe", "timeout_s": 3.0,
+            "slo_s": 1.0, "priority": 1, "service": "orders", "max_attempts": 2}},
+    ]})
+    .to_string()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bookings_run_once_while_instances_stop_and_replicas_are_killed() {
+    let mut fleet = Fleet::start().await;
+    fleet.configure("r2", "/book/").await;
+    for entry in ["e1", "e2"] {
+        fleet.wait_for(&format!("http://{}:8140/api/readyz", fleet.ip(entry)), 200, "").await;
+    }
+    let directory = format!("http://{}:8147/api/resolve?host=shop.example&zone=a", fleet.ip("c2"));
+    fleet.wait_for(&directory, 200, &fleet.ip("e2")).await;
+    assert_eq!(fleet.ask("e1", "first", "/book/1").await, Some(200));
+    assert_eq!(fleet.ask("e1", "elsewhere", "/nowhere").await, Some(404));
+
+    // Requests that are in flight when a stop begins are answered.
+    let in_flight: Vec<String> = (0..20).map(|number| format!("stop-{number}")).collect();
+    let answers = in_flight.iter().map(|id| fleet.ask("e1", id, "/book/2"));
+    let (answers, ()) = tokio::join!(futures_util::future::join_all(answers), async {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        fleet.signal("e1", "-TERM");
+    });
+    assert!(answers.iter().all(|status| matches!(status, Some(200 | 503))), "{answers:?}");
+    fleet.wait_for(&directory, 200, &fleet.ip("e2")).await;
+
+    // A replica dies and comes back; changes go on and reach the instances.
+    fleet.processes.get_mut("c1").unwrap().kill().unwrap();
+    fleet.processes.get_mut("c1").unwrap().wait().unwrap();
+    fleet.configure("r3", "/order/").await;
+    let began = Instant::now();
+    for number in 0.. {
+        if fleet.ask("e2", &format!("new-{number}"), "/order/3").await == Some(200) {
+            break;
+        }
+        assert!(began.elapsed() < WAIT_MAX, "version 3 did not reach e2");
+        tokio::time::sleep(PAUSE).await;
+    }
+    fleet.start_process("c1", false);
+    let read = format!("http://{}:8146/api/config", fleet.ip("c1"));
+    fleet.wait_for(&read, 200, "\"r3\"").await;
+
+    let metrics = fleet.get(&format!("http://{}:9464/metrics", fleet.ip("e2"))).await.unwrap().1;
+    assert!(metrics.contains("bulrushspan_config_version 3"), "{metrics}");
+    let runs = fleet.runs.lock().unwrap();
+    let twice: Vec<(&String, &u32)> =
+        runs.iter().filter(|(id, count)| !id.is_empty() && **count > 1).collect();
+    assert!(twice.is_empty(), "run twice: {twice:?}");
+    for (id, status) in in_flight.iter().zip(&answers) {
+        assert!(*status != Some(503) || !runs.contains_key(id), "{id} was refused, but ran");
+    }
+}
