Take over at once what any replica knows after all have restarted

Now a newer policy, or the first list, is fetched from the replica as soon as its answer shows it. Ruled out: late replicas; they listened from the start, and one led at 35 s.

--- a/src/runtime/entry_node/follow.rs
+++ b/src/runtime/entry_node/follow.rs
@@ -9,7 +9,6 @@
 use super::state::EntryState;
 use crate::{
     core::{
-        control::Version,
         routing::Matched,
         upstreams::{ListedUpstream, UpstreamId},
     },
@@ -44,8 +43,8 @@
 }
 
 /// Asks all replicas that are known how they stand, and returns the nearest of
-/// those that are in touch with the others. Where none is, what the one with
-/// the newest policy holds is taken over.
+/// those that are in touch with the others. What one that is not in touch
+/// knows beyond this instance is taken over at once.
 ///
 /// The answers are small: on a narrow link, the list from every replica at
 /// once would hold up all else.
@@ -61,7 +60,6 @@
     });
     let mut answers: FuturesUnordered<_> = asked.collect();
     let mut best: Option<(u8, SocketAddr, Client)> = None;
-    let mut newest: Option<(Version, Client)> = None;
     let mut until = Instant::now() + patience;
     while let Ok(Some((address, client, answer))) =
         timeout(until.saturating_duration_since(Instant::now()), answers.next()).await
@@ -79,23 +77,30 @@
             if distance == 0 {
                 break;
             }
-        } else if newest.as_ref().is_none_or(|(held, _)| reply.version > *held) {
-            newest = Some((reply.version, client));
+        } else if knows_more(state, &reply) {
+            take_from(state, &client, followed, patience).await;
         }
     }
-    if let Some((_, address, client)) = best {
-        return Some((address, client));
-    }
-    let (version, client) = newest?;
-    if version > state.policy.borrow().version {
-        let request = request(state, followed, Duration::ZERO);
-        if let Ok(NodeAnswer::Follow(reply)) =
-            client.call(NodeCall::Follow(request), patience).await
-        {
-            take(state, *reply, followed);
-        }
+    best.map(|(_, address, client)| (address, client))
+}
+
+/// Tells whether a replica has a newer policy, or the first list of upstreams.
+fn knows_more(state: &EntryState, reply: &FollowReply) -> bool {
+    let has_first_list = state.list_read.get().is_none() && reply.list_age_ms.is_some();
+    has_first_list || reply.version > state.policy.borrow().version
+}
+
+/// Takes over what a replica holds, whether or not it is in touch with others.
+async fn take_from(
+    state: &Rc<EntryState>,
+    client: &Client,
+    followed: &mut Followed,
+    patience: Duration,
+) {
+    let request = request(state, followed, Duration::ZERO);
+    if let Ok(NodeAnswer::Follow(reply)) = client.call(NodeCall::Follow(request), patience).await {
+        take(state, *reply, followed);
     }
-    None
 }
 
 /// Follows one replica until it fails or falls behind.
