--- a/src/runtime/control_node/metrics.rs
+++ b/src/runtime/control_node/metrics.rs
@@ -7,7 +7,7 @@
 use super::{Shared, calls::policy, lock};
 use crate::runtime::{
     logs::DroppedLines,
-    metrics::{opts, registry_text},
+    metrics::{opts, registered, registry_text},
 };
 
 /// Holds the gauges of a control replica that the replica itself does not
@@ -31,16 +31,11 @@
     /// Returns an error when two metrics share a name, which a test rules out.
     pub(super) fn new() -> Result<Self, prometheus::Error> {
         let registry = Registry::new();
-        let gauge = |name, help| -> Result<IntGauge, prometheus::Error> {
-            let made = IntGauge::with_opts(opts(name, help))?;
-            registry.register(Box::new(made.clone()))?;
-            Ok(made)
-        };
+        let gauge = |name, help| registered(&registry, IntGauge::with_opts(opts(name, help)));
         let dropped_lines = IntGaugeVec::new(
             opts("dropped_log_lines", "Log lines dropped since the start, by reason."),
             &["reason"],
-        )?;
-        registry.register(Box::new(dropped_lines.clone()))?;
+        );
         Ok(Self {
             config_version: gauge("config_version", "Version of the configuration applied here.")?,
             evacuated_zones: gauge("evacuated_zones", "Availability zones that are evacuated.")?,
@@ -50,7 +45,7 @@
             )?,
             upstreams: gauge("listed_upstreams", "Upstreams that are listed.")?,
             entries: gauge("entry_instances", "Entry instances that are up.")?,
-            dropped_lines,
+            dropped_lines: registered(&registry, dropped_lines)?,
             registry,
         })
     }
--- a/src/runtime/entry_node/metrics.rs
+++ b/src/runtime/entry_node/metrics.rs
@@ -9,7 +9,7 @@
     core::{control::ServiceName, routing::Route},
     runtime::{
         logs::DroppedLines,
-        metrics::{opts, registry_text, seconds},
+        metrics::{opts, registered, registry_text, seconds},
     },
 };
 
@@ -76,26 +76,17 @@
     /// Returns an error when two metrics share a name, which a test rules out.
     pub(super) fn new() -> Result<Self, prometheus::Error> {
         let registry = Registry::new();
-        let counter = |name, help, labels: &[&str]| -> Result<IntCounterVec, prometheus::Error> {
-            let made = IntCounterVec::new(opts(name, help), labels)?;
-            registry.register(Box::new(made.clone()))?;
-            Ok(made)
+        let counter = |name, help, labels: &[&str]| {
+            registered(&registry, IntCounterVec::new(opts(name, help), labels))
         };
-        let gauge = |name, help| -> Result<IntGauge, prometheus::Error> {
-            let made = IntGauge::with_opts(opts(name, help))?;
-            registry.register(Box::new(made.clone()))?;
-            Ok(made)
-        };
-        let gauges = |name, help, labels: &[&str]| -> Result<IntGaugeVec, prometheus::Error> {
-            let made = IntGaugeVec::new(opts(name, help), labels)?;
-            registry.register(Box::new(made.clone()))?;
-            Ok(made)
+        let gauge = |name, help| registered(&registry, IntGauge::with_opts(opts(name, help)));
+        let gauges = |name, help, labels: &[&str]| {
+            registered(&registry, IntGaugeVec::new(opts(name, help), labels))
         };
         let latency = HistogramVec::new(
             seconds("request_seconds", "Time from a request's head to its answer."),
             &["service", "priority"],
-        )?;
-        registry.register(Box::new(latency.clone()))?;
+        );
         Ok(Self {
             requests: counter(
                 "requests_total",
@@ -131,7 +122,7 @@
                 "Log lines dropped since the start, by reason.",
                 &["reason"],
             )?,
-            latency,
+            latency: registered(&registry, latency)?,
             registry,
         })
     }
--- a/src/runtime/metrics.rs
+++ b/src/runtime/metrics.rs
@@ -2,7 +2,7 @@
 
 use prometheus::{
     Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
-    IntGaugeVec, Opts, Registry, TextEncoder,
+    IntGaugeVec, Opts, Registry, TextEncoder, core::Collector,
 };
 
 /// Holds the metrics of one instance. Clones count together.
@@ -159,6 +159,16 @@
     String::from_utf8_lossy(&buffer).into_owned()
 }
 
+/// Returns a metric once its registry gathers it.
+pub(super) fn registered<M: Collector + Clone + 'static>(
+    registry: &Registry,
+    made: Result<M, prometheus::Error>,
+) -> Result<M, prometheus::Error> {
+    let made = made?;
+    registry.register(Box::new(made.clone()))?;
+    Ok(made)
+}
+
 /// Names and describes a metric.
 pub(super) fn opts(name: &str, help: &str) -> Opts {
     Opts::new(name, help).namespace("bulrushspan")
