Plan placements incrementally and rank upstreams in one pass

Each object sorted all upstreams, with two hashes and a logarithm per comparison, to take the first; the sums over all reports were made anew each round. The balancer sorted the same way for each request. Change: sums of demand follow the reports as they arrive; the best upstreams of each object are kept and only compared with upstreams that come and go; a round ranks and compares a bounded number of upstreams, and goes on in the next one. The balancer takes the first upstream in one pass.

--- a/src/core/balance/balancer.rs
+++ b/src/core/balance/balancer.rs
@@ -15,7 +15,10 @@
 use crate::core::{
     MapDelta,
     control::{RegionName, ServiceName, ZoneName},
-    placement::{self, Candidate, ObjectId, Placement, default_order},
+    placement::{
+        Candidate, ObjectId, Placement, RankedObject, UpstreamHash, default_candidate,
+        upstream_hash,
+    },
     routing::ServiceSpec,
     upstreams::{ListedState, ListedUpstream, ReportedLoad, UpstreamId},
 };
@@ -26,6 +29,7 @@
 #[derive(Clone, Debug)]
 pub struct Balancer {
     locality: Locality,
+    region_count: usize,
     cold_limit: ColdLimit,
     services: BTreeMap<ServiceName, Arc<ServiceSpec>>,
     upstreams: BTreeMap<UpstreamId, UpstreamState>,
@@ -45,6 +49,13 @@
     pub regions_of_zones: BTreeMap<ZoneName, RegionName>,
 }
 
+impl Locality {
+    /// Returns whether an availability zone is in the instance's region.
+    fn contains(&self, zone: &ZoneName) -> bool {
+        self.regions_of_zones.get(zone) == Some(&self.region)
+    }
+}
+
 /// Represents what a request requires of an upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct Requirements<'a> {
@@ -63,6 +74,10 @@
 #[derive(Clone, Debug)]
 struct UpstreamState {
     listed: ListedUpstream,
+    /// The hash of its id.
+    hash: UpstreamHash,
+    /// Whether it is in the region of this instance.
+    is_local: bool,
     load: Load,
     health: Health,
     /// When the upstream stops counting as cold.
@@ -85,8 +100,10 @@
 impl Balancer {
     /// Returns a balancer without upstreams.
     pub fn new(locality: Locality, cold_limit: ColdLimit) -> Self {
+        let region_count = locality.regions_of_zones.values().collect::<BTreeSet<_>>().len();
         Self {
             locality,
+            region_count,
             cold_limit,
             services: BTreeMap::new(),
             upstreams: BTreeMap::new(),
@@ -126,7 +143,9 @@
                 Some(existing) => existing.load.in_flight(),
                 None => 0,
             };
-            self.upstreams.insert(listed.id.clone(), UpstreamState::new(listed, in_flight, now));
+            let is_local = self.locality.contains(&listed.zone);
+            let upstream = UpstreamState::new(listed, is_local, in_flight, now);
+            self.upstreams.insert(upstream.listed.id.clone(), upstream);
         }
     }
 
@@ -171,19 +190,12 @@
     /// Cold upstreams are used only if there are no others, and within their
     /// rate limit.
     pub fn choose(&mut self, requirements: &Requirements<'_>, now: Duration) -> Option<Choice> {
-        let is_usable = |upstream: &&UpstreamState| self.is_usable(upstream, requirements);
-        let (cold, warm): (Vec<&UpstreamState>, Vec<&UpstreamState>) = self
-            .upstreams
-            .values()
-            .filter(is_usable)
-            .partition(|upstream| now < upstream.cold_until);
-        if !warm.is_empty() {
-            return self.first_ranked(warm, requirements).map(|upstream| upstream.choice(now));
+        let is_warm = |upstream: &UpstreamState| now >= upstream.cold_until;
+        if let Some(upstream) = self.first_ranked(requirements, is_warm) {
+            return Some(upstream.choice(now));
         }
-        let available =
-            cold.into_iter().filter(|upstream| now >= upstream.next_cold_send_at).collect();
-        let choice =
-            self.first_ranked(available, requirements).map(|upstream| upstream.choice(now))?;
+        let may_send_cold = |upstream: &UpstreamState| now >= upstream.next_cold_send_at;
+        let choice = self.first_ranked(requirements, may_send_cold)?.choice(now);
         let interval = self.cold_interval(requirements.service);
         if let Some(upstream) = self.upstreams.get_mut(&choice.id) {
             upstream.next_cold_send_at = now + interval;
@@ -191,34 +203,30 @@
         Some(choice)
     }
 
-    /// Returns the upstream on which the object is placed, or else the first
-    /// one in the default order.
-    fn first_ranked<'a>(
+    /// Returns the upstream on which the object is placed, or else its default one,
+    /// among those for which `is_eligible` returns true.
+    fn first_ranked(
         &self,
-        upstreams: Vec<&'a UpstreamState>,
         requirements: &Requirements<'_>,
-    ) -> Option<&'a UpstreamState> {
-        if let Some(id) = self.placement.get(&requirements.object)
-            && let Some(placed) = upstreams.iter().find(|upstream| upstream.listed.id == *id)
-        {
-            return Some(placed);
+        is_eligible: impl Fn(&UpstreamState) -> bool,
+    ) -> Option<&UpstreamState> {
+        let is_candidate = |upstream: &&UpstreamState| {
+            self.is_usable(upstream, requirements) && is_eligible(upstream)
+        };
+        let placed = self.placement.get(&requirements.object);
+        let placed = placed.and_then(|id| self.upstreams.get(id)).filter(is_candidate);
+        if placed.is_some() {
+            return placed;
         }
-        let mut candidates: Vec<Candidate<'_>> = upstreams
-            .iter()
-            .map(|upstream| Candidate {
-                id: &upstream.listed.id,
-                slots: upstream.listed.slots,
-                in_requesting_region: self.is_in_local_region(upstream),
-            })
-            .collect();
-        let ranked = placement::RankedObject {
+        let ranked = RankedObject {
             object: requirements.object,
             has_large_body: requirements.has_large_body,
-            region_count: self.locality.regions_of_zones.values().collect::<BTreeSet<_>>().len(),
+            region_count: self.region_count,
         };
-        default_order(ranked, &mut candidates);
-        let first = candidates.first()?.id;
-        upstreams.into_iter().find(|upstream| upstream.listed.id == first)
+        let upstreams: Vec<&UpstreamState> = self.upstreams.values().filter(is_candidate).collect();
+        let first =
+            default_candidate(ranked, upstreams.iter().map(|upstream| upstream.candidate()))?;
+        upstreams.into_iter().find(|upstream| upstream.hash == first.hash)
     }
 
     /// Records that a request is sent to an upstream.
@@ -304,10 +312,6 @@
                 || self.is_in_regions(upstream, requirements.home_regions))
     }
 
-    fn is_in_local_region(&self, upstream: &UpstreamState) -> bool {
-        self.region_of(upstream) == Some(&self.locality.region)
-    }
-
     fn is_in_regions(&self, upstream: &UpstreamState, regions: &[RegionName]) -> bool {
         self.region_of(upstream).is_some_and(|region| regions.contains(region))
     }
@@ -318,10 +322,12 @@
 }
 
 impl UpstreamState {
-    fn new(listed: ListedUpstream, in_flight: u32, now: Duration) -> Self {
+    fn new(listed: ListedUpstream, is_local: bool, in_flight: u32, now: Duration) -> Self {
         let cold_left = listed.cold_left;
         let load = Load::new(listed.slots, in_flight, now);
         let mut upstream = Self {
+            hash: upstream_hash(&listed.id),
+            is_local,
             listed,
             load,
             health: Health::Healthy,
@@ -343,6 +349,10 @@
         }
     }
 
+    fn candidate(&self) -> Candidate {
+        Candidate { hash: self.hash, slots: self.listed.slots, in_requesting_region: self.is_local }
+    }
+
     fn choice(&self, now: Duration) -> Choice {
         Choice {
             id: self.listed.id.clone(),
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -2,17 +2,22 @@
 //!
 //! An upstream that recently handled an object serves it faster, so all
 //! requests for an object go to one upstream. By default the upstream is
-//! determined by hashing alone ([`default_order`]). Entry instances report the
+//! determined by hashing alone ([`default_candidate`]). Entry instances report the
 //! demand for each object to the leading control replica, which moves objects
 //! that would overload an upstream ([`Planner`]). These exceptions are part of
 //! the policy that entry instances apply.
 
 mod affinity;
+mod defaults;
 mod demand;
 mod planner;
+mod round;
+mod totals;
 
 pub use self::{
-    affinity::{Candidate, RankedObject, default_order, object_id},
+    affinity::{
+        Candidate, RankedObject, UpstreamHash, default_candidate, object_id, upstream_hash,
+    },
     demand::{CompletedRequest, DemandMeter, DemandReport, ObjectDemand},
     planner::{Planner, PlannerInputs},
 };
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -7,6 +7,7 @@
 mod explain;
 mod http1;
 mod layout;
+mod placement;
 mod platform;
 mod replication;
 mod roster;
