Notice on every connection that a caller left, and bound responses

The traced requests came with `Connection: close`: after the last request of a connection nothing was read from it, so the caller's departure was seen only when the response was written. The same held behind 32 requests in progress on one connection. Change: a connection is read until its last response is written; what follows the last request is discarded, and up to 16 KiB are buffered behind 32 requests. Ruled out: pooled connections and requests between attempts, whose departures the log showed as "caller left". Tests: tests/processes/entry.rs, an entry instance against a stand-in replica and upstreams that write raw bytes; all three fail on the former code.

--- a/src/runtime/entry_node/attempt.rs
+++ b/src/runtime/entry_node/attempt.rs
@@ -35,6 +35,9 @@
 
 /// The maximum size of an upstream's response head.
 const HEAD_MAX_BYTES: usize = 64 * 1024;
+/// The maximum number of responses that are skipped before the one to the request:
+/// interim ones, and late ones to earlier requests.
+const SKIPPED_MAX: usize = 16;
 
 /// Counts a request as in flight at an upstream until dropped.
 struct InFlight {
@@ -88,7 +91,8 @@
 ) -> io::Result<AttemptOutcome> {
     let bytes = encode_request(request, choice, time_left);
     connection.stream.write_all(&bytes).await?;
-    let (head, body) = read_response(&mut connection, request).await?;
+    let body_max_bytes = state.settings.response_max_bytes();
+    let (head, body) = read_response(&mut connection, request, body_max_bytes).await?;
     if head.keeps_alive && connection.buffer.is_empty() {
         let keep_alive = keep_alive_timeout(&head);
         state.pool.borrow_mut().put(choice.address, connection.stream, keep_alive);
@@ -123,18 +127,19 @@
 }
 
 /// Reads the response to a request. Interim responses (1xx) and responses that
-/// have the id of another request are skipped.
+/// have the id of another request are skipped, up to [`SKIPPED_MAX`] of them.
 async fn read_response(
     connection: &mut UpstreamConnection,
     request: &Request,
+    body_max_bytes: usize,
 ) -> io::Result<(ResponseHead, Bytes)> {
     let request_id = headers::request_id(&request.head.headers);
-    loop {
+    for _ in 0..=SKIPPED_MAX {
         let head = read_head(connection, &request.head.method).await?;
         if head.status < 200 {
             continue;
         }
-        let body = read_body(connection, &head).await?;
+        let body = read_body(connection, &head, body_max_bytes).await?;
         let response_id = headers::request_id(&head.headers);
         if response_id.is_none() || request_id.is_none() || response_id == request_id {
             return Ok((head, body));
@@ -143,6 +148,7 @@
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
     }
+    Err(io::Error::other("too many responses to other requests"))
 }
 
 /// Reads a response head; `method` is that of the request.
@@ -160,9 +166,13 @@
 }
 
 /// Reads the body that follows a response head.
+///
+/// A body of more than `max_bytes` is an error: an upstream in trouble may send bytes
+/// without end, and they are held in memory.
 pub(super) async fn read_body(
     connection: &mut UpstreamConnection,
     head: &ResponseHead,
+    max_bytes: usize,
 ) -> io::Result<Bytes> {
     let mut reader = BodyReader::new(head.framing);
     let mut body = BytesMut::new();
@@ -170,6 +180,9 @@
         while let Some(piece) = reader.next(&mut connection.buffer).map_err(io::Error::other)? {
             body.extend_from_slice(&piece);
         }
+        if body.len() > max_bytes {
+            return Err(io::Error::other("the response body is too large"));
+        }
         if !reader.is_done() && connection.stream.read_buf(&mut connection.buffer).await? == 0 {
             reader.handle_eof().map_err(io::Error::other)?;
         }
--- a/src/runtime/entry_node/callers.rs
+++ b/src/runtime/entry_node/callers.rs
@@ -24,6 +24,9 @@
 
 /// The maximum number of requests in progress on one connection.
 const PIPELINED_MAX: usize = 32;
+/// The maximum size of the input that is buffered while [`PIPELINED_MAX`] requests are
+/// in progress.
+const PIPELINED_MAX_BYTES: usize = 16 * 1024;
 /// The delay after a failure to accept a connection, for example when no file
 /// descriptors are free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -82,7 +85,8 @@
         body: BytesMut,
         arrived_at: Duration,
     },
-    /// Nothing is read; the connection is closed after the pending responses.
+    /// No further request is read; the connection is closed after the pending
+    /// responses.
     Finished,
 }
 
@@ -109,10 +113,10 @@
         let mut stopping = self.state.stopping.subscribe();
         loop {
             self.parse_requests().await?;
-            let wants_input = self.wants_input();
-            if !wants_input && self.pending.is_empty() {
+            if self.is_finished() && self.pending.is_empty() {
                 return Ok(());
             }
+            let wants_input = self.wants_input();
             let deadline = self.read_deadline();
             tokio::select! {
                 biased;
@@ -123,6 +127,9 @@
                     if read? == 0 {
                         return Ok(());
                     }
+                    if self.is_finished() {
+                        self.buffer.clear();
+                    }
                 }
                 () = tokio::time::sleep_until(deadline), if self.pending.is_empty() => {
                     if self.is_idle() {
@@ -287,13 +294,18 @@
         }
     }
 
+    /// Returns whether to read from the connection.
+    ///
+    /// Input is read even while no further request is started, to notice when the
+    /// caller disconnects. What follows the last request is discarded.
     fn wants_input(&self) -> bool {
-        // Input is read even while requests are pending, to notice when the
-        // caller disconnects.
-        match self.read_state {
-            ReadState::Finished => false,
-            _ => self.pending.len() < PIPELINED_MAX,
-        }
+        self.is_finished()
+            || self.pending.len() < PIPELINED_MAX
+            || self.buffer.len() < PIPELINED_MAX_BYTES
+    }
+
+    fn is_finished(&self) -> bool {
+        matches!(self.read_state, ReadState::Finished)
     }
 
     /// Returns whether no part of the next request has arrived.
--- a/src/runtime/entry_node/health.rs
+++ b/src/runtime/entry_node/health.rs
@@ -25,6 +25,9 @@
 /// any request.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// The maximum size of the body of a response to a check.
+const BODY_MAX_BYTES: usize = 64 * 1024;
+
 /// Runs health checks for as long as the process runs.
 pub(super) async fn check_upstreams(state: Rc<EntryState>) {
     loop {
@@ -63,7 +66,7 @@
     head.field("Connection", b"close");
     connection.stream.write_all(&head.finish()).await?;
     let head = read_head(&mut connection, "GET").await?;
-    read_body(&mut connection, &head).await?;
+    read_body(&mut connection, &head, BODY_MAX_BYTES).await?;
     let is_other_upstream = headers::upstream_id(&head.headers).is_some_and(|id| id != choice.id);
     Ok(match head.status {
         421 => CheckResult::Misdirected,
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -170,7 +170,15 @@
 /// Callers don't wait longer than this.
 const LINK_QUEUE_TIME_MAX: Duration = Duration::from_secs(1);
 
+/// The part of the memory that one response of an upstream may take: 1 of this many.
+const RESPONSES_IN_MEMORY: u64 = 32;
+
 impl NodeSettings {
+    /// Returns the maximum size of the body of an upstream's response, in bytes.
+    pub fn response_max_bytes(&self) -> usize {
+        (self.resources.memory_mib * 1024 * 1024 / RESPONSES_IN_MEMORY) as usize
+    }
+
     /// Returns how long sent data may be queued on the instance's own link.
     pub fn link_queue_time(&self) -> Duration {
         let link_bytes_per_s = self.resources.link_mbps * 125_000.0;
--- a/tests/it/placement.rs
+++ b/tests/it/placement.rs
@@ -81,7 +81,7 @@
     let candidate = |number: &usize| Candidate {
         hash: upstream_hash(&upstream(*number).id),
         slots: 5,
-        in_requesting_region: number % 3 == 0,
+        in_requesting_region: number.is_multiple_of(3),
     };
     let best = default_candidate(ranked, numbers.iter().map(candidate)).unwrap();
     *numbers.iter().find(|number| candidate(number).hash == best.hash).unwrap()
--- /dev/null
+++ b/tests/processes/entry.rs
@@ -0,0 +1,324 @@
+//! Runs one entry instance against a stand-in for its control replica and against upstreams
+//! that write raw bytes.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bulrushspan::{
+    core::{
+        MapDelta,
+        control::Policy,
+        upstreams::{ListedState, ListedUpstream},
+    },
+    net::{
+        mesh::{MeshHandler, serve_mesh},
+        wire::{
+            Cursor, CursorDelta, FollowReply, FollowRequest, NodeReply, NodeRequest, PolicyUpdate,
+        },
+    },
+    platform::configuration,
+};
+use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::mpsc,
+    time::{sleep, timeout},
+};
+
+const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+const SERVICE: &str = "orders";
+const MEMORY_MB: u64 = 64;
+
+/// What an upstream does with each connection, after the head of the first request.
+type Behaviour = fn(TcpStream, mpsc::UnboundedSender<Event>) -> BoxFuture;
+type BoxFuture = std::pin::Pin<Box<dyn Future<Output = ()> + Send>>;
+
+/// What an upstream saw.
+#[derive(Debug, Eq, PartialEq)]
+enum Event {
+    Requested,
+    Closed,
+}
+
+/// An entry instance with one upstream, which is killed on drop.
+struct Rig {
+    folder: PathBuf,
+    ip: String,
+    process: Child,
+    events: mpsc::UnboundedReceiver<Event>,
+}
+
+impl Rig {
+    /// Starts the instance on an address of its own, and waits until it is ready.
+    async fn start(number: u32, behaviour: Behaviour) -> Self {
+        let pid = std::process::id();
+        let prefix = format!("127.{}.{}", 20 + pid % 80, pid / 80 % 250);
+        let (ip, control_ip) = (format!("{prefix}.{number}"), format!("{prefix}.{}", number + 80));
+        let folder = std::env::temp_dir().join(format!("bulrushspan-entry-{pid}-{number}"));
+        fs::create_dir_all(&folder).unwrap();
+        let listener = TcpListener::bind(format!("{prefix}.{}:8080", number + 160)).await.unwrap();
+        let upstream = listed_upstream(listener.local_addr().unwrap());
+        let (event_sender, events) = mpsc::unbounded_channel();
+        tokio::spawn(serve_upstream(listener, behaviour, event_sender));
+        let control = TcpListener::bind(format!("{control_ip}:7660")).await.unwrap();
+        tokio::spawn(serve_mesh(control, control_replica(upstream)));
+        let settings = json!({
+            "node": "e1", "ip": ip, "zone": "a", "region": "north", "zones": {"a": "north"},
+            "listen": {"front": format!("{ip}:8144"), "ready": format!("{ip}:8140")},
+            "cluster_ports": [7660, 7675], "seeds": [format!("{control_ip}:8146")],
+            "bootstrap": true, "data_dir": null,
+            "limits": {"cpu_share": 1.0, "memory_mb": MEMORY_MB, "max_fds": 4000, "link_mbps": 1000},
+            "bounds": {"grace_s": 6},
+        });
+        let file = folder.join("node.json");
+        fs::write(&file, settings.to_string()).unwrap();
+        let log = fs::File::create(folder.join("log")).unwrap();
+        let process = Command::new(env!("CARGO_BIN_EXE_bulrushspan"))
+            .args(["entry", "--settings"])
+            .arg(&file)
+            .stdout(Stdio::from(log))
+            .spawn()
+            .unwrap();
+        let rig = Self { folder, ip, process, events };
+        rig.wait_ready().await;
+        rig
+    }
+
+    async fn wait_ready(&self) {
+        let started_at = Instant::now();
+        let url = format!("http://{}:8140/api/readyz", self.ip);
+        let http = reqwest::Client::builder().no_proxy().build().unwrap();
+        while !http.get(&url).send().await.is_ok_and(|response| response.status().is_success()) {
+            assert!(started_at.elapsed() < WAIT_TIMEOUT, "the instance is not ready");
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    async fn connect(&self) -> TcpStream {
+        TcpStream::connect(format!("{}:8144", self.ip)).await.unwrap()
+    }
+
+    /// Sends one request on its own connection and returns the status of the response.
+    async fn get(&self, id: &str) -> u16 {
+        let mut caller = self.connect().await;
+        caller.write_all(request(id, "close").as_bytes()).await.unwrap();
+        let mut response = Vec::new();
+        timeout(WAIT_TIMEOUT, caller.read_to_end(&mut response)).await.unwrap().unwrap();
+        let text = String::from_utf8_lossy(&response);
+        text.split(' ').nth(1).unwrap_or_default().parse().unwrap()
+    }
+
+    async fn next_event(&mut self) -> Event {
+        timeout(WAIT_TIMEOUT, self.events.recv()).await.unwrap().unwrap()
+    }
+
+    /// Returns the greatest amount of memory that the process has used, in MiB.
+    fn peak_memory_mib(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.process.id())).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmHWM")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse::<u64>().unwrap() / 1024
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        self.process.kill().ok();
+        self.process.wait().ok();
+        if !std::thread::panicking() {
+            fs::remove_dir_all(&self.folder).ok();
+        }
+    }
+}
+
+fn request(id: &str, connection: &str) -> String {
+    format!(
+        "GET /menu/1 HTTP/1.1\r\nHost: shop.example\r\nConnection: {connection}\r\n\
+         Bulrushspan-Request-Id: {id}\r\nBulrushspan-Deadline-Ms: 20000\r\n\r\n"
+    )
+}
+
+fn listed_upstream(address: SocketAddr) -> ListedUpstream {
+    ListedUpstream {
+        id: "u1".to_owned(),
+        service: SERVICE.to_owned(),
+        address,
+        zone: "a".to_owned(),
+        version: "v1".to_owned(),
+        slots: 64,
+        state: ListedState::Ready,
+        cold_left: Duration::ZERO,
+        started_unix_ms: None,
+    }
+}
+
+/// Returns a control replica with one route, whose list never changes.
+fn control_replica(upstream: ListedUpstream) -> MeshHandler<NodeRequest, NodeReply> {
+    let table = json!({"version": "r1", "resources": [
+        {"type": "services", "meta": {"name": SERVICE}, "spec": {
+            "health_path": "/health", "max_conns": 100, "cold_start_s": 0.0, "cold_per_s": 5.0}},
+        {"type": "routes", "meta": {"name": "menu"}, "spec": {
+            "host": "shop.example", "path_prefix": "/menu/", "kind": "safe", "timeout_s": 20.0,
+            "slo_s": 1.0, "priority": 1, "service": SERVICE, "max_attempts": 1}},
+    ]});
+    let routing = configuration::decode(table.to_string().as_bytes()).unwrap();
+    let policy = Policy { version: 1, routing: routing.into(), ..Policy::default() };
+    Arc::new(move |call, _peer| {
+        let (policy, upstream) = (policy.clone(), upstream.clone());
+        Box::pin(async move {
+            let NodeRequest::Follow(request) = call else { return None };
+            sleep(Duration::from_millis(request.hold_ms)).await;
+            Some(NodeReply::Follow(Box::new(follow_reply(&request, &policy, upstream))))
+        })
+    })
+}
+
+fn follow_reply(request: &FollowRequest, policy: &Policy, listed: ListedUpstream) -> FollowReply {
+    let put = vec![(listed.id.clone(), listed)];
+    let change = MapDelta { version: 1, is_full: true, put, removed: Vec::new() };
+    let has_list = request.list == Some(Cursor { counter: 1, count: 1 });
+    FollowReply {
+        zone: "a".to_owned(),
+        version: policy.version,
+        update: match request.version {
+            Some(0) => PolicyUpdate::Whole(Box::new(policy.clone())),
+            _ => PolicyUpdate::Deltas(Vec::new()),
+        },
+        list: (!has_list).then_some(CursorDelta { counter: 1, change }),
+        list_age_ms: Some(0),
+        replicas: Vec::new(),
+        behind_ms: Some(0),
+        entries: 1,
+    }
+}
+
+async fn serve_upstream(
+    listener: TcpListener,
+    behaviour: Behaviour,
+    events: mpsc::UnboundedSender<Event>,
+) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let events = events.clone();
+        tokio::spawn(async move {
+            let mut head = vec![0; 4096];
+            if stream.read(&mut head).await.is_ok_and(|length| length > 0) {
+                events.send(Event::Requested).ok();
+                behaviour(stream, events).await;
+            }
+        });
+    }
+}
+
+/// Never responds, and reports when the connection is closed.
+fn silent(mut stream: TcpStream, events: mpsc::UnboundedSender<Event>) -> BoxFuture {
+    Box::pin(async move {
+        let mut byte = [0];
+        while stream.read(&mut byte).await.is_ok_and(|length| length > 0) {}
+        events.send(Event::Closed).ok();
+    })
+}
+
+/// Writes `start` and then `piece` again and again until the connection is closed.
+async fn write_without_end(
+    mut stream: TcpStream,
+    events: mpsc::UnboundedSender<Event>,
+    start: &'static str,
+    piece: Vec<u8>,
+) {
+    let mut is_open = stream.write_all(start.as_bytes()).await.is_ok();
+    while is_open {
+        is_open = stream.write_all(&piece).await.is_ok();
+    }
+    events.send(Event::Closed).ok();
+}
+
+fn endless_head(stream: TcpStream, events: mpsc::UnboundedSender<Event>) -> BoxFuture {
+    let field = format!("X-Field: {}\r\n", "x".repeat(4000));
+    Box::pin(write_without_end(stream, events, "HTTP/1.1 200 OK\r\n", field.into_bytes()))
+}
+
+fn endless_bytes_without_a_head(
+    stream: TcpStream,
+    events: mpsc::UnboundedSender<Event>,
+) -> BoxFuture {
+    Box::pin(write_without_end(stream, events, "", vec![b'x'; 4096]))
+}
+
+fn endless_interim_responses(stream: TcpStream, events: mpsc::UnboundedSender<Event>) -> BoxFuture {
+    let interim = b"HTTP/1.1 102 Processing\r\n\r\n".to_vec();
+    Box::pin(write_without_end(stream, events, "", interim))
+}
+
+fn endless_unframed_body(stream: TcpStream, events: mpsc::UnboundedSender<Event>) -> BoxFuture {
+    Box::pin(write_without_end(stream, events, "HTTP/1.1 200 OK\r\n\r\n", vec![b'x'; 65536]))
+}
+
+fn endless_chunks(stream: TcpStream, events: mpsc::UnboundedSender<Event>) -> BoxFuture {
+    let start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let chunk = format!("4000\r\n{}\r\n", "x".repeat(0x4000));
+    Box::pin(write_without_end(stream, events, start, chunk.into_bytes()))
+}
+
+/// Callers that abandon their requests: the upstream has to stop working on them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_callers_departure_closes_the_connection_to_the_upstream() {
+    let mut rig = Rig::start(1, silent).await;
+    for connection in ["keep-alive", "close"] {
+        let mut caller = rig.connect().await;
+        caller.write_all(request("r1", connection).as_bytes()).await.unwrap();
+        assert_eq!(rig.next_event().await, Event::Requested);
+        let left_at = Instant::now();
+        drop(caller);
+        assert_eq!(rig.next_event().await, Event::Closed);
+        let elapsed = left_at.elapsed();
+        assert!(elapsed < Duration::from_secs(5), "{connection}: closed after {elapsed:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_departure_is_noticed_behind_as_many_requests_as_run_at_once() {
+    let mut rig = Rig::start(2, silent).await;
+    let mut caller = rig.connect().await;
+    for number in 0..33 {
+        let request = request(&format!("r{number}"), "keep-alive");
+        caller.write_all(request.as_bytes()).await.unwrap();
+    }
+    for _ in 0..32 {
+        assert_eq!(rig.next_event().await, Event::Requested);
+    }
+    drop(caller);
+    for _ in 0..32 {
+        assert_eq!(rig.next_event().await, Event::Closed);
+    }
+}
+
+/// Upstreams in trouble that send bytes without end, in a head or a body.
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_bytes_end_the_attempt_within_bounded_memory() {
+    let behaviours: BTreeMap<&str, Behaviour> = BTreeMap::from([
+        ("head", endless_head as Behaviour),
+        ("no head", endless_bytes_without_a_head),
+        ("interim responses", endless_interim_responses),
+        ("unframed body", endless_unframed_body),
+        ("chunks", endless_chunks),
+    ]);
+    for (number, (name, behaviour)) in (3..).zip(behaviours) {
+        let mut rig = Rig::start(number, behaviour).await;
+        let sent_at = Instant::now();
+        assert_eq!(rig.get("r1").await, 502, "{name}");
+        // The request's own deadline would end it after 20 s.
+        assert!(sent_at.elapsed() < Duration::from_secs(15), "{name}: {:?}", sent_at.elapsed());
+        assert_eq!(rig.next_event().await, Event::Requested);
+        assert_eq!(rig.next_event().await, Event::Closed, "{name}");
+        let memory_mib = rig.peak_memory_mib();
+        assert!(memory_mib < MEMORY_MB, "{name}: {memory_mib} MiB used");
+    }
+}
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -2,6 +2,7 @@
 
 mod control;
 mod deployment;
+mod entry;
 mod guide;
 mod platform;
 mod requests;
