Write large bodies in pieces as fast as the own link sends them

Cause: on links of 2 Mbit/s a forwarded upload of 60 KB was written at once, and the link sends in the order of the writes: handshakes, requests and responses behind it waited up to 240 ms, three times on the way of one request. Change: an estimate of what is queued on the own link; bodies above 16 ms of it are written in pieces, in turn, each when the link has almost sent the rest. Test: tests/it/link_pacer.rs, uploads beside short messages on a modelled link.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -8,6 +8,7 @@
 mod byte_string;
 pub mod claims;
 pub mod control;
+mod link_pacer;
 pub mod placement;
 mod recent_max;
 pub mod replication;
@@ -18,6 +19,7 @@
 mod versioned_map;
 
 pub use self::{
+    link_pacer::LinkPacer,
     recent_max::RecentMax,
     versioned_map::{MapDelta, VersionedMap},
 };
--- a/src/runtime/entry_node/attempt.rs
+++ b/src/runtime/entry_node/attempt.rs
@@ -3,7 +3,7 @@
 use std::{io, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncReadExt;
 
 use super::{
     pool::{UpstreamConnection, connect},
@@ -90,7 +90,7 @@
     mut connection: UpstreamConnection,
 ) -> io::Result<AttemptOutcome> {
     let bytes = encode_request(request, choice, time_left);
-    connection.stream.write_all(&bytes).await?;
+    state.link.write(&mut connection.stream, &bytes).await?;
     let body_max_bytes = state.settings.response_max_bytes();
     let (head, body) = read_response(&mut connection, request, body_max_bytes).await?;
     if head.keeps_alive && connection.buffer.is_empty() {
--- a/src/runtime/entry_node/callers.rs
+++ b/src/runtime/entry_node/callers.rs
@@ -270,7 +270,7 @@
     }
 
     async fn write_response(&mut self, response: EncodedResponse) -> io::Result<()> {
-        self.stream.write_all(&response.bytes).await?;
+        self.state.link.write(&mut self.stream, &response.bytes).await?;
         self.last_active_at = Instant::now();
         if response.closes_connection {
             self.read_state = ReadState::Finished;
--- /dev/null
+++ b/src/runtime/entry_node/link.rs
@@ -0,0 +1,66 @@
+//! Writes to the instance's own network link, so that large bodies do not delay short messages.
+
+use std::{cell::RefCell, io};
+
+use tokio::{
+    io::{AsyncWrite, AsyncWriteExt},
+    sync::Semaphore,
+};
+
+use crate::{core::LinkPacer, runtime::clock::Clock};
+
+/// The instance's own network link, which all of its connections share.
+pub(super) struct InstanceLink {
+    clock: Clock,
+    pacer: RefCell<LinkPacer>,
+    /// Held by the body that may write the next piece; bodies take turns.
+    turn: Semaphore,
+}
+
+impl InstanceLink {
+    /// Returns an idle link.
+    pub(super) fn new(clock: Clock, bytes_per_s: f64) -> Self {
+        let pacer = RefCell::new(LinkPacer::new(bytes_per_s));
+        Self { clock, pacer, turn: Semaphore::new(1) }
+    }
+
+    /// Writes a message. A large one is written in pieces, each once the link has almost sent
+    /// what was written before.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection fails.
+    pub(super) async fn write<W>(&self, stream: &mut W, message: &[u8]) -> io::Result<()>
+    where
+        W: AsyncWrite + Unpin,
+    {
+        let piece_max_bytes = self.pacer.borrow().piece_max_bytes();
+        if message.len() <= piece_max_bytes {
+            self.record_write(message.len());
+            return stream.write_all(message).await;
+        }
+        for piece in message.chunks(piece_max_bytes) {
+            // The turn is not kept while the connection takes the piece: a peer that stops
+            // reading must not hold up the other bodies.
+            self.take_turn(piece.len()).await?;
+            stream.write_all(piece).await?;
+        }
+        Ok(())
+    }
+
+    async fn take_turn(&self, length: usize) -> io::Result<()> {
+        let _turn = self.turn.acquire().await.map_err(io::Error::other)?;
+        loop {
+            let wait = self.pacer.borrow().wait(self.clock.now());
+            if wait.is_zero() {
+                self.record_write(length);
+                return Ok(());
+            }
+            tokio::time::sleep(wait).await;
+        }
+    }
+
+    fn record_write(&self, length: usize) {
+        self.pacer.borrow_mut().record_write(length, self.clock.now());
+    }
+}
--- a/src/runtime/entry_node/mod.rs
+++ b/src/runtime/entry_node/mod.rs
@@ -10,6 +10,7 @@
 mod exchange;
 mod follow;
 mod health;
+mod link;
 mod metrics;
 mod pool;
 mod readiness;
--- a/src/runtime/entry_node/state.rs
+++ b/src/runtime/entry_node/state.rs
@@ -11,7 +11,7 @@
 
 use tokio::sync::{Notify, watch};
 
-use super::{Flag, metrics::EntryMetrics, pool::ConnectionPool};
+use super::{Flag, link::InstanceLink, metrics::EntryMetrics, pool::ConnectionPool};
 use crate::{
     core::{
         RecentMax,
@@ -33,6 +33,7 @@
     pub(super) routes: RefCell<Rc<RouteIndex>>,
     pub(super) balancer: RefCell<Balancer>,
     pub(super) pool: RefCell<ConnectionPool>,
+    pub(super) link: InstanceLink,
     pub(super) demand: RefCell<DemandMeter>,
     /// When the next demand report may be sent to a control replica.
     next_demand_report_at: Cell<Duration>,
@@ -88,7 +89,9 @@
             slack: settings.bounds.cold_slack,
             entry_count: ENTRY_COUNT_DEFAULT,
         };
+        let clock = Clock::new();
         Self {
+            link: InstanceLink::new(clock, settings.link_bytes_per_s()),
             seeds: RefCell::new(settings.seed_cluster_addresses()),
             demand: RefCell::new(DemandMeter::new(Duration::ZERO)),
             next_demand_report_at: Cell::new(DEMAND_REPORT_INTERVAL),
@@ -97,7 +100,7 @@
             entry_count: Cell::new(ENTRY_COUNT_DEFAULT),
             upstream_failed: Notify::new(),
             control_addresses: RefCell::new(settings.seed_cluster_addresses()),
-            clock: Clock::new(),
+            clock,
             policy: RefCell::default(),
             routes: RefCell::default(),
             balancer: RefCell::new(Balancer::new(locality, cold_limit)),
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -179,10 +179,15 @@
         (self.resources.memory_mib * 1024 * 1024 / RESPONSES_IN_MEMORY) as usize
     }
 
+    /// Returns the bandwidth of the instance's own network link in bytes per second; 0 if it
+    /// is not limited.
+    pub fn link_bytes_per_s(&self) -> f64 {
+        self.resources.link_mbps * 125_000.0
+    }
+
     /// Returns how long sent data may be queued on the instance's own link.
     pub fn link_queue_time(&self) -> Duration {
-        let link_bytes_per_s = self.resources.link_mbps * 125_000.0;
-        Duration::try_from_secs_f64(LINK_QUEUE_BYTES / link_bytes_per_s)
+        Duration::try_from_secs_f64(LINK_QUEUE_BYTES / self.link_bytes_per_s())
             .unwrap_or_default()
             .min(LINK_QUEUE_TIME_MAX)
     }
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -7,6 +7,7 @@
 mod explain;
 mod http1;
 mod layout;
+mod link_pacer;
 mod placement;
 mod platform;
 mod replication;
