--- a/src/runtime/entry_node/follow.rs
+++ b/src/runtime/entry_node/follow.rs
@@ -66,6 +66,7 @@
         addresses.map(|address| probe(address, Client::new(address), Duration::ZERO, call_timeout));
     let mut replies: FuturesUnordered<_> = probes.collect();
     let mut nearest: Option<(u8, SocketAddr, Client)> = None;
+    let mut nearest_behind = u8::MAX;
     let mut deadline = Instant::now() + call_timeout;
     while let Ok(Some((address, client, reply))) =
         timeout(deadline.saturating_duration_since(Instant::now()), replies.next()).await
@@ -75,8 +76,8 @@
             continue;
         };
         apply_replicas(state, &reply);
+        let distance = state.distance_to(&reply.zone);
         if is_up_to_date(&reply) {
-            let distance = state.distance_to(&reply.zone);
             if nearest.is_none() {
                 deadline = deadline.min(Instant::now() + NEARER_WAIT);
             }
@@ -90,7 +91,11 @@
             if has_newer_state(state, &reply) {
                 fetch_state(state, &client, progress, call_timeout).await;
             }
-            replies.push(probe(address, client, PROBE_INTERVAL, call_timeout));
+            // Probing all of them again would load the replicas while they elect a leader.
+            nearest_behind = nearest_behind.min(distance);
+            if distance == nearest_behind {
+                replies.push(probe(address, client, PROBE_INTERVAL, call_timeout));
+            }
         }
     }
     nearest.map(|(_, address, client)| (address, client))
