--- a/tests/processes/entry.rs
+++ b/tests/processes/entry.rs
@@ -47,6 +47,8 @@
 enum Event {
     Requested,
     Closed,
+    /// The control replica was asked how up to date it is.
+    Probed,
 }
 
 /// An entry instance with one upstream, which is killed on drop.
@@ -60,22 +62,33 @@
 impl Rig {
     /// Starts the instance on an address of its own, and waits until it is ready.
     async fn start(number: u32, behaviour: Behaviour) -> Self {
-        let pid = std::process::id();
-        let prefix = format!("127.{}.{}", 20 + pid % 80, pid / 80 % 250);
-        let (ip, control_ip) = (format!("{prefix}.{number}"), format!("{prefix}.{}", number + 80));
-        let folder = std::env::temp_dir().join(format!("bulrushspan-entry-{pid}-{number}"));
-        fs::create_dir_all(&folder).unwrap();
-        let listener = TcpListener::bind(format!("{prefix}.{}:8080", number + 160)).await.unwrap();
-        let upstream = listed_upstream(listener.local_addr().unwrap());
         let (event_sender, events) = mpsc::unbounded_channel();
+        let listener = TcpListener::bind(address(number + 160, 8080)).await.unwrap();
+        let upstream = listed_upstream(listener.local_addr().unwrap());
         tokio::spawn(serve_upstream(listener, behaviour, event_sender));
-        let control = TcpListener::bind(format!("{control_ip}:7660")).await.unwrap();
-        tokio::spawn(serve_mesh(control, control_replica(upstream)));
+        let rig = Self::launch(number, control_replica(upstream), events).await;
+        rig.wait_ready().await;
+        rig
+    }
+
+    /// Starts the instance with a control replica, and with a second seed that it finds at
+    /// [`silent_seed`].
+    async fn launch(
+        number: u32,
+        control: MeshHandler<NodeRequest, NodeReply>,
+        events: mpsc::UnboundedReceiver<Event>,
+    ) -> Self {
+        let ip = ip(number);
+        let folder =
+            std::env::temp_dir().join(format!("bulrushspan-entry-{}-{number}", std::process::id()));
+        fs::create_dir_all(&folder).unwrap();
+        let listener = TcpListener::bind(address(number + 80, 7660)).await.unwrap();
+        tokio::spawn(serve_mesh(listener, control));
+        let seeds = [address(number + 80, 8146), format!("{}:8146", silent_seed(number))];
         let settings = json!({
             "node": "e1", "ip": ip, "zone": "a", "region": "north", "zones": {"a": "north"},
             "listen": {"front": format!("{ip}:8144"), "ready": format!("{ip}:8140")},
-            "cluster_ports": [7660, 7675], "seeds": [format!("{control_ip}:8146")],
-            "bootstrap": true, "data_dir": null,
+            "cluster_ports": [7660, 7675], "seeds": seeds, "bootstrap": true, "data_dir": null,
             "limits": {"cpu_share": 1.0, "memory_mb": MEMORY_MB, "max_fds": 4000, "link_mbps": 1000},
             "bounds": {"grace_s": 6},
         });
@@ -88,9 +101,7 @@
             .stdout(Stdio::from(log))
             .spawn()
             .unwrap();
-        let rig = Self { folder, ip, process, events };
-        rig.wait_ready().await;
-        rig
+        Self { folder, ip, process, events }
     }
 
     async fn wait_ready(&self) {
@@ -139,6 +150,21 @@
     }
 }
 
+/// Returns an address on loopback that only this process uses.
+fn ip(number: u32) -> String {
+    let pid = std::process::id();
+    format!("127.{}.{}.{number}", 20 + pid % 80, pid / 80 % 250)
+}
+
+fn address(number: u32, port: u16) -> String {
+    format!("{}:{port}", ip(number))
+}
+
+/// Returns the address of a seed at which nothing listens unless a test does.
+fn silent_seed(number: u32) -> String {
+    ip(number + 40)
+}
+
 fn request(id: &str, connection: &str) -> String {
     format!(
         "GET /menu/1 HTTP/1.1\r\nHost: shop.example\r\nConnection: {connection}\r\n\
@@ -300,6 +326,36 @@
     }
 }
 
+/// Recovery of the whole system: replicas are behind until they have a leader, and some do not
+/// reply.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_that_was_behind_is_probed_again_while_another_does_not_reply() {
+    let (event_sender, events) = mpsc::unbounded_channel();
+    let silent = TcpListener::bind(format!("{}:7660", silent_seed(10))).await.unwrap();
+    tokio::spawn(serve_upstream(silent, self::silent, event_sender.clone()));
+    let control: MeshHandler<NodeRequest, NodeReply> = Arc::new(move |_, _peer| {
+        let events = event_sender.clone();
+        Box::pin(async move {
+            events.send(Event::Probed).ok();
+            let request =
+                FollowRequest { version: None, list: None, demand: Vec::new(), hold_ms: 0 };
+            let listed = listed_upstream(([127, 0, 0, 1], 1).into());
+            let mut reply = follow_reply(&request, &Policy::default(), listed);
+            (reply.list, reply.list_age_ms, reply.behind_ms) = (None, None, None);
+            Some(NodeReply::Follow(Box::new(reply)))
+        })
+    });
+    let mut rig = Rig::launch(10, control, events).await;
+    let mut seen = BTreeMap::new();
+    loop {
+        match rig.next_event().await {
+            Event::Closed => break,
+            event => *seen.entry(format!("{event:?}")).or_insert(0) += 1,
+        }
+    }
+    assert!(seen["Probed"] >= 2, "probed once until the silent replica was given up: {seen:?}");
+}
+
 /// Upstreams in trouble that send bytes without end, in a head or a body.
 #[tokio::test(flavor = "multi_thread")]
 async fn endless_bytes_end_the_attempt_within_bounded_memory() {
--- a/tests/processes/platform.rs
+++ b/tests/processes/platform.rs
@@ -12,7 +12,7 @@
     time::{Duration, Instant},
 };
 
-use serde_json::json;
+use serde_json::{Value, json};
 use warp::{Filter, http::Response};
 
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
@@ -28,8 +28,11 @@
     http: reqwest::Client,
     /// How often the upstreams ran each request, by request id.
     runs: Runs,
+    /// The queries of the calls for the list of upstreams.
+    list_queries: ListQueries,
 }
 
+type ListQueries = Arc<Mutex<Vec<BTreeMap<String, String>>>>;
 type Runs = Arc<Mutex<BTreeMap<String, u32>>>;
 
 impl Fleet {
@@ -44,6 +47,7 @@
             processes: BTreeMap::new(),
             http: reqwest::Client::builder().no_proxy().build().unwrap(),
             runs: Runs::default(),
+            list_queries: ListQueries::default(),
         };
         fleet.start_stand_ins();
         for name in ["c1", "c2", "c3", "e1", "e2"] {
@@ -72,9 +76,15 @@
         }
         // A malformed entry is skipped; the other entries still apply.
         entries.push(json!({"id": "i-damaged", "slots": []}));
-        let list = json!({"instances": entries, "next_token": null}).to_string();
         let address: SocketAddr = format!("{}.40:8142", self.ip_prefix).parse().unwrap();
-        let list_route = warp::path("instances").map(move || list.clone());
+        let queries = self.list_queries.clone();
+        let list_route = warp::path("instances").and(warp::query()).map(
+            move |query: BTreeMap<String, String>| {
+                let page = list_page(&entries, &query);
+                queries.lock().unwrap().push(query);
+                page
+            },
+        );
         tokio::spawn(warp::serve(list_route).run(address));
     }
 
@@ -183,6 +193,16 @@
     }
 }
 
+/// Returns a page of the list: all of a zone, or else one entry of all zones.
+fn list_page(entries: &[Value], query: &BTreeMap<String, String>) -> String {
+    if query.contains_key("zone") {
+        return json!({"instances": entries, "next_token": null}).to_string();
+    }
+    let index: usize = query.get("page_token").map_or(0, |token| token.parse().unwrap());
+    let next = (index + 1 < entries.len()).then(|| (index + 1).to_string());
+    json!({"instances": [entries[index]], "next_token": next}).to_string()
+}
+
 /// Returns an upstream that counts each request and responds after 60 ms.
 fn upstream(
     number: usize,
@@ -263,6 +283,14 @@
 
     let metrics_url = format!("http://{}:9464/metrics", fleet.ip("e2"));
     fleet.wait_for(&metrics_url, 200, "bulrushspan_config_version 3").await;
+    // From the first reading on, a list of several pages is read by zone: its pages would
+    // take a round trip each, which may cross regions.
+    let queries = fleet.list_queries.lock().unwrap();
+    assert!(queries.iter().any(|query| query.contains_key("zone")));
+    let third_page = |query: &&BTreeMap<String, String>| {
+        query.get("page_token").is_some_and(|token| token == "2")
+    };
+    assert_eq!(queries.iter().find(third_page), None);
     let runs = fleet.runs.lock().unwrap();
     let ids_run_twice: Vec<(&String, &u32)> =
         runs.iter().filter(|(id, count)| !id.is_empty() && **count > 1).collect();
