Send nothing to an upstream that left service while its connection opened

An upstream is chosen, then the connection is established, which may take 0.8 to 1.4 s on a link of 2 or 4.9 Mbit/s; what the list or an evacuation said meanwhile was not looked at again. Change: once the connection stands, an upstream that is no longer listed as ready or whose zone was evacuated gets nothing, and another one is chosen; no attempt and no failure is counted. Ruled out: the list's way for these (1.2 s old at the instances). Test: tests/it/balance.rs (the decision); the moment is one line in the attempt.

--- a/src/core/balance/balancer.rs
+++ b/src/core/balance/balancer.rs
@@ -229,6 +229,12 @@
         upstreams.into_iter().find(|upstream| upstream.hash == first.hash)
     }
 
+    /// Returns whether an upstream still takes new work: it is listed as ready, and its
+    /// availability zone is not evacuated.
+    pub fn takes_work(&self, id: &UpstreamId) -> bool {
+        self.upstreams.get(id).is_some_and(|upstream| self.is_in_service(upstream))
+    }
+
     /// Records that a request is sent to an upstream.
     pub fn record_start(&mut self, id: &UpstreamId, now: Duration) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
@@ -304,14 +310,18 @@
     fn is_usable(&self, upstream: &UpstreamState, requirements: &Requirements<'_>) -> bool {
         let listed = &upstream.listed;
         listed.service == *requirements.service
-            && listed.state == ListedState::Ready
             && upstream.health == Health::Healthy
-            && !self.evacuated.contains(&listed.zone)
+            && self.is_in_service(upstream)
             && !requirements.tried.contains(&listed.id)
             && (requirements.home_regions.is_empty()
                 || self.is_in_regions(upstream, requirements.home_regions))
     }
 
+    fn is_in_service(&self, upstream: &UpstreamState) -> bool {
+        let listed = &upstream.listed;
+        listed.state == ListedState::Ready && !self.evacuated.contains(&listed.zone)
+    }
+
     fn is_in_regions(&self, upstream: &UpstreamState, regions: &[RegionName]) -> bool {
         self.region_of(upstream).is_some_and(|region| regions.contains(region))
     }
--- a/src/explain/explanation.rs
+++ b/src/explain/explanation.rs
@@ -99,6 +99,9 @@
             )
         }
         "unreachable" => format!("{} could not be reached: {}", field("upstream"), field("error")),
+        "left service" => {
+            format!("{} left service before anything was sent to it", field("upstream"))
+        }
         "broken off" => format!("{} broke off: {}", field("upstream"), field("error")),
         "no route" => format!(
             "configuration {} has no route for {}{}",
--- a/src/runtime/entry_node/attempt.rs
+++ b/src/runtime/entry_node/attempt.rs
@@ -29,6 +29,9 @@
     NotRun { status: u16, load: Option<ReportedLoad> },
     /// The connection could not be established, so nothing was sent.
     NotSent(io::Error),
+    /// The upstream left service while the connection was being established, so nothing
+    /// was sent.
+    LeftService,
     /// At least a part of the request was sent, and whether it ran is unknown.
     Unknown(io::Error),
 }
@@ -76,6 +79,11 @@
             Err(error) => return AttemptOutcome::NotSent(error),
         },
     };
+    // Establishing the connection may have taken most of the time in which an upstream that
+    // leaves, or an evacuated zone, may still get requests.
+    if !state.balancer.borrow().takes_work(&choice.id) {
+        return AttemptOutcome::LeftService;
+    }
     match send(state, choice, request, time_left, connection).await {
         Ok(outcome) => outcome,
         Err(error) => AttemptOutcome::Unknown(error),
--- a/src/runtime/entry_node/exchange.rs
+++ b/src/runtime/entry_node/exchange.rs
@@ -211,6 +211,13 @@
                 let gives_up = self.unreachable_count >= UNREACHABLE_MAX;
                 gives_up.then(|| self.refuse("unreachable", RETRY_AFTER_DEFAULT))
             }
+            AttemptOutcome::LeftService => {
+                self.may_have_run = false;
+                self.attempts -= 1;
+                let upstream = &choice.id;
+                info!(target: REQUEST_TARGET, request = self.id, upstream, "left service");
+                None
+            }
             AttemptOutcome::NotRun { status, load } => {
                 self.may_have_run = false;
                 if let Some(load) = load {
--- a/tests/it/balance.rs
+++ b/tests/it/balance.rs
@@ -118,6 +118,20 @@
     }
 }
 
+/// A request waits for its connection while the upstream begins to leave.
+#[test]
+fn an_upstream_that_was_chosen_takes_no_work_once_it_leaves_or_its_zone_is_evacuated() {
+    let ids = ["leaving", "removed", "evacuated"];
+    let mut balancer =
+        balancer(&[upstream("leaving", "a"), upstream("removed", "a"), upstream("evacuated", "b")]);
+    assert!(ids.iter().all(|id| balancer.takes_work(&(*id).to_owned())));
+    let mut leaving_upstream = upstream("leaving", "a");
+    leaving_upstream.state = ListedState::Leaving;
+    balancer.apply_delta(full_list(&[leaving_upstream, upstream("evacuated", "b")]), millis(1));
+    balancer.set_evacuated(["b".to_owned()].into(), millis(1));
+    assert!(!ids.iter().any(|id| balancer.takes_work(&(*id).to_owned())));
+}
+
 #[test]
 fn a_failed_upstream_is_used_after_a_passed_check_and_is_cold_for_the_reported_time() {
     let mut balancer = balancer(&[upstream("u1", "a")]);
