--- a/src/runtime/entry_node/callers.rs
+++ b/src/runtime/entry_node/callers.rs
@@ -61,6 +61,8 @@
     closes_connection: bool,
     /// Whether the caller may still send input, which is then discarded.
     has_unread_input: bool,
+    /// Keeps the request open until the response is written, so that a stop waits for it.
+    open_request: Option<OpenRequest>,
 }
 
 /// The state of one caller's connection.
@@ -241,7 +243,7 @@
         let request = Request { head: *head, body: body.freeze(), arrived_at };
         let state = self.state.clone();
         self.pending.push_back(Box::pin(async move {
-            let _open_request = OpenRequest::new(&state);
+            let open_request = Some(OpenRequest::new(&state));
             let response = exchange::handle_request(&state, &request).await;
             let closes_connection = !keeps_alive || *state.stopping.borrow();
             let response =
@@ -252,6 +254,7 @@
                 bytes,
                 closes_connection: response.closes_connection,
                 has_unread_input: false,
+                open_request,
             }
         }));
     }
@@ -265,13 +268,19 @@
     fn push_last_response(&mut self, response: Response) {
         self.read_state = ReadState::Finished;
         let bytes = response.encode("", None);
-        let encoded = EncodedResponse { bytes, closes_connection: true, has_unread_input: true };
+        let encoded = EncodedResponse {
+            bytes,
+            closes_connection: true,
+            has_unread_input: true,
+            open_request: None,
+        };
         self.pending.push_back(Box::pin(std::future::ready(encoded)));
     }
 
     async fn write_response(&mut self, response: EncodedResponse) -> io::Result<()> {
         self.state.link.write(&mut self.stream, &response.bytes).await?;
         self.last_active_at = Instant::now();
+        drop(response.open_request);
         if response.closes_connection {
             self.read_state = ReadState::Finished;
             self.pending = FuturesOrdered::new();
--- a/tests/processes/entry.rs
+++ b/tests/processes/entry.rs
@@ -37,6 +37,9 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 const SERVICE: &str = "orders";
 const MEMORY_MB: u64 = 64;
+const LINK_MBPS: f64 = 1000.0;
+/// The length of the body of [`large_response`].
+const LARGE_BYTES: usize = 400_000;
 
 /// What an upstream does with each connection, after the head of the first request.
 type Behaviour = fn(TcpStream, mpsc::UnboundedSender<Event>) -> BoxFuture;
@@ -62,11 +65,15 @@
 impl Rig {
     /// Starts the instance on an address of its own, and waits until it is ready.
     async fn start(number: u32, behaviour: Behaviour) -> Self {
+        Self::start_on_link(number, behaviour, LINK_MBPS).await
+    }
+
+    async fn start_on_link(number: u32, behaviour: Behaviour, link_mbps: f64) -> Self {
         let (event_sender, events) = mpsc::unbounded_channel();
         let listener = TcpListener::bind(address(number + 160, 8080)).await.unwrap();
         let upstream = listed_upstream(listener.local_addr().unwrap());
         tokio::spawn(serve_upstream(listener, behaviour, event_sender));
-        let rig = Self::launch(number, control_replica(upstream), events).await;
+        let rig = Self::launch(number, control_replica(upstream), events, link_mbps).await;
         rig.wait_ready().await;
         rig
     }
@@ -77,6 +84,7 @@
         number: u32,
         control: MeshHandler<NodeRequest, NodeReply>,
         events: mpsc::UnboundedReceiver<Event>,
+        link_mbps: f64,
     ) -> Self {
         let ip = ip(number);
         let folder =
@@ -89,7 +97,7 @@
             "node": "e1", "ip": ip, "zone": "a", "region": "north", "zones": {"a": "north"},
             "listen": {"front": format!("{ip}:8144"), "ready": format!("{ip}:8140")},
             "cluster_ports": [7660, 7675], "seeds": seeds, "bootstrap": true, "data_dir": null,
-            "limits": {"cpu_share": 1.0, "memory_mb": MEMORY_MB, "max_fds": 4000, "link_mbps": 1000},
+            "limits": {"cpu_share": 1.0, "memory_mb": MEMORY_MB, "max_fds": 4000, "link_mbps": link_mbps},
             "bounds": {"grace_s": 6},
         });
         let file = folder.join("node.json");
@@ -252,6 +260,15 @@
     })
 }
 
+fn large_response(mut stream: TcpStream, _events: mpsc::UnboundedSender<Event>) -> BoxFuture {
+    Box::pin(async move {
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {LARGE_BYTES}\r\n\r\n");
+        stream.write_all(head.as_bytes()).await.ok();
+        stream.write_all(&vec![b'x'; LARGE_BYTES]).await.ok();
+        sleep(WAIT_TIMEOUT).await;
+    })
+}
+
 /// Writes `start` and then `piece` again and again until the connection is closed.
 async fn write_without_end(
     mut stream: TcpStream,
@@ -326,6 +343,20 @@
     }
 }
 
+/// A planned stop while a response takes longer on a narrow link than an idle instance serves.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_waits_until_responses_are_written() {
+    let mut rig = Rig::start_on_link(11, large_response, 1.0).await;
+    let mut caller = rig.connect().await;
+    caller.write_all(request("r1", "close").as_bytes()).await.unwrap();
+    assert_eq!(rig.next_event().await, Event::Requested);
+    let pid = rig.process.id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    let mut response = Vec::new();
+    timeout(WAIT_TIMEOUT, caller.read_to_end(&mut response)).await.unwrap().unwrap();
+    assert!(response.len() > LARGE_BYTES, "cut after {} bytes", response.len());
+}
+
 /// Recovery of the whole system: replicas are behind until they have a leader, and some do not
 /// reply.
 #[tokio::test(flavor = "multi_thread")]
@@ -345,7 +376,7 @@
             Some(NodeReply::Follow(Box::new(reply)))
         })
     });
-    let mut rig = Rig::launch(10, control, events).await;
+    let mut rig = Rig::launch(10, control, events, LINK_MBPS).await;
     let mut seen = BTreeMap::new();
     loop {
         match rig.next_event().await {
