Say exactly what the placement test and two comments claim

The test of bounded rounds said that every overloaded upstream was relieved, checked only that some object moved, and its bound on the first round held trivially (a round moves six objects at most). It now checks that the first round moves only objects that it could rank and that later rounds move others: stricter in both. The bench's header named a parameter that is not there, and the doc of PROBE_INTERVAL was hard to read.

--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -60,7 +60,7 @@
     }
 }
 
-/// Measures a round in which `changed` reports are new.
+/// Measures the first round, a later one and the recording of one report.
 fn rounds(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("plan");
     group.sample_size(10);
--- a/src/runtime/entry_node/follow.rs
+++ b/src/runtime/entry_node/follow.rs
@@ -28,8 +28,8 @@
 /// How long to wait for a nearer replica once an up-to-date one has replied.
 const NEARER_WAIT: Duration = Duration::from_millis(200);
 /// The pause before a replica that was not up to date, or did not reply, is probed again
-/// while others are still awaited. After a failure of the whole system the replicas
-/// elect a leader within a fraction of the time that a silent one takes.
+/// while others are still awaited. Replicas that start together elect a leader before the
+/// probe of a silent one times out.
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 /// The pause before all replicas are probed again if none was up to date.
 const FIND_RETRY_DELAY: Duration = Duration::from_millis(100);
--- a/tests/it/placement.rs
+++ b/tests/it/placement.rs
@@ -133,26 +133,24 @@
 #[test]
 fn a_round_ranks_a_bounded_number_of_upstreams_and_later_rounds_the_rest() {
     let upstreams = 1_000;
-    let numbers: Vec<usize> = (0..upstreams).collect();
     let list = list(0..upstreams, secs(1));
     let demands: Vec<(usize, u32)> = (0..1_000).map(|key| (key, 8_000)).collect();
     let mut planner = Planner::new(regions_of_zones(), 0.15);
     planner.record_report(report("i1", "r0", &demands), secs(1));
+    // Objects are ranked in the order of their ids.
+    let ids: BTreeSet<ObjectId> = demands.iter().map(|(key, _)| object(*key)).collect();
+    let ranked_first: BTreeSet<ObjectId> =
+        ids.iter().copied().take(RANKINGS_PER_ROUND / upstreams).collect();
     let mut placement = BTreeMap::new();
-    let rounds = demands.len() * upstreams / RANKINGS_PER_ROUND;
-    for round in 0..=rounds {
+    for round in 0..=demands.len() * upstreams / RANKINGS_PER_ROUND {
         let change = plan(&mut planner, &list, &placement.clone().into(), secs(1));
         let moved = change.into_iter().filter_map(|(object, id)| Some((object, id?)));
         placement.extend(moved);
-        assert!(round > 0 || placement.len() <= RANKINGS_PER_ROUND / upstreams);
+        let only_ranked_first = placement.keys().all(|object| ranked_first.contains(object));
+        assert!(round > 0 || only_ranked_first, "moved an object that was not ranked yet");
     }
-    // Every upstream that two objects overload by default was relieved of one.
-    let mut counts: BTreeMap<usize, usize> = BTreeMap::new();
-    for key in 0..1_000 {
-        *counts.entry(default_upstream(key, &numbers)).or_default() += 1;
-    }
-    let overloaded = counts.values().filter(|count| **count > 1).count();
-    assert!(overloaded > 0 && !placement.is_empty());
+    let moved_later = placement.keys().any(|object| !ranked_first.contains(object));
+    assert!(moved_later, "objects beyond the first round's were never ranked");
 }
 
 proptest! {
