Hand requests over to peers while the links to upstreams are lost

Cause: an instance had no way to serve a request but its own links, and the directory went on naming it to callers. An upstream that one instance can't reach was taken for one that nobody can reach. The logs of front-dar-msasani-1 show no_upstream and unreachable as reasons, and no timeout.

Change: failures of several upstreams in a row, with none reached between them, count as lost links. Requests then go to a peer that has its links, on the terms that docs/PLATFORM.md lists: at most once, one deadline and number of attempts over both hops, never on to a third instance, not to one with an older configuration or outside the home regions. Control replicas tell each instance of a few peers, which it keeps when it can't reach them, and leave instances without links out of the directory.

Evidence: with the hand-over switched off, two of the new process tests fail (503 instead of 200, and of 502).

--- a/src/core/balance/balancer.rs
+++ b/src/core/balance/balancer.rs
@@ -91,6 +91,8 @@
 pub struct Choice {
     /// The id of the upstream.
     pub id: UpstreamId,
+    /// The service that it belongs to.
+    pub service: ServiceName,
     /// The address at which it listens.
     pub address: SocketAddr,
     /// How long the request is expected to wait for a slot.
@@ -235,6 +237,17 @@
         self.upstreams.get(id).is_some_and(|upstream| self.is_in_service(upstream))
     }
 
+    /// Returns an upstream of a service that takes work, healthy or not: another one in each
+    /// round, to find out whether any can be reached.
+    pub fn probe_target(&self, service: &ServiceName, round: usize) -> Option<Choice> {
+        let is_candidate = |upstream: &&UpstreamState| {
+            upstream.listed.service == *service && self.is_in_service(upstream)
+        };
+        let count = self.upstreams.values().filter(is_candidate).count();
+        let mut candidates = self.upstreams.values().filter(is_candidate);
+        candidates.nth(round.checked_rem(count)?).map(|upstream| upstream.choice(Duration::ZERO))
+    }
+
     /// Records that a request is sent to an upstream.
     pub fn record_start(&mut self, id: &UpstreamId, now: Duration) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
@@ -366,6 +379,7 @@
     fn choice(&self, now: Duration) -> Choice {
         Choice {
             id: self.listed.id.clone(),
+            service: self.listed.service.clone(),
             address: self.listed.address,
             expected_wait: self.load.expected_wait(now),
         }
--- a/src/core/balance/mod.rs
+++ b/src/core/balance/mod.rs
@@ -6,10 +6,12 @@
 mod balancer;
 mod cold;
 mod health;
+mod links;
 mod load;
 
 pub use self::{
     balancer::{Balancer, Choice, Locality, Requirements},
     cold::ColdLimit,
     health::CheckResult,
+    links::UpstreamLinks,
 };
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,6 +9,7 @@
 pub mod claims;
 pub mod control;
 mod link_pacer;
+pub mod peers;
 pub mod placement;
 mod recent_max;
 pub mod replication;
--- a/src/core/roster.rs
+++ b/src/core/roster.rs
@@ -2,7 +2,12 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use super::control::{InstanceName, RegionName, ZoneName};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::{
+    control::{InstanceName, RegionName, ZoneName},
+    peers::Peer,
+};
 
 /// Represents the entry instances that announced themselves recently.
 ///
@@ -21,8 +26,12 @@
     pub zone: ZoneName,
     /// The address at which callers reach it.
     pub address: SocketAddr,
+    /// The address at which it takes over requests of other entry instances.
+    pub relay_address: SocketAddr,
     /// Whether it accepts callers.
     pub is_ready: bool,
+    /// Whether it reaches the upstreams of every service.
+    pub reaches_upstreams: bool,
     /// When its last announcement arrived.
     pub announced_at: Duration,
 }
@@ -41,6 +50,8 @@
 /// The minimum number of addresses returned to a caller, if that many entry
 /// instances are usable.
 const ADDRESSES_MIN: usize = 2;
+/// The maximum number of peers in one region that an entry instance is told of.
+const PEERS_PER_REGION_MAX: usize = 4;
 
 impl Roster {
     /// Returns an empty roster for a process that started at `now`.
@@ -69,19 +80,17 @@
     /// Returns the addresses of the entry instances that a caller should use.
     ///
     /// The nearest instances come first. Farther instances are included only as needed
-    /// to reach the minimum number. The list is empty during the warm-up of the
-    /// process, when some instances may not have announced themselves yet.
+    /// to reach the minimum number. Instances that don't reach upstreams are included only
+    /// if no instance does. The list is empty during the warm-up of the process, when some
+    /// instances may not have announced themselves yet.
     pub fn addresses_for(&self, region: &str, zone: &str, now: Duration) -> Vec<SocketAddr> {
         if now < self.started_at + WARM_UP {
             return Vec::new();
         }
-        let is_usable = |instance: &&AnnouncedInstance| {
-            instance.is_ready && now <= instance.announced_at + ANNOUNCE_TIMEOUT
-        };
-        let mut ranked: Vec<(u8, SocketAddr)> = self
-            .instances
-            .values()
-            .filter(is_usable)
+        let usable = || self.instances.values().filter(|instance| instance.is_usable(now));
+        let any_reaches_upstreams = usable().any(|instance| instance.reaches_upstreams);
+        let mut ranked: Vec<(u8, SocketAddr)> = usable()
+            .filter(|instance| instance.reaches_upstreams || !any_reaches_upstreams)
             .map(|instance| (self.distance(instance, region, zone), instance.address))
             .collect();
         ranked.sort_unstable();
@@ -93,6 +102,31 @@
         ranked.into_iter().map(|(_, address)| address).collect()
     }
 
+    /// Returns the entry instances that may take over requests of the named one: up to
+    /// [`PEERS_PER_REGION_MAX`] in each region, different ones for different instances.
+    pub fn peers_of(&self, name: &InstanceName, now: Duration) -> Vec<Peer> {
+        let seed = xxh3_64_with_seed(name.as_bytes(), 0);
+        let mut by_region: BTreeMap<&RegionName, Vec<(u64, Peer)>> = BTreeMap::new();
+        for (other, instance) in &self.instances {
+            let Some(region) = self.regions_of_zones.get(&instance.zone) else { continue };
+            if other == name || !instance.is_usable(now) || !instance.reaches_upstreams {
+                continue;
+            }
+            let peer = Peer {
+                instance: other.clone(),
+                address: instance.relay_address,
+                region: region.clone(),
+            };
+            let rank = xxh3_64_with_seed(other.as_bytes(), seed);
+            by_region.entry(region).or_default().push((rank, peer));
+        }
+        let select = |mut ranked: Vec<(u64, Peer)>| {
+            ranked.sort_unstable_by_key(|(rank, _)| *rank);
+            ranked.into_iter().take(PEERS_PER_REGION_MAX).map(|(_, peer)| peer)
+        };
+        by_region.into_values().flat_map(select).collect()
+    }
+
     /// Returns 0 for an entry instance in the given availability zone, 1 in the
     /// given region and [`OTHER_REGION`] elsewhere.
     fn distance(&self, instance: &AnnouncedInstance, region: &str, zone: &str) -> u8 {
@@ -106,5 +140,12 @@
     }
 }
 
+impl AnnouncedInstance {
+    /// Returns whether it accepts callers, as it said recently.
+    fn is_usable(&self, now: Duration) -> bool {
+        self.is_ready && now <= self.announced_at + ANNOUNCE_TIMEOUT
+    }
+}
+
 /// The distance of an entry instance in another region.
 const OTHER_REGION: u8 = 2;
--- a/src/explain/explanation.rs
+++ b/src/explain/explanation.rs
@@ -99,6 +99,15 @@
             )
         }
         "unreachable" => format!("{} could not be reached: {}", field("upstream"), field("error")),
+        "handed over" => format!(
+            "handed over to {} with {} ms left, as upstreams could not be reached",
+            field("peer"),
+            field("left_ms"),
+        ),
+        "peer refused" => format!("{} did not take it over: {}", field("peer"), field("reason")),
+        "peer unreachable" | "peer broke off" => {
+            format!("{}: {} ({})", line.message, field("peer"), field("error"))
+        }
         "left service" => {
             format!("{} left service before anything was sent to it", field("upstream"))
         }
@@ -122,6 +131,8 @@
         "busy" => "it would have waited too long for a slot at its upstream",
         "no_upstream" => "no upstream was left that may run it",
         "unreachable" => "no upstream that was tried could be reached",
+        "peer_refused" => "upstreams could not be reached, and a peer refused it",
+        "behind" => "the instance had an older configuration than the one that handed it over",
         "shed" => "its upstream was full, and no retry was left",
         "stopping" => "the instance was about to stop",
         "no_configuration" => "the instance had no configuration yet",
@@ -163,6 +174,12 @@
             line.display("upstream")
         ),
         (_, 502) => {
+            if let Some(line) = last_line("peer broke off") {
+                return format!(
+                    "{} broke off after it took it over; it may have run",
+                    line.display("peer")
+                );
+            }
             let error =
                 last_line("broken off").map_or("unknown".to_owned(), |line| line.display("error"));
             let budget = last_line("retry budget spent").map_or("", |_| ", and no retry was left");
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 mod http_server;
 pub mod mesh;
 mod packed_list;
+pub mod relay;
 pub mod wire;
 
 #[allow(clippy::all, clippy::pedantic, clippy::nursery, missing_docs)]
--- a/src/net/wire.rs
+++ b/src/net/wire.rs
@@ -16,6 +16,7 @@
         Outcome, Ownership, Policy, PolicyDelta, Preset, PresetName, RegionName, Revision,
         UpstreamName, Version, ZoneName,
     },
+    peers::Peer,
     placement::DemandReport,
     replication::{Envelope, LogIndex, Members, ReplicaId, Term},
     steering::Layout,
@@ -278,6 +279,9 @@
     pub demand: Vec<DemandReport>,
     /// How long the reply may be held back while nothing has changed.
     pub hold_ms: u64,
+    /// The entry instance whose peers are requested, if any.
+    #[serde(default)]
+    pub peers_of: Option<InstanceName>,
 }
 
 /// Represents a position in the changes that one process has numbered in sequence.
@@ -309,6 +313,9 @@
     pub behind_ms: Option<u64>,
     /// The number of entry instances that the replica believes to be up.
     pub entries: u32,
+    /// The requested peers.
+    #[serde(default)]
+    pub peers: Option<Vec<Peer>>,
 }
 
 /// Represents changes of the list of upstreams, with the process that numbered them.
@@ -338,8 +345,12 @@
     pub zone: ZoneName,
     /// The address that callers send requests to.
     pub callers: SocketAddr,
+    /// The address at which the instance takes over requests of other entry instances.
+    pub relay: SocketAddr,
     /// Whether the instance accepts requests of callers.
     pub is_ready: bool,
+    /// Whether the instance reaches the upstreams of every service.
+    pub reaches_upstreams: bool,
 }
 
 /// Represents the reply to a probe, which reads the state of a replica's log.
--- a/src/runtime/control_node/calls.rs
+++ b/src/runtime/control_node/calls.rs
@@ -163,7 +163,7 @@
         let list = request.list.and_then(|cursor| list_delta(state, cursor));
         let has_changes = list.is_some() || !is_empty_update(&policy_reply.update);
         if has_changes || Instant::now() >= deadline {
-            return Some(follow_reply(state, policy_reply, list));
+            return Some(follow_reply(state, policy_reply, list, request.peers_of.as_ref()));
         }
         let remaining = deadline.saturating_duration_since(Instant::now()).min(LIST_POLL_INTERVAL);
         tokio::time::timeout(remaining, version_receiver.changed()).await.ok();
@@ -178,9 +178,11 @@
     state: &ControlNodeState,
     policy_reply: PolicyUpdateReply,
     list: Option<ListDelta>,
+    peers_of: Option<&InstanceName>,
 ) -> FollowReply {
     let now = state.clock.now();
     let read_at = lock(&state.list).read_at();
+    let roster = lock(&state.roster);
     FollowReply {
         zone: state.settings.zone.clone(),
         version: policy_reply.version,
@@ -189,7 +191,8 @@
         list_age_ms: read_at.map(|read_at| now.saturating_sub(read_at).as_millis() as u64),
         replicas: policy_reply.replicas,
         behind_ms: policy_reply.staleness.map(|staleness| staleness.as_millis() as u64),
-        entries: lock(&state.roster).up_count(now) as u32,
+        entries: roster.up_count(now) as u32,
+        peers: peers_of.map(|instance| roster.peers_of(instance, now)),
     }
 }
 
@@ -237,12 +240,16 @@
         };
         let Ok(announcement) = decode::<Announcement>(datagram) else { continue };
         let now = state.clock.now();
-        let Announcement { instance, zone, callers, is_ready } = announcement;
+        let announced = AnnouncedInstance {
+            zone: announcement.zone,
+            address: announcement.callers,
+            relay_address: announcement.relay,
+            is_ready: announcement.is_ready,
+            reaches_upstreams: announcement.reaches_upstreams,
+            announced_at: now,
+        };
         let mut roster = lock(&state.roster);
-        roster.record_announcement(
-            instance,
-            AnnouncedInstance { zone, address: callers, is_ready, announced_at: now },
-        );
+        roster.record_announcement(announcement.instance, announced);
         roster.remove_expired(now);
     }
 }
--- a/src/runtime/control_node/list_reader.rs
+++ b/src/runtime/control_node/list_reader.rs
@@ -70,7 +70,8 @@
     let hold_ms = HOLD_TIME.as_millis() as u64;
     let demand: Vec<DemandReport> =
         std::mem::take(&mut *lock(&state.demand)).into_values().collect();
-    let request = FollowRequest { version: None, list: Some(*cursor), demand, hold_ms };
+    let request =
+        FollowRequest { version: None, list: Some(*cursor), demand, hold_ms, peers_of: None };
     let client = state.connections.client(address);
     let Ok(NodeReply::Follow(reply)) =
         client.call(NodeRequest::Follow(request), FOLLOW_TIMEOUT).await
--- a/src/runtime/entry_node/announce.rs
+++ b/src/runtime/entry_node/announce.rs
@@ -29,12 +29,15 @@
     let mut stopping = state.stopping.subscribe();
     loop {
         state.pool.borrow_mut().close_expired();
+        state.peer_pool.borrow_mut().close_expired();
         state.update_metrics();
         let announcement = Announcement {
             instance: state.settings.instance.clone(),
             zone: state.settings.zone.clone(),
             callers: callers_address,
+            relay: state.settings.cluster_address(),
             is_ready: state.is_ready.load(Ordering::Relaxed),
+            reaches_upstreams: state.links.reaches_upstreams(),
         };
         let Ok(datagram) = encode(&announcement) else { return };
         for address in state.all_control_addresses() {
--- a/src/runtime/entry_node/attempt.rs
+++ b/src/runtime/entry_node/attempt.rs
@@ -1,12 +1,13 @@
 //! Sends a request to one upstream and reads the response.
 
-use std::{io, rc::Rc, time::Duration};
+use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use tokio::io::AsyncReadExt;
 
 use super::{
-    pool::{UpstreamConnection, connect},
+    links::connect_to_upstream,
+    pool::{ConnectionPool, UpstreamConnection},
     request::Request,
     response::{Response, is_stripped},
     state::EntryState,
@@ -62,19 +63,18 @@
 }
 
 /// Sends a request to the chosen upstream over a pooled or new connection.
-/// `time_left` is the time until the request's deadline. It is sent to the upstream
-/// and does not limit this call.
+/// The upstream is told how long it is until `deadline`, which does not limit this call.
 pub(super) async fn attempt(
     state: &Rc<EntryState>,
     choice: &Choice,
     request: &Request,
-    time_left: Duration,
+    deadline: Duration,
 ) -> AttemptOutcome {
     let _in_flight = InFlight::new(state, &choice.id);
     let pooled_connection = state.pool.borrow_mut().take(choice.address);
     let connection = match pooled_connection {
         Some(connection) => connection,
-        None => match connect(choice.address, state.settings.link_queue_time()).await {
+        None => match connect_to_upstream(state, choice).await {
             Ok(connection) => connection,
             Err(error) => return AttemptOutcome::NotSent(error),
         },
@@ -84,7 +84,7 @@
     if !state.balancer.borrow().takes_work(&choice.id) {
         return AttemptOutcome::LeftService;
     }
-    match send(state, choice, request, time_left, connection).await {
+    match send(state, choice, request, deadline, connection).await {
         Ok(outcome) => outcome,
         Err(error) => AttemptOutcome::Unknown(error),
     }
@@ -94,17 +94,15 @@
     state: &Rc<EntryState>,
     choice: &Choice,
     request: &Request,
-    time_left: Duration,
-    mut connection: UpstreamConnection,
+    deadline: Duration,
+    connection: UpstreamConnection,
 ) -> io::Result<AttemptOutcome> {
-    let bytes = encode_request(request, choice, time_left);
-    state.link.write(&mut connection.stream, &bytes).await?;
-    let body_max_bytes = state.settings.response_max_bytes();
-    let (head, body) = read_response(&mut connection, request, body_max_bytes).await?;
-    if head.keeps_alive && connection.buffer.is_empty() {
-        let keep_alive = keep_alive_timeout(&head);
-        state.pool.borrow_mut().put(choice.address, connection.stream, keep_alive);
-    }
+    let time_left = deadline.saturating_sub(state.clock.now());
+    let bytes = encode_request(request, time_left, |head| {
+        head.field(headers::EXPECT_INSTANCE, choice.id.as_bytes());
+    });
+    let (pool, address) = (&state.pool, choice.address);
+    let (head, body) = send_and_receive(state, pool, address, request, &bytes, connection).await?;
     let load = headers::reported_load(&head.headers);
     if headers::is_not_run(&head.headers) || head.status == 421 {
         return Ok(AttemptOutcome::NotRun { status: head.status, load });
@@ -115,7 +113,36 @@
     })
 }
 
-fn encode_request(request: &Request, choice: &Choice, time_left: Duration) -> Bytes {
+/// Sends an encoded request and reads the response. The connection is put into the pool if
+/// it can be reused.
+///
+/// # Errors
+///
+/// Returns an error if the connection fails or the response is malformed.
+pub(super) async fn send_and_receive(
+    state: &EntryState,
+    pool: &RefCell<ConnectionPool>,
+    address: SocketAddr,
+    request: &Request,
+    bytes: &[u8],
+    mut connection: UpstreamConnection,
+) -> io::Result<(ResponseHead, Bytes)> {
+    state.link.write(&mut connection.stream, bytes).await?;
+    let body_max_bytes = state.settings.response_max_bytes();
+    let (head, body) = read_response(&mut connection, request, body_max_bytes).await?;
+    if head.keeps_alive && connection.buffer.is_empty() {
+        let keep_alive = keep_alive_timeout(&head);
+        pool.borrow_mut().put(address, connection.stream, keep_alive);
+    }
+    Ok((head, body))
+}
+
+/// Encodes a request that is forwarded; `write_fields` adds fields for the receiver.
+pub(super) fn encode_request(
+    request: &Request,
+    time_left: Duration,
+    write_fields: impl FnOnce(&mut HeadWriter),
+) -> Bytes {
     let mut head = HeadWriter::with_request(&request.head.method, &request.head.target);
     let fields = &request.head.headers;
     for (name, value) in fields.iter() {
@@ -127,7 +154,7 @@
         }
     }
     head.number(headers::DEADLINE_MS, time_left.as_millis() as u64);
-    head.field(headers::EXPECT_INSTANCE, choice.id.as_bytes());
+    write_fields(&mut head);
     if !request.body.is_empty() || request.head.framing != Framing::Length(0) {
         head.number("Content-Length", request.body.len() as u64);
     }
--- a/src/runtime/entry_node/callers.rs
+++ b/src/runtime/entry_node/callers.rs
@@ -18,6 +18,7 @@
     net::{
         http1::{BodyError, BodyReader, Framing, HeadError, RequestHead, parse_request_head},
         mesh::configure_stream,
+        relay::{RELAY_FIELDS_MAX_BYTES, RelayTerms},
     },
     platform::headers,
 };
@@ -36,17 +37,25 @@
 /// The idle timeout of connections while the instance stops.
 const STOP_IDLE_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Accepts callers' connections for as long as the process runs.
-pub(super) async fn accept(state: Rc<EntryState>, listener: TcpListener) {
+/// Who sends requests over a connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Sender {
+    Caller,
+    /// Another entry instance, which hands over requests of its callers.
+    Peer,
+}
+
+/// Accepts connections for as long as the process runs.
+pub(super) async fn accept(state: Rc<EntryState>, listener: TcpListener, sender: Sender) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 configure_stream(&stream);
-                let connection = CallerConnection::new(state.clone(), stream);
+                let connection = CallerConnection::new(state.clone(), stream, sender);
                 tokio::task::spawn_local(connection.run());
             }
             Err(error) => {
-                warn!(%error, "can't accept a caller's connection; retrying");
+                warn!(%error, ?sender, "can't accept a connection; retrying");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
@@ -68,6 +77,7 @@
 /// The state of one caller's connection.
 struct CallerConnection {
     state: Rc<EntryState>,
+    sender: Sender,
     stream: TcpStream,
     buffer: BytesMut,
     limits: CallerLimits,
@@ -93,10 +103,11 @@
 }
 
 impl CallerConnection {
-    fn new(state: Rc<EntryState>, stream: TcpStream) -> Self {
+    fn new(state: Rc<EntryState>, stream: TcpStream, sender: Sender) -> Self {
         let limits = state.limits();
         Self {
             state,
+            sender,
             stream,
             buffer: BytesMut::new(),
             limits,
@@ -155,7 +166,7 @@
                     if self.buffer.is_empty() {
                         return Ok(());
                     }
-                    let header_max = self.limits.header_max_bytes as usize;
+                    let header_max = self.header_max_bytes() as usize;
                     match parse_request_head(&mut self.buffer, header_max) {
                         Ok(None) => return Ok(()),
                         Ok(Some(head)) => self.handle_head(head).await?,
@@ -240,7 +251,16 @@
         if !keeps_alive {
             self.read_state = ReadState::Finished;
         }
-        let request = Request { head: *head, body: body.freeze(), arrived_at };
+        let relay_terms = match self.sender {
+            Sender::Caller => None,
+            Sender::Peer => {
+                let Some(terms) = RelayTerms::parse(&head.headers) else {
+                    return self.reject(400, "malformed");
+                };
+                Some(terms)
+            }
+        };
+        let request = Request { head: *head, body: body.freeze(), arrived_at, relay_terms };
         let state = self.state.clone();
         self.pending.push_back(Box::pin(async move {
             let open_request = Some(OpenRequest::new(&state));
@@ -249,7 +269,11 @@
             let response =
                 if closes_connection { response.with_connection_close() } else { response };
             let id = headers::request_id(&request.head.headers);
-            let bytes = response.encode(&request.head.method, id);
+            let bytes = if request.relay_terms.is_some() {
+                response.encode_for_peer(&request.head.method, id)
+            } else {
+                response.encode(&request.head.method, id)
+            };
             EncodedResponse {
                 bytes,
                 closes_connection: response.closes_connection,
@@ -317,6 +341,13 @@
         matches!(self.read_state, ReadState::Finished)
     }
 
+    fn header_max_bytes(&self) -> u64 {
+        match self.sender {
+            Sender::Caller => self.limits.header_max_bytes,
+            Sender::Peer => self.limits.header_max_bytes + RELAY_FIELDS_MAX_BYTES,
+        }
+    }
+
     /// Returns whether no part of the next request has arrived.
     fn is_idle(&self) -> bool {
         matches!(self.read_state, ReadState::Head) && self.buffer.is_empty()
--- a/src/runtime/entry_node/exchange.rs
+++ b/src/runtime/entry_node/exchange.rs
@@ -6,6 +6,8 @@
 
 use super::{
     attempt::{AttemptOutcome, attempt},
+    hand_over::{HandOverOutcome, hand_over},
+    links::record_unreachable,
     metrics::RequestOutcome,
     request::Request,
     response::Response,
@@ -19,6 +21,7 @@
         routing::{Execution, Route},
         upstreams::UpstreamId,
     },
+    net::relay::RelayTerms,
     platform::headers,
     runtime::logs::REQUEST_TARGET,
 };
@@ -46,6 +49,9 @@
     if !state.has_configuration() {
         return refuse(state, id, "no_configuration", RETRY_AFTER_DEFAULT);
     }
+    if request.relay_terms.is_some_and(|terms| terms.config_version > state.config_version()) {
+        return refuse(state, id, "behind", RETRY_AFTER_DEFAULT);
+    }
     let routes = state.routes.borrow().clone();
     let Some((name, route)) = routes.find(request.host(), request.path()) else {
         let (host, path) = (request.host(), request.path());
@@ -62,7 +68,12 @@
     let Some(service) = route.destination.pick(rand::random()) else {
         return refuse(state, id, "no_service", RETRY_AFTER_DEFAULT);
     };
-    state.record_request(service);
+    // The retry budgets of all instances together depend on the number of requests, so a
+    // request counts only where its caller sent it.
+    if request.relay_terms.is_none() {
+        state.record_request(service);
+    }
+    let attempts_max = request.relay_terms.map_or(u32::MAX, |terms| terms.attempts_max);
     let key = headers::affinity_key(&request.head.headers).unwrap_or(id);
     let caller_timeout = headers::timeout(&request.head.headers).unwrap_or(TIMEOUT_DEFAULT);
     let timeout = caller_timeout.min(route.timeout);
@@ -76,6 +87,7 @@
         key,
         object: object_id(name, key),
         deadline: request.arrived_at + timeout,
+        attempts_max: attempts_max.min(route.attempts_max),
         tried: Vec::new(),
         attempts: 0,
         unreachable_count: 0,
@@ -97,6 +109,8 @@
     object: ObjectId,
     /// When the response is due, by the instance's clock.
     deadline: Duration,
+    /// The maximum number of upstreams that the request may be sent to.
+    attempts_max: u32,
     tried: Vec<UpstreamId>,
     /// The number of upstreams that the request was sent to; an attempt whose
     /// connection failed is not counted.
@@ -137,8 +151,13 @@
 
     async fn try_upstreams(&mut self) -> Response {
         loop {
+            if self.state.links.are_lost(self.service) {
+                let response = self.hand_over().await;
+                return response.unwrap_or_else(|| self.refuse("unreachable", RETRY_AFTER_DEFAULT));
+            }
             let Some(choice) = self.choose() else {
-                return self.refuse("no_upstream", RETRY_AFTER_DEFAULT);
+                let response = self.hand_over().await;
+                return response.unwrap_or_else(|| self.refuse("no_upstream", RETRY_AFTER_DEFAULT));
             };
             if choice.expected_wait > self.route.objective.mul_f64(WAIT_FRACTION_MAX) {
                 return self.refuse("busy", choice.expected_wait);
@@ -146,10 +165,43 @@
             let sent_at = self.state.clock.now();
             let time_left = self.deadline.saturating_sub(sent_at);
             self.begin_attempt(&choice, time_left);
-            let outcome = attempt(self.state, &choice, self.request, time_left).await;
+            let outcome = attempt(self.state, &choice, self.request, self.deadline).await;
             if let Some(response) = self.handle_outcome(&choice, outcome, sent_at) {
                 return response;
             }
+            if self.unreachable_count >= UNREACHABLE_MAX {
+                let response = self.hand_over().await;
+                return response.unwrap_or_else(|| self.refuse("unreachable", RETRY_AFTER_DEFAULT));
+            }
+        }
+    }
+
+    /// Hands the request over to a peer if upstreams can't be reached from here. Returns
+    /// `None` if it was not handed over, and has not run.
+    async fn hand_over(&mut self) -> Option<Response> {
+        let is_from_peer = self.request.relay_terms.is_some();
+        let attempts_left = self.attempts_max.saturating_sub(self.attempts);
+        if is_from_peer || attempts_left == 0 || !self.state.links.has_unreachable(self.service) {
+            return None;
+        }
+        if self.attempts > 0 && !self.try_take_retry() {
+            return None;
+        }
+        let terms =
+            RelayTerms { attempts_max: attempts_left, config_version: self.state.config_version() };
+        let (state, request) = (self.state, self.request);
+        let homes = &self.route.home_regions;
+        self.may_have_run = true;
+        match hand_over(state, request, terms, homes, self.deadline).await {
+            HandOverOutcome::Responded(response) => Some(response),
+            HandOverOutcome::Refused { retry_after } => {
+                Some(self.refuse("peer_refused", retry_after))
+            }
+            HandOverOutcome::Unknown => Some(Response::local(502, "broken_off")),
+            HandOverOutcome::NoPeer => {
+                self.may_have_run = false;
+                None
+            }
         }
     }
 
@@ -196,6 +248,7 @@
             AttemptOutcome::Responded { response, load } => {
                 let now = self.state.clock.now();
                 let mut balancer = self.state.balancer.borrow_mut();
+                self.state.links.record_reached(self.service);
                 balancer.record_elapsed(choice, now.saturating_sub(sent_at));
                 if let Some(load) = load {
                     balancer.record_load(&choice.id, load, now);
@@ -208,8 +261,7 @@
                 self.may_have_run = false;
                 self.attempts -= 1;
                 self.unreachable_count += 1;
-                let gives_up = self.unreachable_count >= UNREACHABLE_MAX;
-                gives_up.then(|| self.refuse("unreachable", RETRY_AFTER_DEFAULT))
+                None
             }
             AttemptOutcome::LeftService => {
                 self.may_have_run = false;
@@ -220,19 +272,23 @@
             }
             AttemptOutcome::NotRun { status, load } => {
                 self.may_have_run = false;
+                self.state.links.record_reached(self.service);
                 if let Some(load) = load {
                     let now = self.state.clock.now();
                     self.state.balancer.borrow_mut().record_load(&choice.id, load, now);
                 }
                 let (upstream, load) = (&choice.id, load.map(|load| load.to_string()));
                 info!(target: REQUEST_TARGET, request = self.id, upstream, status, load, "not run");
-                let will_retry = self.attempts < self.route.attempts_max && self.try_take_retry();
+                let will_retry = self.attempts < self.attempts_max && self.try_take_retry();
                 (!will_retry).then(|| self.refuse("shed", RETRY_AFTER_DEFAULT))
             }
             AttemptOutcome::Unknown(error) => {
                 self.record_failure(choice, &error, "broken off");
+                if error.kind() == io::ErrorKind::TimedOut {
+                    record_unreachable(self.state, choice);
+                }
                 let may_repeat =
-                    self.route.execution.is_repeatable() && self.attempts < self.route.attempts_max;
+                    self.route.execution.is_repeatable() && self.attempts < self.attempts_max;
                 let will_retry = may_repeat && self.try_take_retry();
                 (!will_retry).then(|| Response::local(502, "broken_off"))
             }
--- a/src/runtime/entry_node/follow.rs
+++ b/src/runtime/entry_node/follow.rs
@@ -109,7 +109,8 @@
     call_timeout: Duration,
 ) -> (SocketAddr, Client, Result<NodeReply, MeshError>) {
     tokio::time::sleep(delay).await;
-    let request = FollowRequest { version: None, list: None, demand: Vec::new(), hold_ms: 0 };
+    let request =
+        FollowRequest { version: None, list: None, demand: Vec::new(), hold_ms: 0, peers_of: None };
     let reply = client.call(NodeRequest::Follow(request), call_timeout).await;
     (address, client, reply)
 }
@@ -179,6 +180,7 @@
         list: Some(progress.list_cursor),
         demand: state.take_demand_report().into_iter().collect(),
         hold_ms: poll_timeout.as_millis() as u64,
+        peers_of: state.take_peers_request(),
     }
 }
 
@@ -198,6 +200,9 @@
     apply_policy(state, reply.update);
     apply_list(state, reply.list, reply.list_age_ms, progress);
     state.record_entry_count(reply.entries);
+    if let Some(peers) = reply.peers {
+        state.peers.borrow_mut().set(peers);
+    }
     state.update_readiness();
 }
 
--- a/src/runtime/entry_node/health.rs
+++ b/src/runtime/entry_node/health.rs
@@ -7,7 +7,7 @@
 
 use super::{
     attempt::{read_body, read_head},
-    pool::connect,
+    links::connect_to_upstream,
     state::EntryState,
 };
 use crate::{
@@ -45,7 +45,7 @@
 /// Checks one upstream and records the result.
 async fn check(state: Rc<EntryState>, choice: Choice, service: std::sync::Arc<ServiceSpec>) {
     let queue_time = state.settings.link_queue_time();
-    let check_future = send_check(&choice, &service.health_path, queue_time);
+    let check_future = send_check(&state, &choice, &service.health_path);
     let check_result = timeout(CHECK_TIMEOUT + queue_time, check_future).await;
     let result = match check_result {
         Ok(Ok(result)) => result,
@@ -56,10 +56,9 @@
     info!(upstream = choice.id, ?result, usable, "upstream checked");
 }
 
-/// Sends a health check and returns the result. `queue_time` is how long it may
-/// be queued on this instance's own link.
-async fn send_check(choice: &Choice, path: &str, queue_time: Duration) -> io::Result<CheckResult> {
-    let mut connection = connect(choice.address, queue_time).await?;
+/// Sends a health check and returns the result.
+async fn send_check(state: &EntryState, choice: &Choice, path: &str) -> io::Result<CheckResult> {
+    let mut connection = connect_to_upstream(state, choice).await?;
     let mut head = HeadWriter::with_request("GET", path);
     head.field("Host", choice.address.to_string().as_bytes());
     head.field(headers::EXPECT_INSTANCE, choice.id.as_bytes());
--- a/src/runtime/entry_node/metrics.rs
+++ b/src/runtime/entry_node/metrics.rs
@@ -22,6 +22,8 @@
     attempts: IntCounterVec,
     refused: IntCounterVec,
     retries: IntCounterVec,
+    handed_over: IntCounterVec,
+    links_lost: IntGauge,
     open_requests: IntGauge,
     ready: IntGauge,
     config_version: IntGauge,
@@ -109,6 +111,15 @@
                 "Retries that were asked of the budget, by service and whether granted.",
                 &["service", "granted"],
             )?,
+            handed_over: counter(
+                "handed_over_total",
+                "Requests that were sent to another entry instance, by outcome.",
+                &["outcome"],
+            )?,
+            links_lost: gauge(
+                "links_lost",
+                "1 while the upstreams of some service can't be reached.",
+            )?,
             open_requests: gauge("open_requests", "Requests in progress.")?,
             ready: gauge("ready", "1 while the directory may name this instance.")?,
             config_version: gauge("config_version", "Version of the configuration in force.")?,
@@ -158,10 +169,16 @@
         self.retries.with_label_values(&[service.as_str(), granted]).inc();
     }
 
+    /// Counts a request that was sent to another entry instance.
+    pub(super) fn record_hand_over(&self, outcome: &str) {
+        self.handed_over.with_label_values(&[outcome]).inc();
+    }
+
     /// Updates the gauges from the state of the instance.
     pub(super) fn update(&self, state: &EntryState, dropped_lines: &DroppedLines) {
         self.open_requests.set(state.open_requests.get() as i64);
         self.ready.set(i64::from(state.is_ready.load(std::sync::atomic::Ordering::Relaxed)));
+        self.links_lost.set(i64::from(state.links.is_any_lost()));
         self.config_version.set(state.config_version() as i64);
         self.list_age_ms.set(state.list_age_ms().map_or(-1, |age_ms| age_ms as i64));
         self.entry_instances.set(i64::from(state.entry_count()));
--- a/src/runtime/entry_node/mod.rs
+++ b/src/runtime/entry_node/mod.rs
@@ -9,8 +9,10 @@
 mod callers;
 mod exchange;
 mod follow;
+mod hand_over;
 mod health;
 mod link;
+mod links;
 mod metrics;
 mod pool;
 mod readiness;
@@ -22,7 +24,7 @@
 
 use tracing::info;
 
-use self::{metrics::EntryMetrics, state::EntryState};
+use self::{callers::Sender, metrics::EntryMetrics, state::EntryState};
 use super::{
     http_handler::{listen, serve_http_handler},
     metrics_server::{MetricsConfig, TextFuture, serve_metrics},
@@ -62,6 +64,8 @@
         };
         let readiness = settings.listen.readiness;
         let listener = listen(callers_address).await?;
+        let relay_address = settings.cluster_address();
+        let relay_listener = listen(relay_address).await?;
         let metrics = EntryMetrics::new().map_err(NodeError::Metrics)?;
         if let Some(port) = metrics_config.metrics_port {
             let metrics = metrics.clone();
@@ -75,8 +79,10 @@
         }
         tokio::task::spawn_local(follow::follow_control(state.clone()));
         tokio::task::spawn_local(health::check_upstreams(state.clone()));
+        tokio::task::spawn_local(links::probe_upstreams(state.clone()));
         tokio::task::spawn_local(announce::announce(state.clone(), callers_address));
-        tokio::task::spawn_local(callers::accept(state.clone(), listener));
+        tokio::task::spawn_local(callers::accept(state.clone(), relay_listener, Sender::Peer));
+        tokio::task::spawn_local(callers::accept(state.clone(), listener, Sender::Caller));
         info!(instance = state.settings.instance, "entry started");
         Ok(Self { state })
     }
--- a/src/runtime/entry_node/pool.rs
+++ b/src/runtime/entry_node/pool.rs
@@ -67,6 +67,11 @@
             .push(IdleConnection { stream, expires_at: Instant::now() + keep_alive });
     }
 
+    /// Closes all connections.
+    pub(super) fn clear(&mut self) {
+        self.idle.clear();
+    }
+
     /// Closes connections that have been idle for too long.
     pub(super) fn close_expired(&mut self) {
         let now = Instant::now();
--- a/src/runtime/entry_node/request.rs
+++ b/src/runtime/entry_node/request.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 
-use crate::net::http1::RequestHead;
+use crate::net::{http1::RequestHead, relay::RelayTerms};
 
 /// A caller's request that was received in full.
 #[derive(Debug)]
@@ -11,6 +11,8 @@
     pub(super) body: Bytes,
     /// When the head had fully arrived, by the instance's clock.
     pub(super) arrived_at: std::time::Duration,
+    /// The terms on which it is taken over from a peer; `None` if a caller sent it.
+    pub(super) relay_terms: Option<RelayTerms>,
 }
 
 impl Request {
--- a/src/runtime/entry_node/response.rs
+++ b/src/runtime/entry_node/response.rs
@@ -6,7 +6,10 @@
 use http::header;
 use serde_json::json;
 
-use crate::net::http1::{HeadWriter, Headers};
+use crate::net::{
+    http1::{HeadWriter, Headers},
+    relay::{Refusal, is_relay_field},
+};
 
 /// A response that an upstream sent or that this instance produced.
 #[derive(Debug)]
@@ -23,7 +26,7 @@
     /// An upstream, with the header fields that it sent.
     Upstream(Headers),
     /// This instance.
-    Local { retry_after: Option<Duration> },
+    Local { error: String, retry_after: Option<Duration> },
 }
 
 /// Header fields that concern one connection only and must not be forwarded.
@@ -40,11 +43,12 @@
 ];
 
 /// Returns whether a header field is removed when a message is forwarded,
-/// because it concerns one connection only or because the length of the body is
-/// declared again in the forwarded message.
+/// because it concerns one connection only, is used between instances only, or declares
+/// the length of the body, which the forwarded message does again.
 pub(super) fn is_stripped(name: &str, headers: &Headers) -> bool {
     HOP_BY_HOP.iter().any(|field| field.eq_ignore_ascii_case(name))
         || name.eq_ignore_ascii_case("content-length")
+        || is_relay_field(name)
         || headers.is_connection_option(name)
 }
 
@@ -59,15 +63,17 @@
         let body = json!({ "error": error }).to_string();
         Self {
             status,
-            source: Source::Local { retry_after: None },
+            source: Source::Local { error: error.to_owned(), retry_after: None },
             body: body.into(),
             closes_connection: false,
         }
     }
 
-    /// Makes this a local response with a `Retry-After` field.
-    pub(super) fn with_retry_after(mut self, retry_after: Duration) -> Self {
-        self.source = Source::Local { retry_after: Some(retry_after) };
+    /// Adds a `Retry-After` field to a local response.
+    pub(super) fn with_retry_after(mut self, delay: Duration) -> Self {
+        if let Source::Local { retry_after, .. } = &mut self.source {
+            *retry_after = Some(delay);
+        }
         self
     }
 
@@ -85,14 +91,33 @@
     /// Encodes the response to a request with the given method. Local responses
     /// include the request's id.
     pub(super) fn encode(&self, method: &str, request_id: Option<&str>) -> Bytes {
+        self.encode_with(method, request_id, |_| {})
+    }
+
+    /// Encodes the response to a request that a peer handed over. A refusal says so.
+    pub(super) fn encode_for_peer(&self, method: &str, request_id: Option<&str>) -> Bytes {
+        self.encode_with(method, request_id, |head| {
+            if let Source::Local { error, retry_after: Some(delay) } = &self.source {
+                Refusal { reason: error.clone(), retry_after: *delay }.write(head);
+            }
+        })
+    }
+
+    fn encode_with(
+        &self,
+        method: &str,
+        request_id: Option<&str>,
+        write_fields: impl FnOnce(&mut HeadWriter),
+    ) -> Bytes {
         let mut head = HeadWriter::with_status(self.status);
+        write_fields(&mut head);
         match &self.source {
             Source::Upstream(headers) => {
                 let forwarded_fields =
                     headers.iter().filter(|(name, _)| !is_stripped(name, headers));
                 forwarded_fields.for_each(|(name, value)| head.field(name, value));
             }
-            Source::Local { retry_after } => {
+            Source::Local { retry_after, .. } => {
                 head.field(header::CONTENT_TYPE.as_str(), b"application/json");
                 if let Some(id) = request_id {
                     head.field(crate::platform::headers::REQUEST_ID, id.as_bytes());
--- a/src/runtime/entry_node/state.rs
+++ b/src/runtime/entry_node/state.rs
@@ -11,13 +11,16 @@
 
 use tokio::sync::{Notify, watch};
 
-use super::{Flag, link::InstanceLink, metrics::EntryMetrics, pool::ConnectionPool};
+use super::{
+    Flag, link::InstanceLink, links::LinkState, metrics::EntryMetrics, pool::ConnectionPool,
+};
 use crate::{
     core::{
         RecentMax,
         admission::RetryBudget,
         balance::{Balancer, ColdLimit, Locality},
-        control::{Policy, ServiceName, ZoneName},
+        control::{InstanceName, Policy, ServiceName, ZoneName},
+        peers::Peers,
         placement::{DemandMeter, DemandReport},
         routing::{CallerLimits, RouteIndex},
     },
@@ -33,6 +36,13 @@
     pub(super) routes: RefCell<Rc<RouteIndex>>,
     pub(super) balancer: RefCell<Balancer>,
     pub(super) pool: RefCell<ConnectionPool>,
+    /// The links to upstreams.
+    pub(super) links: LinkState,
+    /// The entry instances that can take over requests.
+    pub(super) peers: RefCell<Peers>,
+    pub(super) peer_pool: RefCell<ConnectionPool>,
+    /// When the peers are next requested from a control replica.
+    next_peers_request_at: Cell<Duration>,
     pub(super) link: InstanceLink,
     pub(super) demand: RefCell<DemandMeter>,
     /// When the next demand report may be sent to a control replica.
@@ -66,6 +76,8 @@
 /// instances that have joined but are not counted yet.
 const RETRY_FRACTION: f64 = 0.8;
 
+/// How often the peers are requested.
+const PEERS_INTERVAL: Duration = Duration::from_secs(5);
 /// The minimum time between two demand reports.
 const DEMAND_REPORT_INTERVAL: Duration = Duration::from_millis(1500);
 /// How long new requests are still accepted after a stop has begun. Later requests
@@ -91,6 +103,10 @@
         };
         let clock = Clock::new();
         Self {
+            links: LinkState::default(),
+            peers: RefCell::new(Peers::new(settings.region.clone())),
+            peer_pool: RefCell::default(),
+            next_peers_request_at: Cell::default(),
             link: InstanceLink::new(clock, settings.link_bytes_per_s()),
             seeds: RefCell::new(settings.seed_cluster_addresses()),
             demand: RefCell::new(DemandMeter::new(Duration::ZERO)),
@@ -167,6 +183,18 @@
         Some(self.demand.borrow_mut().take_report(instance, region, now))
     }
 
+    /// Returns this instance's name if its peers are to be requested now: at regular
+    /// intervals, and whenever they are needed or none is known.
+    pub(super) fn take_peers_request(&self) -> Option<InstanceName> {
+        let now = self.clock.now();
+        let needs_peers = self.links.is_any_lost() || self.peers.borrow().is_empty();
+        if now < self.next_peers_request_at.get() && !needs_peers {
+            return None;
+        }
+        self.next_peers_request_at.set(now + PEERS_INTERVAL);
+        Some(self.settings.instance.clone())
+    }
+
     /// Records a request in the retry budget of its service.
     pub(super) fn record_request(&self, service: &ServiceName) {
         self.with_retry_budget(service, RetryBudget::record_request);
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod balance;
 mod control;
 mod explain;
+mod hand_over;
 mod http1;
 mod layout;
 mod link_pacer;
--- a/tests/it/roster.rs
+++ b/tests/it/roster.rs
@@ -16,7 +16,9 @@
         let entry = AnnouncedInstance {
             zone: (*zone).to_owned(),
             address: format!("10.0.0.{index}:80").parse().unwrap(),
+            relay_address: format!("10.0.0.{index}:7660").parse().unwrap(),
             is_ready: *is_ready,
+            reaches_upstreams: true,
             announced_at: millis(*announced_at_ms),
         };
         roster.record_announcement((*name).to_owned(), entry);
--- a/tests/processes/entry.rs
+++ b/tests/processes/entry.rs
@@ -33,11 +33,11 @@
     time::{sleep, timeout},
 };
 
-const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
+pub(super) const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
-const SERVICE: &str = "orders";
+pub(super) const SERVICE: &str = "orders";
 const MEMORY_MB: u64 = 64;
-const LINK_MBPS: f64 = 1000.0;
+pub(super) const LINK_MBPS: f64 = 1000.0;
 /// The length of the body of [`large_response`].
 const LARGE_BYTES: usize = 400_000;
 
@@ -47,7 +47,7 @@
 
 /// What an upstream saw.
 #[derive(Debug, Eq, PartialEq)]
-enum Event {
+pub(super) enum Event {
     Requested,
     Closed,
     /// The control replica was asked how up to date it is.
@@ -55,7 +55,7 @@
 }
 
 /// An entry instance with one upstream, which is killed on drop.
-struct Rig {
+pub(super) struct Rig {
     folder: PathBuf,
     ip: String,
     process: Child,
@@ -80,7 +80,7 @@
 
     /// Starts the instance with a control replica, and with a second seed that it finds at
     /// [`silent_seed`].
-    async fn launch(
+    pub(super) async fn launch(
         number: u32,
         control: MeshHandler<NodeRequest, NodeReply>,
         events: mpsc::UnboundedReceiver<Event>,
@@ -112,7 +112,7 @@
         Self { folder, ip, process, events }
     }
 
-    async fn wait_ready(&self) {
+    pub(super) async fn wait_ready(&self) {
         let started_at = Instant::now();
         let url = format!("http://{}:8140/api/readyz", self.ip);
         let http = reqwest::Client::builder().no_proxy().build().unwrap();
@@ -122,7 +122,7 @@
         }
     }
 
-    async fn connect(&self) -> TcpStream {
+    pub(super) async fn connect(&self) -> TcpStream {
         TcpStream::connect(format!("{}:8144", self.ip)).await.unwrap()
     }
 
@@ -159,12 +159,12 @@
 }
 
 /// Returns an address on loopback that only this process uses.
-fn ip(number: u32) -> String {
+pub(super) fn ip(number: u32) -> String {
     let pid = std::process::id();
     format!("127.{}.{}.{number}", 20 + pid % 80, pid / 80 % 250)
 }
 
-fn address(number: u32, port: u16) -> String {
+pub(super) fn address(number: u32, port: u16) -> String {
     format!("{}:{port}", ip(number))
 }
 
@@ -180,7 +180,7 @@
     )
 }
 
-fn listed_upstream(address: SocketAddr) -> ListedUpstream {
+pub(super) fn listed_upstream(address: SocketAddr) -> ListedUpstream {
     ListedUpstream {
         id: "u1".to_owned(),
         service: SERVICE.to_owned(),
@@ -215,7 +215,11 @@
     })
 }
 
-fn follow_reply(request: &FollowRequest, policy: &Policy, listed: ListedUpstream) -> FollowReply {
+pub(super) fn follow_reply(
+    request: &FollowRequest,
+    policy: &Policy,
+    listed: ListedUpstream,
+) -> FollowReply {
     let put = vec![(listed.id.clone(), listed)];
     let change = MapDelta { version: 1, is_full: true, put, removed: Vec::new() };
     let has_list = request.list == Some(Cursor { counter: 1, count: 1 });
@@ -231,6 +235,7 @@
         replicas: Vec::new(),
         behind_ms: Some(0),
         entries: 1,
+        peers: None,
     }
 }
 
@@ -368,8 +373,13 @@
         let events = event_sender.clone();
         Box::pin(async move {
             events.send(Event::Probed).ok();
-            let request =
-                FollowRequest { version: None, list: None, demand: Vec::new(), hold_ms: 0 };
+            let request = FollowRequest {
+                version: None,
+                list: None,
+                demand: Vec::new(),
+                hold_ms: 0,
+                peers_of: None,
+            };
             let listed = listed_upstream(([127, 0, 0, 1], 1).into());
             let mut reply = follow_reply(&request, &Policy::default(), listed);
             (reply.list, reply.list_age_ms, reply.behind_ms) = (None, None, None);
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -4,6 +4,7 @@
 mod deployment;
 mod entry;
 mod guide;
+mod hand_over;
 mod platform;
 mod requests;
 mod stops;
