Count a replica as up to date only with all that its leader committed

What callers saw: after all replicas had lost power, entry instances served by version 54 although 57 was acknowledged, and could go on with it while their replica said that it was up to date.

Cause: a follower took each message of a leader as proof that its state was the newest, also one that showed that it lacked entries or that carried a commit index beyond its log; and a leader that had not committed in its term, which may lack the commit index of an earlier one, counted as up to date, as did its followers.

Now only an append that leaves the replica with the leader's whole commit index, in the leader's term, counts. With the condition reversed the test fails: 'nothing is committed in term 2'.

--- a/src/core/replication/node.rs
+++ b/src/core/replication/node.rs
@@ -95,6 +95,10 @@
     /// Whether the election timeout restarts, because a leader sent a message, a
     /// vote was granted or this replica became a candidate.
     pub reset_election_timeout: bool,
+    /// Whether a leader's message showed that this replica has committed all that the
+    /// leader had. A leader that has not committed an entry of its term may lack the
+    /// commit index of an earlier one, so its messages don't show that.
+    pub is_current: bool,
     /// The index and term of the entry that was appended for a proposal.
     pub proposed: Option<(LogIndex, Term)>,
     /// The reason why a proposal was not accepted.
@@ -112,6 +116,7 @@
             restore: None,
             committed: Vec::new(),
             reset_election_timeout: false,
+            is_current: false,
             proposed: None,
             refused: None,
         }
@@ -344,6 +349,7 @@
             self.append_entry(entry, out);
         }
         self.commit_to(commit.min(matched), out);
+        out.is_current = self.commit_index >= commit && self.has_committed_in_term();
         self.send(from, Message::AppendReply { matched, round }, out);
     }
 
--- a/src/runtime/replica/mod.rs
+++ b/src/runtime/replica/mod.rs
@@ -61,8 +61,8 @@
     leadership: Option<Leadership>,
     /// The time of the last check whether the commit index has to be made durable.
     commit_checked_at: Duration,
-    /// When this replica, as a follower, last received a message from its leader.
-    leader_contact_at: Option<Duration>,
+    /// When this replica, as a follower, last learned that it has all that its leader committed.
+    follower_current_at: Option<Duration>,
     pending_watches: Vec<PendingWatch>,
     pending_queries: Vec<PendingQuery>,
     pending_catch_ups: Vec<PendingCatchUp>,
@@ -182,7 +182,7 @@
             pending_submits: BTreeMap::new(),
             leadership: None,
             commit_checked_at: Duration::ZERO,
-            leader_contact_at: None,
+            follower_current_at: None,
             pending_watches: Vec::new(),
             pending_queries: Vec::new(),
             pending_catch_ups: Vec::new(),
@@ -241,13 +241,15 @@
             error!(%error, "could not write to the data folder; this replica stops");
             return self.fail(ctx);
         }
-        let timeout_reset = merged_outputs.reset_election_timeout;
+        let is_current = merged_outputs.is_current;
         for message in std::mem::take(&mut merged_outputs.messages) {
             self.send(message);
         }
         self.apply(merged_outputs, ctx);
         self.update_role();
-        self.record_leader_contact(timeout_reset);
+        if is_current {
+            self.follower_current_at = Some(self.clock.now());
+        }
         self.reply_to_pending();
         self.notify_applied();
     }
@@ -385,21 +387,15 @@
         }
     }
 
-    /// Records the time of the last contact with a leader: the election timeout was reset and a
-    /// leader is known.
-    fn record_leader_contact(&mut self, timeout_reset: bool) {
-        if timeout_reset && self.node.leader().is_some() {
-            self.leader_contact_at = Some(self.clock.now());
-        }
-    }
-
     /// Returns how long ago this replica's state was last known to be current, or `None` if it
     /// never was.
     fn staleness(&self) -> Option<Duration> {
         let now = self.clock.now();
         let current_at = match &self.leadership {
-            Some(leadership) => leadership.confirmed.map(|(_, started_at)| started_at),
-            None => self.leader_contact_at,
+            Some(leadership) if self.is_current() => {
+                leadership.confirmed.map(|(_, started_at)| started_at)
+            }
+            _ => self.follower_current_at,
         };
         current_at.map(|current_at| now.saturating_sub(current_at))
     }
@@ -490,5 +486,6 @@
     }
     into.committed.extend(outputs.committed);
     into.reset_election_timeout |= outputs.reset_election_timeout;
+    into.is_current |= outputs.is_current;
     into.commit_index = outputs.commit_index.or(into.commit_index);
 }
--- a/tests/it/replication.rs
+++ b/tests/it/replication.rs
@@ -1,7 +1,8 @@
 //! Tests of the replicated log across restarts, and of the first election.
 
 use bulrushspan::core::replication::{
-    DurableState, Entry, Input, Members, Payload, RaftNode, Role, Timers, TimersConfig,
+    DurableState, Entry, Envelope, Input, Members, Message, Payload, RaftNode, Role, Timers,
+    TimersConfig,
 };
 use std::time::Duration;
 
@@ -50,3 +51,23 @@
         [Some(150), Some(500), Some(850)]
     );
 }
+
+/// A replica that heard from a leader counted as up to date although it lacked what the leader
+/// had committed, or the leader what an earlier one had; instances kept an old configuration.
+#[test]
+fn a_replica_is_current_only_with_all_that_a_leader_of_its_term_committed() {
+    let members = Members::new([(1, "a".to_owned()), (2, "b".to_owned()), (3, "c".to_owned())]);
+    let mut node = RaftNode::<u8>::new(2, DurableState::new(members));
+    let entry = |index, term| Entry { index, term, payload: Payload::Command(7) };
+    let mut is_current = |prev_index, prev_term, entries: &[Entry<u8>], commit| {
+        let (entries, round) = (entries.to_vec(), 1);
+        let message = Message::Append { prev_index, prev_term, entries, commit, round };
+        node.step(Input::Receive(Envelope { from: 1, to: 2, term: 2, message })).is_current
+    };
+    assert!(!is_current(0, 0, &[entry(1, 1)], 1), "nothing is committed in term 2");
+    assert!(!is_current(1, 1, &[entry(2, 2)], 1), "nothing is committed in term 2");
+    assert!(is_current(2, 2, &[], 2));
+    assert!(!is_current(2, 2, &[entry(3, 2)], 4), "the entry 4 is missing");
+    assert!(!is_current(4, 2, &[entry(5, 2)], 5), "the entries 4 and 5 are missing");
+    assert!(is_current(3, 2, &[entry(4, 2), entry(5, 2)], 5));
+}
