Believe a refusal only if it has the id of the request

Callers were told "not run, try again" for requests that an upstream was running, or these ran at a second upstream.

Cause: a response without an id was taken for the one to the request that waits on the connection, also on a connection that had been used before. A second copy of an earlier refusal, written late, then refused the next request. Peers that took a request over were believed in the same way.

Copies with the id of the earlier request were skipped already.

Now a refusal counts only with the request's own id, which nothing written before the request can have. Another response without an id counts only as the first one on its connection; later it is an error, the request may have run, and the connection is closed. A connection is not pooled after a response without an id, so that an upstream that sends none gets a new connection for each request; requests without an id take no pooled connection.

--- a/src/runtime/entry_node/attempt.rs
+++ b/src/runtime/entry_node/attempt.rs
@@ -43,6 +43,9 @@
 /// interim ones, and late ones to earlier requests.
 const SKIPPED_MAX: usize = 16;
 
+/// The error of a refusal without the request's id, which may belong to another request.
+pub(super) const UNNAMED_REFUSAL: &str = "a refusal without the request's id";
+
 /// Counts a request as in flight at an upstream until dropped.
 struct InFlight {
     state: Rc<EntryState>,
@@ -71,8 +74,7 @@
     deadline: Duration,
 ) -> AttemptOutcome {
     let _in_flight = InFlight::new(state, &choice.id);
-    let pooled_connection = state.pool.borrow_mut().take(choice.address);
-    let connection = match pooled_connection {
+    let connection = match take_pooled(&state.pool, choice.address, request) {
         Some(connection) => connection,
         None => match connect_to_upstream(state, choice).await {
             Ok(connection) => connection,
@@ -104,17 +106,33 @@
     let (pool, address) = (&state.pool, choice.address);
     let (head, body) = send_and_receive(state, pool, address, request, &bytes, connection).await?;
     let load = headers::reported_load(&head.headers);
-    if headers::is_not_run(&head.headers) || head.status == 421 {
+    let says_not_run = headers::is_not_run(&head.headers) || head.status == 421;
+    if says_not_run && request.is_named_by(&head) {
         return Ok(AttemptOutcome::NotRun { status: head.status, load });
     }
+    if says_not_run {
+        return Err(io::Error::other(UNNAMED_REFUSAL));
+    }
     Ok(AttemptOutcome::Responded {
         response: Response::from_upstream(head.status, head.headers, body),
         load,
     })
 }
 
+/// Removes and returns an idle connection that can be used for a request, if any. A request
+/// without an id gets none, since late responses to earlier ones could not be told apart.
+pub(super) fn take_pooled(
+    pool: &RefCell<ConnectionPool>,
+    address: SocketAddr,
+    request: &Request,
+) -> Option<UpstreamConnection> {
+    request.id()?;
+    pool.borrow_mut().take(address)
+}
+
 /// Sends an encoded request and reads the response. The connection is put into the pool if
-/// it can be reused.
+/// it can be reused; not after a response without the request's id, since those to later
+/// requests would not have theirs either.
 ///
 /// # Errors
 ///
@@ -130,7 +148,7 @@
     state.link.write(&mut connection.stream, bytes).await?;
     let body_max_bytes = state.settings.response_max_bytes();
     let (head, body) = read_response(&mut connection, request, body_max_bytes).await?;
-    if head.keeps_alive && connection.buffer.is_empty() {
+    if head.keeps_alive && connection.buffer.is_empty() && request.is_named_by(&head) {
         let keep_alive = keep_alive_timeout(&head);
         pool.borrow_mut().put(address, connection.stream, keep_alive);
     }
@@ -163,22 +181,30 @@
 
 /// Reads the response to a request. Interim responses (1xx) and responses that
 /// have the id of another request are skipped, up to [`SKIPPED_MAX`] of them.
+///
+/// A response without an id is an error, unless it is the first on its connection: it may be
+/// a late one to an earlier request.
 async fn read_response(
     connection: &mut UpstreamConnection,
     request: &Request,
     body_max_bytes: usize,
 ) -> io::Result<(ResponseHead, Bytes)> {
-    let request_id = headers::request_id(&request.head.headers);
+    let mut is_first = !connection.is_reused;
     for _ in 0..=SKIPPED_MAX {
         let head = read_head(connection, &request.head.method).await?;
         if head.status < 200 {
             continue;
         }
         let body = read_body(connection, &head, body_max_bytes).await?;
-        let response_id = headers::request_id(&head.headers);
-        if response_id.is_none() || request_id.is_none() || response_id == request_id {
+        let has_id = headers::request_id(&head.headers).is_some();
+        let is_unambiguous = is_first && (!has_id || request.id().is_none());
+        if is_unambiguous || request.is_named_by(&head) {
             return Ok((head, body));
         }
+        if !has_id {
+            return Err(io::Error::other("a response without an id on a kept connection"));
+        }
+        is_first = false;
         if !head.keeps_alive {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
--- a/src/runtime/entry_node/hand_over.rs
+++ b/src/runtime/entry_node/hand_over.rs
@@ -5,7 +5,7 @@
 use tracing::info;
 
 use super::{
-    attempt::{encode_request, send_and_receive},
+    attempt::{UNNAMED_REFUSAL, encode_request, send_and_receive, take_pooled},
     pool::connect,
     request::Request,
     response::Response,
@@ -145,8 +145,7 @@
     deadline: Duration,
 ) -> PeerOutcome {
     let _in_progress = InProgress::new(state, peer.address);
-    let pooled = state.peer_pool.borrow_mut().take(peer.address);
-    let connection = match pooled {
+    let connection = match take_pooled(&state.peer_pool, peer.address, request) {
         Some(connection) => connection,
         None => match connect(peer.address, state.settings.link_queue_time()).await {
             Ok(connection) => connection,
@@ -158,7 +157,8 @@
     let (pool, address) = (&state.peer_pool, peer.address);
     match send_and_receive(state, pool, address, request, &bytes, connection).await {
         Ok((head, body)) => match Refusal::parse(&head.headers) {
-            Some(refusal) => PeerOutcome::Refused(refusal),
+            Some(refusal) if request.is_named_by(&head) => PeerOutcome::Refused(refusal),
+            Some(_) => PeerOutcome::Unknown(io::Error::other(UNNAMED_REFUSAL)),
             None => {
                 PeerOutcome::Responded(Response::from_upstream(head.status, head.headers, body))
             }
--- a/src/runtime/entry_node/pool.rs
+++ b/src/runtime/entry_node/pool.rs
@@ -28,6 +28,8 @@
 pub(super) struct UpstreamConnection {
     pub(super) stream: TcpStream,
     pub(super) buffer: BytesMut,
+    /// Whether it was used for an earlier request, of which a late response may still arrive.
+    pub(super) is_reused: bool,
 }
 
 /// The timeout for opening a connection while nothing is queued on this
@@ -46,6 +48,7 @@
                 return Some(UpstreamConnection {
                     stream: connection.stream,
                     buffer: BytesMut::new(),
+                    is_reused: true,
                 });
             }
         }
@@ -102,5 +105,5 @@
     let result = timeout(CONNECT_TIMEOUT + queue_time, TcpStream::connect(address)).await;
     let stream = result.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
     configure_stream(&stream);
-    Ok(UpstreamConnection { stream, buffer: BytesMut::new() })
+    Ok(UpstreamConnection { stream, buffer: BytesMut::new(), is_reused: false })
 }
--- a/src/runtime/entry_node/request.rs
+++ b/src/runtime/entry_node/request.rs
@@ -2,7 +2,13 @@
 
 use bytes::Bytes;
 
-use crate::net::{http1::RequestHead, relay::RelayTerms};
+use crate::{
+    net::{
+        http1::{RequestHead, ResponseHead},
+        relay::RelayTerms,
+    },
+    platform::headers,
+};
 
 /// A caller's request that was received in full.
 #[derive(Debug)]
@@ -16,6 +22,16 @@
 }
 
 impl Request {
+    /// Returns the request's id, if it has one.
+    pub(super) fn id(&self) -> Option<&str> {
+        headers::request_id(&self.head.headers)
+    }
+
+    /// Returns whether a response has the request's id, and so surely belongs to it.
+    pub(super) fn is_named_by(&self, response: &ResponseHead) -> bool {
+        self.id().is_some() && headers::request_id(&response.headers) == self.id()
+    }
+
     /// Returns the `Host` field, or an empty string if it is missing.
     pub(super) fn host(&self) -> &str {
         self.head.headers.get_str("host").unwrap_or_default()
--- a/tests/processes/hand_over.rs
+++ b/tests/processes/hand_over.rs
@@ -30,7 +30,7 @@
 const UPSTREAMS: u32 = 4;
 
 /// Returns upstreams at addresses where nothing listens, so that connections are refused.
-fn unreachable_upstreams(number: u32) -> Vec<ListedUpstream> {
+pub(super) fn unreachable_upstreams(number: u32) -> Vec<ListedUpstream> {
     let upstream = |index: u32| ListedUpstream {
         id: format!("u{index}"),
         ..listed_upstream(address(number + 160, 9000 + index as u16).parse().unwrap())
@@ -38,7 +38,7 @@
     (0..UPSTREAMS).map(upstream).collect()
 }
 
-fn peer(number: u32) -> Peer {
+pub(super) fn peer(number: u32) -> Peer {
     Peer {
         instance: format!("e{number}"),
         address: address(number, 7660).parse().unwrap(),
@@ -48,7 +48,7 @@
 
 /// Returns a control replica whose configuration has a route that is `safe` and one that is
 /// `unsafe`.
-fn control(
+pub(super) fn control(
     upstreams: Vec<ListedUpstream>,
     peers: Vec<Peer>,
     version: u64,
@@ -81,7 +81,7 @@
     })
 }
 
-async fn start(number: u32, control: MeshHandler<NodeRequest, NodeReply>) -> Rig {
+pub(super) async fn start(number: u32, control: MeshHandler<NodeRequest, NodeReply>) -> Rig {
     let (_, events) = mpsc::unbounded_channel();
     let rig = Rig::launch(number, control, events, LINK_MBPS).await;
     rig.wait_ready().await;
@@ -121,11 +121,11 @@
 }
 
 /// Sends one request on a new connection and returns the status and the head of the response.
-async fn send(rig: &Rig, route: &str, id: &str) -> (u16, String) {
+pub(super) async fn send(rig: &Rig, path: &str, id: &str) -> (u16, String) {
     let mut caller = rig.connect().await;
-    let method = if route == "order" { "POST" } else { "GET" };
+    let method = if path.starts_with("order/") { "POST" } else { "GET" };
     let request = format!(
-        "{method} /{route}/1 HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\n\
+        "{method} /{path} HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\n\
          Bulrushspan-Request-Id: {id}\r\nBulrushspan-Deadline-Ms: 10000\r\n\
          Relay-Attempts-Max: 9\r\nContent-Length: 0\r\n\r\n"
     );
@@ -148,7 +148,7 @@
     for number in 0..10 {
         for route in ["menu", "order"] {
             let id = format!("{route}{number}");
-            let (status, response) = send(&rig, route, &id).await;
+            let (status, response) = send(&rig, &format!("{route}/1"), &id).await;
             assert_eq!(status, 200, "{response}");
             assert!(!response.contains("Relay-"), "fields between instances leak: {response}");
             let count = received.lock().unwrap().iter().filter(|received| **received == id).count();
@@ -164,7 +164,7 @@
     let other = serve(address(25, 7660), true).await;
     let peers = vec![peer(24), peer(25)];
     let rig = start(23, control(unreachable_upstreams(23), peers, 1)).await;
-    let (status, response) = send(&rig, "order", "o1").await;
+    let (status, response) = send(&rig, "order/1", "o1").await;
     assert_eq!(status, 502, "{response}");
     let (received, other) = (received.lock().unwrap().len(), other.lock().unwrap().len());
     assert_eq!(received + other, 1);
@@ -178,7 +178,7 @@
     for number in 0..6 {
         for rig in [&first, &second] {
             let sent_at = Instant::now();
-            let (status, response) = send(rig, "order", &format!("o{number}")).await;
+            let (status, response) = send(rig, "order/1", &format!("o{number}")).await;
             assert_eq!(status, 503, "{response}");
             assert!(response.contains("retry-after"), "{response}");
             // The request's own deadline would end it after 10 s.
@@ -194,7 +194,7 @@
     let upstream = listed_upstream(address(189, 8080).parse().unwrap());
     let _behind = start(29, control(vec![upstream], Vec::new(), 1)).await;
     let rig = start(28, control(unreachable_upstreams(28), vec![peer(29)], 2)).await;
-    let (status, response) = send(&rig, "menu", "m1").await;
+    let (status, response) = send(&rig, "menu/1", "m1").await;
     assert_eq!(status, 503, "{response}");
     assert!(received.lock().unwrap().is_empty());
 }
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -3,6 +3,7 @@
 mod control;
 mod deployment;
 mod entry;
+mod faulty_upstreams;
 mod guide;
 mod hand_over;
 mod platform;
