Keep in mind that an earlier attempt may have run

Callers got a 503, which promises that a request has not run, for requests that an upstream had received and broken off.

Cause: the exchange noted only whether the last attempt may have run. An attempt that could not be sent, or was refused, reset the note of the one before it, and refusals for lack of a further upstream did not look at it.

Now the attempt in progress and the attempts that ended are noted apart, and each refusal of the exchange becomes a 502 once an attempt may have run. Only requests that may be repeated come to a further attempt, so no unsafe request was affected.

--- a/src/runtime/entry_node/exchange.rs
+++ b/src/runtime/entry_node/exchange.rs
@@ -91,6 +91,7 @@
         tried: Vec::new(),
         attempts: 0,
         unreachable_count: 0,
+        is_sent: false,
         may_have_run: false,
         is_done: false,
     };
@@ -117,7 +118,9 @@
     attempts: u32,
     /// The number of upstreams that could not be reached.
     unreachable_count: usize,
-    /// Whether an upstream may have run the request in the last attempt.
+    /// Whether the attempt in progress may have sent the request.
+    is_sent: bool,
+    /// Whether the request may have run in an attempt that ended.
     may_have_run: bool,
     /// Whether the request has ended; its outcome is then recorded.
     is_done: bool,
@@ -128,7 +131,7 @@
         let time_left = self.deadline.saturating_sub(self.state.clock.now());
         let response = match tokio::time::timeout(time_left, self.try_upstreams()).await {
             Ok(response) => response,
-            Err(_) if self.may_have_run => Response::local(504, "timeout"),
+            Err(_) if self.is_sent || self.may_have_run => Response::local(504, "timeout"),
             Err(_) => self.refuse("timeout", RETRY_AFTER_DEFAULT),
         };
         self.is_done = true;
@@ -191,7 +194,7 @@
             RelayTerms { attempts_max: attempts_left, config_version: self.state.config_version() };
         let (state, request) = (self.state, self.request);
         let homes = &self.route.home_regions;
-        self.may_have_run = true;
+        self.is_sent = true;
         match hand_over(state, request, terms, homes, self.deadline).await {
             HandOverOutcome::Responded(response) => Some(response),
             HandOverOutcome::Refused { retry_after } => {
@@ -199,7 +202,7 @@
             }
             HandOverOutcome::Unknown => Some(Response::local(502, "broken_off")),
             HandOverOutcome::NoPeer => {
-                self.may_have_run = false;
+                self.is_sent = false;
                 None
             }
         }
@@ -219,7 +222,7 @@
     fn begin_attempt(&mut self, choice: &Choice, time_left: Duration) {
         self.tried.push(choice.id.clone());
         self.attempts += 1;
-        self.may_have_run = true;
+        self.is_sent = true;
         self.state.metrics.record_attempt(self.service);
         info!(
             target: REQUEST_TARGET,
@@ -244,6 +247,7 @@
         outcome: AttemptOutcome,
         sent_at: Duration,
     ) -> Option<Response> {
+        self.is_sent = false;
         match outcome {
             AttemptOutcome::Responded { response, load } => {
                 let now = self.state.clock.now();
@@ -258,20 +262,17 @@
             }
             AttemptOutcome::NotSent(error) => {
                 self.record_failure(choice, &error, "unreachable");
-                self.may_have_run = false;
                 self.attempts -= 1;
                 self.unreachable_count += 1;
                 None
             }
             AttemptOutcome::LeftService => {
-                self.may_have_run = false;
                 self.attempts -= 1;
                 let upstream = &choice.id;
                 info!(target: REQUEST_TARGET, request = self.id, upstream, "left service");
                 None
             }
             AttemptOutcome::NotRun { status, load } => {
-                self.may_have_run = false;
                 self.state.links.record_reached(self.service);
                 if let Some(load) = load {
                     let now = self.state.clock.now();
@@ -283,6 +284,7 @@
                 (!will_retry).then(|| self.refuse("shed", RETRY_AFTER_DEFAULT))
             }
             AttemptOutcome::Unknown(error) => {
+                self.may_have_run = true;
                 self.record_failure(choice, &error, "broken off");
                 if error.kind() == io::ErrorKind::TimedOut {
                     record_unreachable(self.state, choice);
@@ -325,7 +327,13 @@
         info!(target: REQUEST_TARGET, request = self.id, upstream = choice.id, %error, "{message}");
     }
 
+    /// Ends the request without a further attempt. It is refused, unless an earlier attempt may
+    /// have run it.
     fn refuse(&self, reason: &'static str, retry_after: Duration) -> Response {
+        if self.may_have_run {
+            info!(target: REQUEST_TARGET, request = self.id, reason, "not repeated");
+            return Response::local(502, "broken_off");
+        }
         refuse(self.state, self.id, reason, retry_after)
     }
 
--- a/tests/processes/faulty_upstreams.rs
+++ b/tests/processes/faulty_upstreams.rs
@@ -256,3 +256,19 @@
     }
     assert_eq!(received.lock().unwrap().over_kept_connections, 0);
 }
+
+/// After an attempt that may have run, one that did not run made the whole request "not run".
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_may_have_run_is_not_refused_after_a_further_attempt() {
+    let (rig, received) = start_with_two_upstreams(38).await;
+    for path in ["menu/break-refuse", "menu/break-again"] {
+        expect(&rig, &received, path, (502, 2)).await;
+    }
+    let received = serve(&[address(199, 8080)]).await;
+    let mut upstreams = unreachable_upstreams(39);
+    upstreams.truncate(2);
+    upstreams.push(listed_upstream(address(199, 8080).parse().unwrap()));
+    upstreams[2].id = "u9".to_owned();
+    let rig = start(39, control(upstreams, Vec::new(), 1)).await;
+    expect(&rig, &received, "menu/break-again", (502, 1)).await;
+}
