Don't pass on a refusal that the upstream does not vouch for

Callers were told by a 408, 429 or 503 that their request had not run, although the upstream that sent this status did not say so.

Cause: each response without the upstream's own mark was passed on as it was, also with a status that promises callers "not run, and never will".

Now such a response is a failed attempt that may have run: a 502, or a further attempt if the request may be repeated.

Measured: the test passes, with the others of tests/processes/faulty_upstreams.rs.

--- a/src/runtime/entry_node/attempt.rs
+++ b/src/runtime/entry_node/attempt.rs
@@ -113,6 +113,9 @@
     if says_not_run {
         return Err(io::Error::other(UNNAMED_REFUSAL));
     }
+    if headers::promises_not_run(head.status) {
+        return Err(io::Error::other("a status that promises `not run` without saying so"));
+    }
     Ok(AttemptOutcome::Responded {
         response: Response::from_upstream(head.status, head.headers, body),
         load,
--- a/tests/processes/faulty_upstreams.rs
+++ b/tests/processes/faulty_upstreams.rs
@@ -257,6 +257,18 @@
     assert_eq!(received.lock().unwrap().over_kept_connections, 0);
 }
 
+/// A status that promises "not run", from an upstream that does not say so, was passed on.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unmarked_refusal_is_not_passed_on_as_not_run() {
+    let (rig, received) = start_with_two_upstreams(36).await;
+    for status in [408, 429, 503] {
+        for (route, expected) in [("order", (502, 1)), ("menu", (200, 2))] {
+            let path = format!("{route}/unmarked-{status}");
+            expect(&rig, &received, &path, expected).await;
+        }
+    }
+}
+
 /// After an attempt that may have run, one that did not run made the whole request "not run".
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_may_have_run_is_not_refused_after_a_further_attempt() {
