Reject a chunk size without digits

Callers got a 200 with a short body, framed as whole, from an upstream whose chunked body had an empty line where the next chunk size was due.

Cause: httparse::parse_chunk_size takes a line without digits for the size 0, which is the last chunk.

Evidence: a_response_that_is_cut_never_becomes_a_complete_one on the code before: menu/cut-11: (200, 1), expected (200, 2) that is, the short response to a safe request was passed on instead of being fetched elsewhere. The other 15 cuts, among them each part of a head, were errors already.

Now a chunk-size line must begin with a hexadecimal digit. The same reader serves requests, where such a line could end a body before what follows it.

Measured: the process test passes. The unit tests of the same commit were written with it.

--- a/src/net/http1/body.rs
+++ b/src/net/http1/body.rs
@@ -111,6 +111,12 @@
                         if remaining == 0 { State::ChunkEnd } else { State::ChunkData(remaining) };
                     return Ok(Some(piece).filter(|piece| !piece.is_empty()));
                 }
+                // The parser takes a line without digits for the size 0, which ends the body.
+                State::ChunkSize
+                    if buffer.first().is_some_and(|byte| !byte.is_ascii_hexdigit()) =>
+                {
+                    return Err(BodyError::Malformed);
+                }
                 State::ChunkSize => match httparse::parse_chunk_size(buffer) {
                     Ok(httparse::Status::Complete((length, size))) => {
                         buffer.advance(length);
--- a/tests/it/http1.rs
+++ b/tests/it/http1.rs
@@ -91,3 +91,31 @@
     assert_eq!(reader.next(&mut buffer).unwrap().unwrap(), "ab");
     assert!(reader.handle_eof().is_ok() && reader.is_done());
 }
+
+/// A head that is cut anywhere was taken for a complete one.
+#[test]
+fn a_response_head_is_incomplete_until_its_blank_line() {
+    let text = "HTTP/1.1 200 OK\r\nServer: u\r\nContent-Length: 12\r\n\r\n";
+    for end in 0..text.len() {
+        let mut buffer = BytesMut::from(&text[..end]);
+        let parsed = parse_response_head(&mut buffer, HEAD_MAX, "GET").unwrap();
+        assert!(parsed.is_none(), "{:?} is incomplete but was parsed", &text[..end]);
+    }
+}
+
+/// A chunked body that is cut anywhere, or has a chunk size without digits, was complete.
+#[test]
+fn a_chunked_body_ends_only_with_its_last_chunk_and_trailers() {
+    let text = "2\r\nab\r\n0\r\nTrailer: t\r\n\r\n";
+    for end in 0..text.len() {
+        let mut reader = BodyReader::new(Framing::Chunked);
+        let mut buffer = BytesMut::from(&text[..end]);
+        while reader.next(&mut buffer).unwrap().is_some() {}
+        assert!(reader.handle_eof().is_err(), "{:?} is incomplete", &text[..end]);
+    }
+    for line in ["\r\n", ";a=b\r\n", " \r\n"] {
+        let mut reader = BodyReader::new(Framing::Chunked);
+        let mut buffer = BytesMut::from(format!("{line}\r\n").as_str());
+        assert!(reader.next(&mut buffer).is_err(), "{line:?} was taken for a chunk size");
+    }
+}
--- a/tests/processes/faulty_upstreams.rs
+++ b/tests/processes/faulty_upstreams.rs
@@ -269,6 +269,20 @@
     }
 }
 
+/// An upstream stopped in the middle of a response and closed: callers got a 200 with an empty
+/// or short body.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_that_is_cut_never_becomes_a_complete_one() {
+    let (rig, received) = start_with_two_upstreams(37).await;
+    for (number, (name, _)) in CUTS.iter().enumerate() {
+        for (route, expected) in [("order", (502, 1)), ("menu", (200, 2))] {
+            let path = format!("{route}/cut-{number}");
+            println!("{path}: {name}");
+            expect(&rig, &received, &path, expected).await;
+        }
+    }
+}
+
 /// After an attempt that may have run, one that did not run made the whole request "not run".
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_may_have_run_is_not_refused_after_a_further_attempt() {
