Hand over what no upstream here can take, whatever others responded

What callers saw: at an instance whose old connections to upstreams live on while new ones are refused, a request is refused (503, no_upstream) right after a response arrives on such a connection, although peers reach the upstreams.

Cause: a request was handed over only while no upstream of its service had been reached since one could not be. One response, also by an upstream in a region where the request may not run, or one probe that got through, ended that, but the upstreams stayed unused until their next health check succeeded, up to 1.5 s later.

Change: a request is handed over if an upstream that could handle it, by service, state and home regions, failed and has not responded to a health check since.

Evidence: the new test failed before: `assertion left == right failed: HTTP/1.1 503 Service Unavailable`, left 503, right 200. It passes, as do the other tests of hand-overs. Upstreams that respond to a check as unhealthy are still not handed over.

--- a/src/core/balance/balancer.rs
+++ b/src/core/balance/balancer.rs
@@ -237,6 +237,14 @@
         self.upstreams.get(id).is_some_and(|upstream| self.is_in_service(upstream))
     }
 
+    /// Returns whether an upstream that may handle a request failed and has not responded since.
+    /// Another instance may reach it.
+    pub fn has_silent(&self, requirements: &Requirements<'_>) -> bool {
+        self.upstreams
+            .values()
+            .any(|upstream| upstream.health.is_silent() && self.may_handle(upstream, requirements))
+    }
+
     /// Returns an upstream of a service that takes work, healthy or not: another one in each
     /// round, to find out whether any can be reached.
     pub fn probe_target(&self, service: &ServiceName, round: usize) -> Option<Choice> {
@@ -321,11 +329,15 @@
     }
 
     fn is_usable(&self, upstream: &UpstreamState, requirements: &Requirements<'_>) -> bool {
-        let listed = &upstream.listed;
-        listed.service == *requirements.service
-            && upstream.health == Health::Healthy
+        upstream.health == Health::Healthy
+            && !requirements.tried.contains(&upstream.listed.id)
+            && self.may_handle(upstream, requirements)
+    }
+
+    /// Returns whether an upstream may handle a request, healthy or not.
+    fn may_handle(&self, upstream: &UpstreamState, requirements: &Requirements<'_>) -> bool {
+        upstream.listed.service == *requirements.service
             && self.is_in_service(upstream)
-            && !requirements.tried.contains(&listed.id)
             && (requirements.home_regions.is_empty()
                 || self.is_in_regions(upstream, requirements.home_regions))
     }
--- a/src/core/balance/health.rs
+++ b/src/core/balance/health.rs
@@ -10,9 +10,9 @@
 pub(super) enum Health {
     /// It is used for requests.
     Healthy,
-    /// It failed. `failed_checks` counts the failed health checks since then, and `check_at` is
-    /// when the next check is due.
-    Unhealthy { failed_checks: u32, check_at: Duration },
+    /// It failed. `failed_checks` counts the failed health checks since then, `check_at` is
+    /// when the next check is due, and `is_silent` tells that it has responded to none.
+    Unhealthy { failed_checks: u32, check_at: Duration, is_silent: bool },
 }
 
 /// Represents the result of a health check.
@@ -43,7 +43,8 @@
     pub(super) fn after_failure(self, now: Duration) -> Self {
         match self {
             Self::Healthy => {
-                Self::Unhealthy { failed_checks: 0, check_at: now + FIRST_CHECK_DELAY }
+                let check_at = now + FIRST_CHECK_DELAY;
+                Self::Unhealthy { failed_checks: 0, check_at, is_silent: true }
             }
             unhealthy @ Self::Unhealthy { .. } => unhealthy,
         }
@@ -57,19 +58,26 @@
         }
         let backoff =
             CHECK_BACKOFF.saturating_mul(1 << failed_checks.min(8)).min(CHECK_BACKOFF_MAX);
-        Self::Unhealthy { failed_checks: failed_checks + 1, check_at: now + backoff }
+        let is_silent = result == CheckResult::Silent;
+        Self::Unhealthy { failed_checks: failed_checks + 1, check_at: now + backoff, is_silent }
     }
 
     /// Returns the health while a health check is running.
     pub(super) fn after_check_started(self) -> Self {
         match self {
-            Self::Unhealthy { failed_checks, .. } => {
-                Self::Unhealthy { failed_checks, check_at: Duration::MAX }
+            Self::Unhealthy { failed_checks, is_silent, .. } => {
+                Self::Unhealthy { failed_checks, check_at: Duration::MAX, is_silent }
             }
             Self::Healthy => Self::Healthy,
         }
     }
 
+    /// Returns whether it failed and has not responded since, so that it may be out of reach
+    /// from this instance only.
+    pub(super) fn is_silent(self) -> bool {
+        matches!(self, Self::Unhealthy { is_silent: true, .. })
+    }
+
     /// Returns whether a health check is due.
     pub(super) fn is_check_due(self, now: Duration) -> bool {
         matches!(self, Self::Unhealthy { check_at, .. } if now >= check_at)
--- a/src/runtime/entry_node/exchange.rs
+++ b/src/runtime/entry_node/exchange.rs
@@ -181,7 +181,8 @@
     async fn hand_over(&mut self) -> Option<Response> {
         let is_from_peer = self.request.relay_terms.is_some();
         let attempts_left = self.attempts_max.saturating_sub(self.attempts);
-        if is_from_peer || attempts_left == 0 || !self.state.links.has_unreachable(self.service) {
+        let may_be_reached = self.state.links.are_lost(self.service) || self.has_silent_upstream();
+        if is_from_peer || attempts_left == 0 || !may_be_reached {
             return None;
         }
         if self.attempts > 0 && !self.try_take_retry() {
@@ -206,14 +207,23 @@
     }
 
     fn choose(&self) -> Option<Choice> {
-        let requirements = Requirements {
+        let now = self.state.clock.now();
+        self.state.balancer.borrow_mut().choose(&self.requirements(), now)
+    }
+
+    /// Returns whether an upstream that the request could use may be out of reach from here only.
+    fn has_silent_upstream(&self) -> bool {
+        self.state.balancer.borrow().has_silent(&self.requirements())
+    }
+
+    fn requirements(&self) -> Requirements<'_> {
+        Requirements {
             service: self.service,
             object: self.object,
             has_large_body: self.route.execution == Execution::OnceWithLargeBody,
             home_regions: &self.route.home_regions,
             tried: &self.tried,
-        };
-        self.state.balancer.borrow_mut().choose(&requirements, self.state.clock.now())
+        }
     }
 
     fn begin_attempt(&mut self, choice: &Choice, time_left: Duration) {
--- a/src/runtime/entry_node/links.rs
+++ b/src/runtime/entry_node/links.rs
@@ -42,11 +42,6 @@
         self.links.borrow().are_lost(service)
     }
 
-    /// Returns whether any upstream of a service could not be reached since one was.
-    pub(super) fn has_unreachable(&self, service: &ServiceName) -> bool {
-        self.links.borrow().has_unreachable(service)
-    }
-
     /// Returns whether the upstreams of every service are reached, apart from a short loss.
     pub(super) fn reaches_upstreams(&self) -> bool {
         self.lost_since.get().is_none_or(|since| since.elapsed() < ANNOUNCE_DELAY)
--- a/tests/processes/hand_over.rs
+++ b/tests/processes/hand_over.rs
@@ -1,7 +1,10 @@
 //! Runs entry instances whose links to upstreams are gone, beside peers that have theirs.
 
 use std::{
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -17,7 +20,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpListener,
-    sync::mpsc,
+    sync::{Notify, mpsc},
     time::{sleep, timeout},
 };
 
@@ -26,18 +29,26 @@
 /// The ids of the requests that an upstream or a peer received.
 type Received = Arc<Mutex<Vec<String>>>;
 
+/// The service of uploaded files.
+const FILES: &str = "files";
 /// The number of upstreams in the lists of the instances.
 const UPSTREAMS: u32 = 4;
 
 /// Returns upstreams at addresses where nothing listens, so that connections are refused.
 fn unreachable_upstreams(number: u32) -> Vec<ListedUpstream> {
-    let upstream = |index: u32| ListedUpstream {
-        id: format!("u{index}"),
-        ..listed_upstream(address(number + 160, 9000 + index as u16).parse().unwrap())
-    };
+    let upstream =
+        |index: u32| upstream(number, &format!("u{index}"), SERVICE, 9000 + index as u16);
     (0..UPSTREAMS).map(upstream).collect()
 }
 
+fn upstream(number: u32, id: &str, service: &str, port: u16) -> ListedUpstream {
+    ListedUpstream {
+        id: id.to_owned(),
+        service: service.to_owned(),
+        ..listed_upstream(address(number + 160, port).parse().unwrap())
+    }
+}
+
 fn peer(number: u32) -> Peer {
     Peer {
         instance: format!("e{number}"),
@@ -46,35 +57,57 @@
     }
 }
 
-/// Returns a control replica whose configuration has a route that is `safe` and one that is
-/// `unsafe`.
+/// Returns a control replica whose configuration has routes that are `safe` and one that is
+/// `unsafe`: two to [`SERVICE`], one to [`FILES`], and one that is split between both.
 fn control(
     upstreams: Vec<ListedUpstream>,
     peers: Vec<Peer>,
     version: u64,
 ) -> MeshHandler<NodeRequest, NodeReply> {
-    let route = |name: &str, kind: &str| {
+    control_until(upstreams, peers, version, Arc::default())
+}
+
+/// Like [`control`], but no upstream is listed any more once `is_emptied` is set.
+fn control_until(
+    upstreams: Vec<ListedUpstream>,
+    peers: Vec<Peer>,
+    version: u64,
+    is_emptied: Arc<AtomicBool>,
+) -> MeshHandler<NodeRequest, NodeReply> {
+    let route = |name: &str, kind: &str, split: &[(&str, u32)]| {
+        let part = |(name, weight): &(&str, u32)| json!({"service": name, "weight": weight});
+        let split: Vec<_> = split.iter().map(part).collect();
         json!({"type": "routes", "meta": {"name": name}, "spec": {
             "host": "shop.example", "path_prefix": format!("/{name}/"), "kind": kind,
-            "timeout_s": 20.0, "slo_s": 1.0, "priority": 1, "service": SERVICE,
+            "timeout_s": 20.0, "slo_s": 1.0, "priority": 1, "split": split,
             "max_attempts": 2}})
     };
+    let service = |name: &str| {
+        json!({"type": "services", "meta": {"name": name}, "spec": {
+            "health_path": "/health", "max_conns": 100, "cold_start_s": 0.0, "cold_per_s": 5.0}})
+    };
     let table = json!({"version": format!("r{version}"), "resources": [
-        {"type": "services", "meta": {"name": SERVICE}, "spec": {
-            "health_path": "/health", "max_conns": 100, "cold_start_s": 0.0, "cold_per_s": 5.0}},
-        route("menu", "safe"), route("order", "unsafe"),
+        service(SERVICE), service(FILES),
+        route("menu", "safe", &[(SERVICE, 1)]), route("order", "unsafe", &[(SERVICE, 1)]),
+        route("files", "safe", &[(FILES, 1)]), route("both", "safe", &[(SERVICE, 1), (FILES, 1)]),
     ]});
     let routing = configuration::decode(table.to_string().as_bytes()).unwrap();
     let policy = Policy { version: 1, routing: routing.into(), ..Policy::default() };
     let put: Vec<_> = upstreams.iter().map(|listed| (listed.id.clone(), listed.clone())).collect();
     Arc::new(move |call, _peer| {
-        let (policy, peers, put) = (policy.clone(), peers.clone(), put.clone());
+        let (policy, peers, mut put) = (policy.clone(), peers.clone(), put.clone());
+        let is_emptied = is_emptied.clone();
         Box::pin(async move {
             let NodeRequest::Follow(request) = call else { return None };
             sleep(Duration::from_millis(request.hold_ms.min(200))).await;
             let mut reply = follow_reply(&request, &policy, put[0].1.clone());
+            let counter = if is_emptied.load(Ordering::Relaxed) { 2 } else { 1 };
+            if counter == 2 {
+                put.clear();
+            }
             let change = MapDelta { version: 1, is_full: true, put, removed: Vec::new() };
-            reply.list = reply.list.map(|_| ListDelta { counter: 1, change });
+            let is_new = reply.list.is_some() || counter == 2;
+            reply.list = is_new.then_some(ListDelta { counter, change });
             reply.peers = request.peers_of.map(|_| peers);
             Some(NodeReply::Follow(Box::new(reply)))
         })
@@ -198,3 +231,38 @@
     assert_eq!(status, 503, "{response}");
     assert!(received.lock().unwrap().is_empty());
 }
+
+/// Upstreams whose old connections live on while new ones are refused: a late response on such
+/// a connection made an instance refuse requests that its peers could have sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_response_does_not_end_the_hand_over_while_connections_are_refused() {
+    serve(address(191, 8080), false).await;
+    let peers_upstream = upstream(31, "u9", SERVICE, 8080);
+    let _linked = start(31, control(vec![peers_upstream], Vec::new(), 1)).await;
+    let listener = TcpListener::bind(address(192, 8080)).await.unwrap();
+    let (accepted, respond) = (Arc::new(Notify::new()), Arc::new(Notify::new()));
+    let (accepted_by_test, respond_by_test) = (accepted.clone(), respond.clone());
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        drop(listener);
+        accepted.notify_one();
+        respond.notified().await;
+        let response = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok";
+        stream.write_all(response.as_bytes()).await.unwrap();
+    });
+    let rig = start(32, control(vec![upstream(32, "u1", SERVICE, 8080)], vec![peer(31)], 1)).await;
+    let mut late = rig.connect().await;
+    let request = "GET /menu/1 HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\n\
+                   Bulrushspan-Request-Id: late\r\n\r\n";
+    late.write_all(request.as_bytes()).await.unwrap();
+    accepted_by_test.notified().await;
+    let (status, response) = send(&rig, "order", "o1").await;
+    assert_eq!(status, 200, "{response}");
+    // The next health check of the upstream is then half a second away or more.
+    sleep(Duration::from_millis(900)).await;
+    respond_by_test.notify_one();
+    let mut response = Vec::new();
+    late.read_to_end(&mut response).await.unwrap();
+    let (status, response) = send(&rig, "order", "o2").await;
+    assert_eq!(status, 200, "{response}");
+}
