Take links for lost only once probes of other upstreams fail too

What callers saw: when half of a service's upstreams crashed, instances whose links were sound refused requests as unreachable, and closed all idle connections.

Cause: three upstreams that can't be reached in a row are common once several crashed together. Requests then went to peers only, and these, which saw the same crashes, refused them. No upstream of the instance's own was tried, so it did not learn which ones crashed.

Change: after three failures four upstreams are probed at once; only if none of these is reached either are the links lost. The instances start at different upstreams. A request that no peer takes over is sent to an upstream that still counts as healthy, one at most. While links are lost, a response on a connection from before does not count as reached.

Evidence: the new test (20 of 21 upstreams crashed, no peers) failed before with `1 of 60 served, 1 received`; it passes, with the other tests of hand-overs.

--- a/src/runtime/entry_node/exchange.rs
+++ b/src/runtime/entry_node/exchange.rs
@@ -92,6 +92,7 @@
         attempts: 0,
         unreachable_count: 0,
         may_have_run: false,
+        has_asked_peers: false,
         is_done: false,
     };
     exchange.run().await
@@ -119,6 +120,8 @@
     unreachable_count: usize,
     /// Whether an upstream may have run the request in the last attempt.
     may_have_run: bool,
+    /// Whether no peer took the request over.
+    has_asked_peers: bool,
     /// Whether the request has ended; its outcome is then recorded.
     is_done: bool,
 }
@@ -151,9 +154,13 @@
 
     async fn try_upstreams(&mut self) -> Response {
         loop {
-            if self.state.links.are_lost(self.service) {
-                let response = self.hand_over().await;
-                return response.unwrap_or_else(|| self.refuse("unreachable", RETRY_AFTER_DEFAULT));
+            if self.state.links.are_lost(self.service) && !self.has_asked_peers {
+                if self.request.relay_terms.is_some() {
+                    return self.refuse("unreachable", RETRY_AFTER_DEFAULT);
+                }
+                if let Some(response) = self.hand_over().await {
+                    return response;
+                }
             }
             let Some(choice) = self.choose() else {
                 let response = self.hand_over().await;
@@ -169,7 +176,9 @@
             if let Some(response) = self.handle_outcome(&choice, outcome, sent_at) {
                 return response;
             }
-            if self.unreachable_count >= UNREACHABLE_MAX {
+            // Links that no peer has either may be upstreams that crashed, of which some are left.
+            let unreachable_max = if self.has_asked_peers { 1 } else { UNREACHABLE_MAX };
+            if self.unreachable_count >= unreachable_max {
                 let response = self.hand_over().await;
                 return response.unwrap_or_else(|| self.refuse("unreachable", RETRY_AFTER_DEFAULT));
             }
@@ -182,7 +191,7 @@
         let is_from_peer = self.request.relay_terms.is_some();
         let attempts_left = self.attempts_max.saturating_sub(self.attempts);
         let may_be_reached = self.state.links.are_lost(self.service) || self.has_silent_upstream();
-        if is_from_peer || attempts_left == 0 || !may_be_reached {
+        if is_from_peer || attempts_left == 0 || !may_be_reached || self.has_asked_peers {
             return None;
         }
         if self.attempts > 0 && !self.try_take_retry() {
@@ -200,6 +209,7 @@
             }
             HandOverOutcome::Unknown => Some(Response::local(502, "broken_off")),
             HandOverOutcome::NoPeer => {
+                self.has_asked_peers = true;
                 self.may_have_run = false;
                 None
             }
@@ -258,7 +268,7 @@
             AttemptOutcome::Responded { response, load } => {
                 let now = self.state.clock.now();
                 let mut balancer = self.state.balancer.borrow_mut();
-                self.state.links.record_reached(self.service);
+                self.state.links.record_response(self.service);
                 balancer.record_elapsed(choice, now.saturating_sub(sent_at));
                 if let Some(load) = load {
                     balancer.record_load(&choice.id, load, now);
@@ -282,7 +292,7 @@
             }
             AttemptOutcome::NotRun { status, load } => {
                 self.may_have_run = false;
-                self.state.links.record_reached(self.service);
+                self.state.links.record_response(self.service);
                 if let Some(load) = load {
                     let now = self.state.clock.now();
                     self.state.balancer.borrow_mut().record_load(&choice.id, load, now);
--- a/src/runtime/entry_node/links.rs
+++ b/src/runtime/entry_node/links.rs
@@ -3,11 +3,13 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::{BTreeMap, BTreeSet},
     io,
     rc::Rc,
     time::Duration,
 };
 
+use futures_util::future::join_all;
 use tokio::{sync::Notify, time::Instant};
 use tracing::{info, warn};
 
@@ -18,20 +20,25 @@
 use crate::core::{
     balance::{Choice, UpstreamLinks},
     control::ServiceName,
+    upstreams::UpstreamId,
 };
 
 /// The links of an entry instance to upstreams.
 #[derive(Default)]
 pub(super) struct LinkState {
     links: RefCell<UpstreamLinks>,
+    /// The services whose links are lost, as probes have confirmed.
+    lost: RefCell<BTreeSet<ServiceName>>,
     /// Since when the links to the upstreams of some service have been lost.
     lost_since: Cell<Option<Instant>>,
-    /// Notified when links are lost, to start probes.
-    lost: Notify,
+    /// Notified when links may be lost, to start probes.
+    suspected: Notify,
 }
 
-/// The interval between two probes while links are lost.
+/// The interval between two rounds of probes while links are or may be lost.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// The number of upstreams of a service that are probed in one round.
+const PROBES_PER_ROUND: usize = 4;
 /// How long links must have been lost before callers are led elsewhere. A shorter loss is
 /// over before callers learn of it.
 const ANNOUNCE_DELAY: Duration = Duration::from_secs(1);
@@ -39,7 +46,7 @@
 impl LinkState {
     /// Returns whether the links to the upstreams of a service are lost.
     pub(super) fn are_lost(&self, service: &ServiceName) -> bool {
-        self.links.borrow().are_lost(service)
+        self.lost.borrow().contains(service)
     }
 
     /// Returns whether the upstreams of every service are reached, apart from a short loss.
@@ -52,30 +59,54 @@
         self.lost_since.get().is_some()
     }
 
-    /// Records that an upstream of a service was reached.
+    /// Records that a new connection to an upstream of a service was opened.
     pub(super) fn record_reached(&self, service: &ServiceName) {
-        if self.links.borrow_mut().record_reached(service) {
-            if self.links.borrow().lost_services().next().is_none() {
+        self.links.borrow_mut().record_reached(service);
+        if self.lost.borrow_mut().remove(service) {
+            if self.lost.borrow().is_empty() {
                 self.lost_since.set(None);
             }
             info!(service, "links to upstreams regained");
         }
     }
+
+    /// Records a response of an upstream of a service. It may have come over a connection from
+    /// before the links were lost, so it does not show that they are back.
+    pub(super) fn record_response(&self, service: &ServiceName) {
+        if !self.are_lost(service) {
+            self.links.borrow_mut().record_reached(service);
+        }
+    }
+
+    fn suspected_services(&self) -> Vec<ServiceName> {
+        self.links.borrow().lost_services().cloned().collect()
+    }
+
+    fn is_suspected(&self, service: &ServiceName) -> bool {
+        self.links.borrow().are_lost(service)
+    }
 }
 
 /// Records that an upstream could not be reached, or left a request unacknowledged.
 pub(super) fn record_unreachable(state: &EntryState, choice: &Choice) {
     let links = &state.links;
     if links.links.borrow_mut().record_unreachable(&choice.service, &choice.id) {
-        // A connection from before the loss may be dead without a reset.
-        state.pool.borrow_mut().clear();
-        links.lost_since.set(links.lost_since.get().or(Some(Instant::now())));
-        links.lost.notify_one();
-        let (service, peers) = (&choice.service, state.peers.borrow().len());
-        warn!(service, peers, "links to upstreams lost; handing requests over to peers");
+        links.suspected.notify_one();
     }
 }
 
+fn record_lost(state: &EntryState, service: &ServiceName) {
+    let links = &state.links;
+    if !links.lost.borrow_mut().insert(service.clone()) {
+        return;
+    }
+    // A connection from before the loss may be dead without a reset.
+    state.pool.borrow_mut().clear();
+    links.lost_since.set(links.lost_since.get().or(Some(Instant::now())));
+    let peers = state.peers.borrow().len();
+    warn!(service, peers, "links to upstreams lost; handing requests over to peers");
+}
+
 /// Opens a connection to an upstream and records whether that succeeded.
 ///
 /// # Errors
@@ -93,30 +124,42 @@
     result
 }
 
-/// Opens a connection to an upstream of each service with lost links at regular intervals,
-/// until one succeeds. Runs for as long as the process runs.
+/// Opens connections to upstreams of each service whose links are or may be lost, at regular
+/// intervals, until one succeeds. Runs for as long as the process runs.
 pub(super) async fn probe_upstreams(state: Rc<EntryState>) {
-    let mut round = 0;
+    // Instances that lose their links together should not all probe the same upstreams.
+    let mut round = usize::from(rand::random::<u16>());
     loop {
-        state.links.lost.notified().await;
-        while state.links.is_any_lost() {
-            tokio::time::sleep(PROBE_INTERVAL).await;
-            let services: Vec<ServiceName> =
-                state.links.links.borrow().lost_services().cloned().collect();
-            for service in services {
-                let choice = state.balancer.borrow().probe_target(&service, round);
-                if let Some(choice) = choice {
-                    tokio::task::spawn_local(probe(state.clone(), choice));
-                }
+        state.links.suspected.notified().await;
+        loop {
+            let services = state.links.suspected_services();
+            if services.is_empty() {
+                break;
             }
+            join_all(services.iter().map(|service| probe_service(&state, service, round))).await;
             round += 1;
+            tokio::time::sleep(PROBE_INTERVAL).await;
         }
     }
 }
 
-async fn probe(state: Rc<EntryState>, choice: Choice) {
+/// Probes some upstreams of a service. If none can be reached, the links are lost.
+async fn probe_service(state: &EntryState, service: &ServiceName, round: usize) {
+    let targets: BTreeMap<UpstreamId, Choice> = (0..PROBES_PER_ROUND)
+        .filter_map(|probe| {
+            state.balancer.borrow().probe_target(service, round * PROBES_PER_ROUND + probe)
+        })
+        .map(|choice| (choice.id.clone(), choice))
+        .collect();
+    join_all(targets.into_values().map(|choice| probe(state, choice))).await;
+    if state.links.is_suspected(service) {
+        record_lost(state, service);
+    }
+}
+
+async fn probe(state: &EntryState, choice: Choice) {
     // A failure is recorded; it shows only that the links are still lost.
-    if let Ok(connection) = connect_to_upstream(&state, &choice).await {
+    if let Ok(connection) = connect_to_upstream(state, &choice).await {
         state.pool.borrow_mut().put(choice.address, connection.stream, None);
     }
 }
--- a/tests/processes/hand_over.rs
+++ b/tests/processes/hand_over.rs
@@ -266,3 +266,20 @@
     let (status, response) = send(&rig, "order", "o2").await;
     assert_eq!(status, 200, "{response}");
 }
+
+/// A service of which most upstreams crashed: their instance took it for lost links, and refused
+/// requests that it could send to those that are left, since no peer took them over.
+#[tokio::test(flavor = "multi_thread")]
+async fn upstreams_that_are_left_are_used_if_no_peer_takes_requests_over() {
+    let received = serve(address(193, 8080), false).await;
+    let crashed = |index: u16| upstream(33, &format!("u{index:02}"), SERVICE, 9000 + index);
+    let mut upstreams: Vec<_> = (0..20).map(crashed).collect();
+    upstreams.push(upstream(33, "u20", SERVICE, 8080));
+    let rig = start(33, control(upstreams, Vec::new(), 1)).await;
+    let mut served = 0;
+    for number in 0..60 {
+        let (status, _) = send(&rig, "order", &format!("o{number}")).await;
+        served += u32::from(status == 200);
+    }
+    assert!(served >= 30, "{served} of 60 served, {} received", received.lock().unwrap().len());
+}
