Don't count links as lost while no upstream of a service takes work

What callers saw: nothing at once, but fewer instances: one that had lost its links to a service whose upstreams all left the list, were evacuated or drained meanwhile went on saying that it reaches no upstreams, and was left out of the directory until its restart.

Cause: only a reached upstream ended the loss, and no upstream was left to probe.

Change: a round of probes that finds no upstream which takes work ends the loss. Requests are refused as no_upstream then, and a later failure begins it again.

Evidence: the new test failed before: `the links count as lost for ever: Elapsed(())`.

--- a/src/runtime/entry_node/links.rs
+++ b/src/runtime/entry_node/links.rs
@@ -151,6 +151,11 @@
         })
         .map(|choice| (choice.id.clone(), choice))
         .collect();
+    if targets.is_empty() {
+        // Without upstreams that take work there are no links that could be lost.
+        state.links.record_reached(service);
+        return;
+    }
     join_all(targets.into_values().map(|choice| probe(state, choice))).await;
     if state.links.is_suspected(service) {
         record_lost(state, service);
--- a/tests/processes/hand_over.rs
+++ b/tests/processes/hand_over.rs
@@ -12,14 +12,14 @@
     core::{MapDelta, control::Policy, peers::Peer, upstreams::ListedUpstream},
     net::{
         mesh::MeshHandler,
-        wire::{ListDelta, NodeReply, NodeRequest},
+        wire::{Announcement, ListDelta, NodeReply, NodeRequest, decode},
     },
     platform::configuration,
 };
 use serde_json::json;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpListener,
+    net::{TcpListener, UdpSocket},
     sync::{Notify, mpsc},
     time::{sleep, timeout},
 };
@@ -283,3 +283,29 @@
     }
     assert!(served >= 30, "{served} of 60 served, {} received", received.lock().unwrap().len());
 }
+
+/// Lost links to a service whose upstreams all left the list: the instance went on saying that it
+/// reaches no upstreams, so that callers were never led to it again.
+#[tokio::test(flavor = "multi_thread")]
+async fn links_to_a_service_without_upstreams_do_not_count_as_lost() {
+    let announcements = UdpSocket::bind(address(120, 7660)).await.unwrap();
+    let is_emptied = Arc::<AtomicBool>::default();
+    let upstreams = unreachable_upstreams(40);
+    let rig = start(40, control_until(upstreams, Vec::new(), 1, is_emptied.clone())).await;
+    for number in 0..4 {
+        send(&rig, "order", &format!("o{number}")).await;
+    }
+    let wait_for = async |reaches_upstreams: bool| {
+        let mut datagram = vec![0; 2048];
+        loop {
+            let length = announcements.recv(&mut datagram).await.unwrap();
+            let announcement: Announcement = decode(&datagram[..length]).unwrap();
+            if announcement.reaches_upstreams == reaches_upstreams {
+                return;
+            }
+        }
+    };
+    timeout(WAIT_TIMEOUT, wait_for(false)).await.unwrap();
+    is_emptied.store(true, Ordering::Relaxed);
+    timeout(WAIT_TIMEOUT / 6, wait_for(true)).await.expect("the links count as lost for ever");
+}
