--- a/src/runtime/entry_node/exchange.rs
+++ b/src/runtime/entry_node/exchange.rs
@@ -93,6 +93,7 @@
         unreachable_count: 0,
         is_sent: false,
         may_have_run: false,
+        has_asked_peers: false,
         is_done: false,
     };
     exchange.run().await
@@ -122,6 +123,8 @@
     is_sent: bool,
     /// Whether the request may have run in an attempt that ended.
     may_have_run: bool,
+    /// Whether no peer took the request over.
+    has_asked_peers: bool,
     /// Whether the request has ended; its outcome is then recorded.
     is_done: bool,
 }
@@ -154,9 +157,13 @@
 
     async fn try_upstreams(&mut self) -> Response {
         loop {
-            if self.state.links.are_lost(self.service) {
-                let response = self.hand_over().await;
-                return response.unwrap_or_else(|| self.refuse("unreachable", RETRY_AFTER_DEFAULT));
+            if self.state.links.are_lost(self.service) && !self.has_asked_peers {
+                if self.request.relay_terms.is_some() {
+                    return self.refuse("unreachable", RETRY_AFTER_DEFAULT);
+                }
+                if let Some(response) = self.hand_over().await {
+                    return response;
+                }
             }
             let Some(choice) = self.choose() else {
                 let response = self.hand_over().await;
@@ -172,7 +179,9 @@
             if let Some(response) = self.handle_outcome(&choice, outcome, sent_at) {
                 return response;
             }
-            if self.unreachable_count >= UNREACHABLE_MAX {
+            // Links that no peer has either may be upstreams that crashed, of which some are left.
+            let unreachable_max = if self.has_asked_peers { 1 } else { UNREACHABLE_MAX };
+            if self.unreachable_count >= unreachable_max {
                 let response = self.hand_over().await;
                 return response.unwrap_or_else(|| self.refuse("unreachable", RETRY_AFTER_DEFAULT));
             }
@@ -184,7 +193,8 @@
     async fn hand_over(&mut self) -> Option<Response> {
         let is_from_peer = self.request.relay_terms.is_some();
         let attempts_left = self.attempts_max.saturating_sub(self.attempts);
-        if is_from_peer || attempts_left == 0 || !self.state.links.has_unreachable(self.service) {
+        let may_be_reached = self.state.links.are_lost(self.service) || self.has_silent_upstream();
+        if is_from_peer || attempts_left == 0 || !may_be_reached || self.has_asked_peers {
             return None;
         }
         if self.attempts > 0 && !self.try_take_retry() {
@@ -202,6 +212,7 @@
             }
             HandOverOutcome::Unknown => Some(Response::local(502, "broken_off")),
             HandOverOutcome::NoPeer => {
+                self.has_asked_peers = true;
                 self.is_sent = false;
                 None
             }
@@ -209,14 +220,23 @@
     }
 
     fn choose(&self) -> Option<Choice> {
-        let requirements = Requirements {
+        let now = self.state.clock.now();
+        self.state.balancer.borrow_mut().choose(&self.requirements(), now)
+    }
+
+    /// Returns whether an upstream that the request could use may be out of reach from here only.
+    fn has_silent_upstream(&self) -> bool {
+        self.state.balancer.borrow().has_silent(&self.requirements())
+    }
+
+    fn requirements(&self) -> Requirements<'_> {
+        Requirements {
             service: self.service,
             object: self.object,
             has_large_body: self.route.execution == Execution::OnceWithLargeBody,
             home_regions: &self.route.home_regions,
             tried: &self.tried,
-        };
-        self.state.balancer.borrow_mut().choose(&requirements, self.state.clock.now())
+        }
     }
 
     fn begin_attempt(&mut self, choice: &Choice, time_left: Duration) {
@@ -252,7 +272,7 @@
             AttemptOutcome::Responded { response, load } => {
                 let now = self.state.clock.now();
                 let mut balancer = self.state.balancer.borrow_mut();
-                self.state.links.record_reached(self.service);
+                self.state.links.record_response(self.service);
                 balancer.record_elapsed(choice, now.saturating_sub(sent_at));
                 if let Some(load) = load {
                     balancer.record_load(&choice.id, load, now);
@@ -273,7 +293,7 @@
                 None
             }
             AttemptOutcome::NotRun { status, load } => {
-                self.state.links.record_reached(self.service);
+                self.state.links.record_response(self.service);
                 if let Some(load) = load {
                     let now = self.state.clock.now();
                     self.state.balancer.borrow_mut().record_load(&choice.id, load, now);
--- a/tests/processes/faulty_upstreams.rs
+++ b/tests/processes/faulty_upstreams.rs
@@ -216,7 +216,7 @@
 /// "not run" for requests that had run, or these ran at a second upstream.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_late_copy_of_a_refusal_is_not_taken_for_the_next_response() {
-    let (rig, received) = start_with_two_upstreams(31).await;
+    let (rig, received) = start_with_two_upstreams(71).await;
     for status in [421, 429, 503] {
         for (route, copy, expected) in [
             ("order", "earlier", (200, 1)),
@@ -235,9 +235,9 @@
 /// The same with peers that took a request over: a late refusal of theirs was believed.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_late_copy_of_a_peers_refusal_is_not_taken_for_the_next_response() {
-    let received = serve(&[address(33, 7660), address(34, 7660)]).await;
-    let peers = vec![peer(33), peer(34)];
-    let rig = start(32, control(unreachable_upstreams(32), peers, 1)).await;
+    let received = serve(&[address(73, 7660), address(74, 7660)]).await;
+    let peers = vec![peer(73), peer(74)];
+    let rig = start(72, control(unreachable_upstreams(72), peers, 1)).await;
     for (copy, expected) in [("earlier", (200, 1)), ("unnamed", (502, 1))] {
         send_until_received(&rig, &received, "order/refuse").await;
         let path = format!("order/copy-503-{copy}");
@@ -249,7 +249,7 @@
 /// Bytes after a complete response, in time or late: the next request went out on the connection.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_connection_with_bytes_after_a_response_is_not_used_again() {
-    let (rig, received) = start_with_two_upstreams(35).await;
+    let (rig, received) = start_with_two_upstreams(75).await;
     for path in ["order/extra", "order/extra", "order/late", "order/late", "order/ok"] {
         expect(&rig, &received, path, (200, 1)).await;
         sleep(LATE_DELAY * 2).await;
@@ -260,7 +260,7 @@
 /// A status that promises "not run", from an upstream that does not say so, was passed on.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_unmarked_refusal_is_not_passed_on_as_not_run() {
-    let (rig, received) = start_with_two_upstreams(36).await;
+    let (rig, received) = start_with_two_upstreams(76).await;
     for status in [408, 429, 503] {
         for (route, expected) in [("order", (502, 1)), ("menu", (200, 2))] {
             let path = format!("{route}/unmarked-{status}");
@@ -273,7 +273,7 @@
 /// or short body.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_response_that_is_cut_never_becomes_a_complete_one() {
-    let (rig, received) = start_with_two_upstreams(37).await;
+    let (rig, received) = start_with_two_upstreams(77).await;
     for (number, (name, _)) in CUTS.iter().enumerate() {
         for (route, expected) in [("order", (502, 1)), ("menu", (200, 2))] {
             let path = format!("{route}/cut-{number}");
@@ -286,15 +286,15 @@
 /// After an attempt that may have run, one that did not run made the whole request "not run".
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_may_have_run_is_not_refused_after_a_further_attempt() {
-    let (rig, received) = start_with_two_upstreams(38).await;
+    let (rig, received) = start_with_two_upstreams(78).await;
     for path in ["menu/break-refuse", "menu/break-again"] {
         expect(&rig, &received, path, (502, 2)).await;
     }
-    let received = serve(&[address(199, 8080)]).await;
-    let mut upstreams = unreachable_upstreams(39);
+    let received = serve(&[address(239, 8080)]).await;
+    let mut upstreams = unreachable_upstreams(79);
     upstreams.truncate(2);
-    upstreams.push(listed_upstream(address(199, 8080).parse().unwrap()));
+    upstreams.push(listed_upstream(address(239, 8080).parse().unwrap()));
     upstreams[2].id = "u9".to_owned();
-    let rig = start(39, control(upstreams, Vec::new(), 1)).await;
+    let rig = start(79, control(upstreams, Vec::new(), 1)).await;
     expect(&rig, &received, "menu/break-again", (502, 1)).await;
 }
--- a/tests/processes/hand_over.rs
+++ b/tests/processes/hand_over.rs
@@ -1,7 +1,10 @@
 //! Runs entry instances whose links to upstreams are gone, beside peers that have theirs.
 
 use std::{
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -9,15 +12,15 @@
     core::{MapDelta, control::Policy, peers::Peer, upstreams::ListedUpstream},
     net::{
         mesh::MeshHandler,
-        wire::{ListDelta, NodeReply, NodeRequest},
+        wire::{Announcement, ListDelta, NodeReply, NodeRequest, decode},
     },
     platform::configuration,
 };
 use serde_json::json;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpListener,
-    sync::mpsc,
+    net::{TcpListener, UdpSocket},
+    sync::{Notify, mpsc},
     time::{sleep, timeout},
 };
 
@@ -26,18 +29,26 @@
 /// The ids of the requests that an upstream or a peer received.
 type Received = Arc<Mutex<Vec<String>>>;
 
+/// The service of uploaded files.
+const FILES: &str = "files";
 /// The number of upstreams in the lists of the instances.
 const UPSTREAMS: u32 = 4;
 
 /// Returns upstreams at addresses where nothing listens, so that connections are refused.
 pub(super) fn unreachable_upstreams(number: u32) -> Vec<ListedUpstream> {
-    let upstream = |index: u32| ListedUpstream {
-        id: format!("u{index}"),
-        ..listed_upstream(address(number + 160, 9000 + index as u16).parse().unwrap())
-    };
+    let upstream =
+        |index: u32| upstream(number, &format!("u{index}"), SERVICE, 9000 + index as u16);
     (0..UPSTREAMS).map(upstream).collect()
 }
 
+fn upstream(number: u32, id: &str, service: &str, port: u16) -> ListedUpstream {
+    ListedUpstream {
+        id: id.to_owned(),
+        service: service.to_owned(),
+        ..listed_upstream(address(number + 160, port).parse().unwrap())
+    }
+}
+
 pub(super) fn peer(number: u32) -> Peer {
     Peer {
         instance: format!("e{number}"),
@@ -46,35 +57,57 @@
     }
 }
 
-/// Returns a control replica whose configuration has a route that is `safe` and one that is
-/// `unsafe`.
+/// Returns a control replica whose configuration has routes that are `safe` and one that is
+/// `unsafe`: two to [`SERVICE`], one to [`FILES`], and one that is split between both.
 pub(super) fn control(
     upstreams: Vec<ListedUpstream>,
     peers: Vec<Peer>,
     version: u64,
 ) -> MeshHandler<NodeRequest, NodeReply> {
-    let route = |name: &str, kind: &str| {
+    control_until(upstreams, peers, version, Arc::default())
+}
+
+/// Like [`control`], but no upstream is listed any more once `is_emptied` is set.
+fn control_until(
+    upstreams: Vec<ListedUpstream>,
+    peers: Vec<Peer>,
+    version: u64,
+    is_emptied: Arc<AtomicBool>,
+) -> MeshHandler<NodeRequest, NodeReply> {
+    let route = |name: &str, kind: &str, split: &[(&str, u32)]| {
+        let part = |(name, weight): &(&str, u32)| json!({"service": name, "weight": weight});
+        let split: Vec<_> = split.iter().map(part).collect();
         json!({"type": "routes", "meta": {"name": name}, "spec": {
             "host": "shop.example", "path_prefix": format!("/{name}/"), "kind": kind,
-            "timeout_s": 20.0, "slo_s": 1.0, "priority": 1, "service": SERVICE,
+            "timeout_s": 20.0, "slo_s": 1.0, "priority": 1, "split": split,
             "max_attempts": 2}})
     };
+    let service = |name: &str| {
+        json!({"type": "services", "meta": {"name": name}, "spec": {
+            "health_path": "/health", "max_conns": 100, "cold_start_s": 0.0, "cold_per_s": 5.0}})
+    };
     let table = json!({"version": format!("r{version}"), "resources": [
-        {"type": "services", "meta": {"name": SERVICE}, "spec": {
-            "health_path": "/health", "max_conns": 100, "cold_start_s": 0.0, "cold_per_s": 5.0}},
-        route("menu", "safe"), route("order", "unsafe"),
+        service(SERVICE), service(FILES),
+        route("menu", "safe", &[(SERVICE, 1)]), route("order", "unsafe", &[(SERVICE, 1)]),
+        route("files", "safe", &[(FILES, 1)]), route("both", "safe", &[(SERVICE, 1), (FILES, 1)]),
     ]});
     let routing = configuration::decode(table.to_string().as_bytes()).unwrap();
     let policy = Policy { version: 1, routing: routing.into(), ..Policy::default() };
     let put: Vec<_> = upstreams.iter().map(|listed| (listed.id.clone(), listed.clone())).collect();
     Arc::new(move |call, _peer| {
-        let (policy, peers, put) = (policy.clone(), peers.clone(), put.clone());
+        let (policy, peers, mut put) = (policy.clone(), peers.clone(), put.clone());
+        let is_emptied = is_emptied.clone();
         Box::pin(async move {
             let NodeRequest::Follow(request) = call else { return None };
             sleep(Duration::from_millis(request.hold_ms.min(200))).await;
             let mut reply = follow_reply(&request, &policy, put[0].1.clone());
+            let counter = if is_emptied.load(Ordering::Relaxed) { 2 } else { 1 };
+            if counter == 2 {
+                put.clear();
+            }
             let change = MapDelta { version: 1, is_full: true, put, removed: Vec::new() };
-            reply.list = reply.list.map(|_| ListDelta { counter: 1, change });
+            let is_new = reply.list.is_some() || counter == 2;
+            reply.list = is_new.then_some(ListDelta { counter, change });
             reply.peers = request.peers_of.map(|_| peers);
             Some(NodeReply::Follow(Box::new(reply)))
         })
@@ -198,3 +231,81 @@
     assert_eq!(status, 503, "{response}");
     assert!(received.lock().unwrap().is_empty());
 }
+
+/// Upstreams whose old connections live on while new ones are refused: a late response on such
+/// a connection made an instance refuse requests that its peers could have sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_response_does_not_end_the_hand_over_while_connections_are_refused() {
+    serve(address(191, 8080), false).await;
+    let peers_upstream = upstream(31, "u9", SERVICE, 8080);
+    let _linked = start(31, control(vec![peers_upstream], Vec::new(), 1)).await;
+    let listener = TcpListener::bind(address(192, 8080)).await.unwrap();
+    let (accepted, respond) = (Arc::new(Notify::new()), Arc::new(Notify::new()));
+    let (accepted_by_test, respond_by_test) = (accepted.clone(), respond.clone());
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        drop(listener);
+        accepted.notify_one();
+        respond.notified().await;
+        let response = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok";
+        stream.write_all(response.as_bytes()).await.unwrap();
+    });
+    let rig = start(32, control(vec![upstream(32, "u1", SERVICE, 8080)], vec![peer(31)], 1)).await;
+    let mut late = rig.connect().await;
+    let request = "GET /menu/1 HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\n\
+                   Bulrushspan-Request-Id: late\r\n\r\n";
+    late.write_all(request.as_bytes()).await.unwrap();
+    accepted_by_test.notified().await;
+    let (status, response) = send(&rig, "order/1", "o1").await;
+    assert_eq!(status, 200, "{response}");
+    // The next health check of the upstream is then half a second away or more.
+    sleep(Duration::from_millis(900)).await;
+    respond_by_test.notify_one();
+    let mut response = Vec::new();
+    late.read_to_end(&mut response).await.unwrap();
+    let (status, response) = send(&rig, "order/1", "o2").await;
+    assert_eq!(status, 200, "{response}");
+}
+
+/// A service of which most upstreams crashed: their instance took it for lost links, and refused
+/// requests that it could send to those that are left, since no peer took them over.
+#[tokio::test(flavor = "multi_thread")]
+async fn upstreams_that_are_left_are_used_if_no_peer_takes_requests_over() {
+    let received = serve(address(193, 8080), false).await;
+    let crashed = |index: u16| upstream(33, &format!("u{index:02}"), SERVICE, 9000 + index);
+    let mut upstreams: Vec<_> = (0..20).map(crashed).collect();
+    upstreams.push(upstream(33, "u20", SERVICE, 8080));
+    let rig = start(33, control(upstreams, Vec::new(), 1)).await;
+    let mut served = 0;
+    for number in 0..60 {
+        let (status, _) = send(&rig, "order/1", &format!("o{number}")).await;
+        served += u32::from(status == 200);
+    }
+    assert!(served >= 30, "{served} of 60 served, {} received", received.lock().unwrap().len());
+}
+
+/// Lost links to a service whose upstreams all left the list: the instance went on saying that it
+/// reaches no upstreams, so that callers were never led to it again.
+#[tokio::test(flavor = "multi_thread")]
+async fn links_to_a_service_without_upstreams_do_not_count_as_lost() {
+    let announcements = UdpSocket::bind(address(120, 7660)).await.unwrap();
+    let is_emptied = Arc::<AtomicBool>::default();
+    let upstreams = unreachable_upstreams(40);
+    let rig = start(40, control_until(upstreams, Vec::new(), 1, is_emptied.clone())).await;
+    for number in 0..4 {
+        send(&rig, "order/1", &format!("o{number}")).await;
+    }
+    let wait_for = async |reaches_upstreams: bool| {
+        let mut datagram = vec![0; 2048];
+        loop {
+            let length = announcements.recv(&mut datagram).await.unwrap();
+            let announcement: Announcement = decode(&datagram[..length]).unwrap();
+            if announcement.reaches_upstreams == reaches_upstreams {
+                return;
+            }
+        }
+    };
+    timeout(WAIT_TIMEOUT, wait_for(false)).await.unwrap();
+    is_emptied.store(true, Ordering::Relaxed);
+    timeout(WAIT_TIMEOUT / 6, wait_for(true)).await.expect("the links count as lost for ever");
+}
