Keep to what upstreams say of themselves: leaving, and pauses after a 503

Cause: nothing decoded either field. An entry instance knew of leaving only from the list, and a refusal changed nothing but the reported load.

Now `platform::headers::upstream_notice` decodes both once, and `core::balance::Notices` keeps them for each start of an upstream. They bind the choice (first attempts, retries, requests of peers, placed objects, the last upstream left), health checks and link probes, and are looked at again right before the first byte of a request, after the connection is open and the link is free. Lists don't undo them; a new start does (docs/STEERING.md). When no upstream is left because of pauses, the request is refused at once with the time until the first ends. After a pause there is one request at first.

Responses that a peer passes on are not taken for an upstream's word about this instance. The gateway keeps its own pause (docs/STEERING.md).

--- a/src/core/balance/balancer.rs
+++ b/src/core/balance/balancer.rs
@@ -2,25 +2,23 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
 
 use super::{
-    cold::{COLD_MARGIN, ColdLimit},
+    choice::{Choice, Locality, PassedOver, Requirements},
+    cold::ColdLimit,
     health::{CheckResult, Health},
-    load::Load,
+    notices::{NoticeChange, Notices, Obstacle},
+    upstream_state::UpstreamState,
 };
 use crate::core::{
     MapDelta,
     control::{RegionName, ServiceName, ZoneName},
-    placement::{
-        Candidate, ObjectId, Placement, RankedObject, UpstreamHash, default_candidate,
-        upstream_hash,
-    },
+    placement::{Placement, RankedObject, default_candidate},
     routing::ServiceSpec,
-    upstreams::{ListedState, ListedUpstream, ReportedLoad, UpstreamId},
+    upstreams::{ListedState, ListedUpstream, ReportedLoad, UpstreamId, UpstreamNotice},
 };
 
 /// Represents the known upstreams with their health, load and cold times.
@@ -33,72 +31,12 @@
     cold_limit: ColdLimit,
     services: BTreeMap<ServiceName, Arc<ServiceSpec>>,
     upstreams: BTreeMap<UpstreamId, UpstreamState>,
+    notices: Notices,
     evacuated: BTreeSet<ZoneName>,
     /// The upstreams of objects that are not placed by default.
     placement: Placement,
 }
 
-/// Represents the location of an instance and the regions of all availability zones.
-#[derive(Clone, Debug, Default)]
-pub struct Locality {
-    /// The instance's region.
-    pub region: RegionName,
-    /// The instance's availability zone.
-    pub zone: ZoneName,
-    /// The region of every availability zone.
-    pub regions_of_zones: BTreeMap<ZoneName, RegionName>,
-}
-
-impl Locality {
-    /// Returns whether an availability zone is in the instance's region.
-    fn contains(&self, zone: &ZoneName) -> bool {
-        self.regions_of_zones.get(zone) == Some(&self.region)
-    }
-}
-
-/// Represents what a request requires of an upstream.
-#[derive(Clone, Copy, Debug)]
-pub struct Requirements<'a> {
-    /// The service.
-    pub service: &'a ServiceName,
-    /// The object of the request.
-    pub object: ObjectId,
-    /// Whether requests of the route have large bodies.
-    pub has_large_body: bool,
-    /// The regions in which the request may run; empty means all.
-    pub home_regions: &'a [RegionName],
-    /// The upstreams that are excluded because they were tried before.
-    pub tried: &'a [UpstreamId],
-}
-
-#[derive(Clone, Debug)]
-struct UpstreamState {
-    listed: ListedUpstream,
-    /// The hash of its id.
-    hash: UpstreamHash,
-    /// Whether it is in the region of this instance.
-    is_local: bool,
-    load: Load,
-    health: Health,
-    /// When the upstream stops counting as cold.
-    cold_until: Duration,
-    /// When this instance may next send a request while the upstream is cold.
-    next_cold_send_at: Duration,
-}
-
-/// Represents the upstream chosen for a request.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Choice {
-    /// The id of the upstream.
-    pub id: UpstreamId,
-    /// The service that it belongs to.
-    pub service: ServiceName,
-    /// The address at which it listens.
-    pub address: SocketAddr,
-    /// How long the request is expected to wait for a slot.
-    pub expected_wait: Duration,
-}
-
 impl Balancer {
     /// Returns a balancer without upstreams.
     pub fn new(locality: Locality, cold_limit: ColdLimit) -> Self {
@@ -109,6 +47,7 @@
             cold_limit,
             services: BTreeMap::new(),
             upstreams: BTreeMap::new(),
+            notices: Notices::default(),
             evacuated: BTreeSet::new(),
             placement: Placement::default(),
         }
@@ -147,8 +86,10 @@
             };
             let is_local = self.locality.contains(&listed.zone);
             let upstream = UpstreamState::new(listed, is_local, in_flight, now);
+            self.notices.record_listed(&upstream.listed.id, upstream.listed.started_unix_ms);
             self.upstreams.insert(upstream.listed.id.clone(), upstream);
         }
+        self.notices.record_unlisted(|id| self.upstreams.contains_key(id), now);
     }
 
     /// Sets the availability zones whose upstreams get no new work.
@@ -192,12 +133,17 @@
     /// Cold upstreams are used only if there are no others, and within their
     /// rate limit.
     pub fn choose(&mut self, requirements: &Requirements<'_>, now: Duration) -> Option<Choice> {
-        let is_warm = |upstream: &UpstreamState| now >= upstream.cold_until;
+        let is_warm = |upstream: &UpstreamState| {
+            now >= upstream.cold_until && self.obstacle(upstream, now).is_none()
+        };
         if let Some(upstream) = self.first_ranked(requirements, is_warm) {
-            return Some(upstream.choice(now));
+            return Some(self.with_passed_over(upstream.choice(now), requirements, now));
         }
-        let may_send_cold = |upstream: &UpstreamState| now >= upstream.next_cold_send_at;
+        let may_send_cold = |upstream: &UpstreamState| {
+            now >= upstream.next_cold_send_at && self.obstacle(upstream, now).is_none()
+        };
         let choice = self.first_ranked(requirements, may_send_cold)?.choice(now);
+        let choice = self.with_passed_over(choice, requirements, now);
         let interval = self.cold_interval(requirements.service);
         if let Some(upstream) = self.upstreams.get_mut(&choice.id) {
             upstream.next_cold_send_at = now + interval;
@@ -205,6 +151,30 @@
         Some(choice)
     }
 
+    /// Adds the upstream that would have been chosen but for what it said of itself.
+    fn with_passed_over(
+        &self,
+        mut choice: Choice,
+        requirements: &Requirements<'_>,
+        now: Duration,
+    ) -> Choice {
+        let is_passed_over = |upstream: &UpstreamState| {
+            self.is_usable(upstream, requirements) && self.obstacle(upstream, now).is_some()
+        };
+        if self.notices.ids().filter_map(|id| self.upstreams.get(id)).any(is_passed_over) {
+            let first = self.first_ranked(requirements, |_| true);
+            choice.passed_over = first.and_then(|upstream| {
+                let obstacle = self.obstacle(upstream, now)?;
+                Some(PassedOver { id: upstream.listed.id.clone(), obstacle })
+            });
+        }
+        choice
+    }
+
+    fn obstacle(&self, upstream: &UpstreamState, now: Duration) -> Option<Obstacle> {
+        self.notices.obstacle(&upstream.listed.id, upstream.listed.slots, now)
+    }
+
     /// Returns the upstream on which the object is placed, or else its default one,
     /// among those for which `is_eligible` returns true.
     fn first_ranked(
@@ -231,21 +201,78 @@
         upstreams.into_iter().find(|upstream| upstream.hash == first.hash)
     }
 
-    /// Returns whether an upstream still takes new work: it is listed as ready, and its
-    /// availability zone is not evacuated.
-    pub fn takes_work(&self, id: &UpstreamId) -> bool {
-        self.upstreams.get(id).is_some_and(|upstream| self.is_in_service(upstream))
+    /// Returns whether an upstream still takes new work: it is listed as ready, its
+    /// availability zone is not evacuated, and it did not say otherwise itself.
+    pub fn takes_work(&self, id: &UpstreamId, now: Duration) -> bool {
+        let upstream = self.upstreams.get(id);
+        upstream.is_some_and(|upstream| self.is_in_service(upstream)) && !self.is_silenced(id, now)
+    }
+
+    /// Returns whether an upstream said that it leaves or wants no requests now.
+    pub fn is_silenced(&self, id: &UpstreamId, now: Duration) -> bool {
+        self.notices.is_silenced(id, now)
+    }
+
+    /// Returns after which time an upstream may take a request that none takes now because of
+    /// what upstreams said of themselves. Returns `None` if that is not the reason, and zero if
+    /// the time is not known.
+    pub fn pause_left(&self, requirements: &Requirements<'_>, now: Duration) -> Option<Duration> {
+        let requirements = Requirements { tried: &[], ..*requirements };
+        let candidates = self.upstreams.values().filter(|upstream| {
+            self.is_in_service(upstream) && self.is_permitted(upstream, &requirements)
+        });
+        let mut has_pause = false;
+        let mut left_min: Option<Duration> = None;
+        for upstream in candidates {
+            let obstacle = self.obstacle(upstream, now);
+            let left = match obstacle {
+                Some(Obstacle::Leaving) => continue,
+                Some(Obstacle::Paused(until)) => until.saturating_sub(now),
+                Some(Obstacle::Resuming) | None => Duration::ZERO,
+            };
+            has_pause |= obstacle.is_some();
+            left_min = Some(left_min.map_or(left, |current| current.min(left)));
+        }
+        left_min.filter(|_| has_pause)
+    }
+
+    /// Records what an upstream said with a response to a request or health check for which it
+    /// was chosen, and returns what begins.
+    ///
+    /// It is ignored if the upstream has started anew since.
+    pub fn record_notice(
+        &mut self,
+        choice: &Choice,
+        notice: UpstreamNotice,
+        now: Duration,
+    ) -> Vec<NoticeChange> {
+        let listed = self.upstreams.get(&choice.id).map(|upstream| &upstream.listed);
+        let is_listed = listed.is_some();
+        if listed.is_some_and(|listed| listed.started_unix_ms != choice.started_unix_ms) {
+            return Vec::new();
+        }
+        self.notices.record(&choice.id, choice.started_unix_ms, is_listed, notice, now)
+    }
+
+    /// Returns what has ended since the last call of what upstreams said of themselves.
+    pub fn take_ended_notices(&mut self, now: Duration) -> Vec<NoticeChange> {
+        self.notices.take_ended(now)
     }
 
     /// Returns an upstream of a service that takes work, healthy or not: another one in each
     /// round, to find out whether any can be reached.
-    pub fn probe_target(&self, service: &ServiceName, round: usize) -> Option<Choice> {
+    pub fn probe_target(
+        &self,
+        service: &ServiceName,
+        round: usize,
+        now: Duration,
+    ) -> Option<Choice> {
         let is_candidate = |upstream: &&UpstreamState| {
-            upstream.listed.service == *service && self.is_in_service(upstream)
+            upstream.listed.service == *service && self.takes_work(&upstream.listed.id, now)
         };
         let count = self.upstreams.values().filter(is_candidate).count();
         let mut candidates = self.upstreams.values().filter(is_candidate);
-        candidates.nth(round.checked_rem(count)?).map(|upstream| upstream.choice(Duration::ZERO))
+        candidates.nth(round.checked_rem(count)?).map(|upstream| upstream.choice(now))
     }
 
     /// Records that a request is sent to an upstream.
@@ -253,13 +280,19 @@
         if let Some(upstream) = self.upstreams.get_mut(id) {
             upstream.load.record_start(now);
         }
+        if let Some(pause) = self.notices.pause_mut(id) {
+            pause.record_start(now);
+        }
     }
 
-    /// Records the end of a request at an upstream.
-    pub fn record_end(&mut self, id: &UpstreamId) {
+    /// Records the end of a request that was sent to an upstream at `sent_at`.
+    pub fn record_end(&mut self, id: &UpstreamId, sent_at: Duration) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
             upstream.load.record_end();
         }
+        if let Some(pause) = self.notices.pause_mut(id) {
+            pause.record_end(sent_at);
+        }
     }
 
     /// Records the load that an upstream reports.
@@ -269,12 +302,15 @@
         }
     }
 
-    /// Records how long an upstream took to respond, given the wait that was
-    /// expected when it was chosen.
-    pub fn record_elapsed(&mut self, choice: &Choice, elapsed: Duration) {
+    /// Records that an upstream completed a request that was sent to it at `sent_at`.
+    pub fn record_completed(&mut self, choice: &Choice, sent_at: Duration, now: Duration) {
         if let Some(upstream) = self.upstreams.get_mut(&choice.id) {
+            let elapsed = now.saturating_sub(sent_at);
             upstream.load.record_elapsed(elapsed, choice.expected_wait);
         }
+        if let Some(pause) = self.notices.pause_mut(&choice.id) {
+            pause.record_completed(sent_at);
+        }
     }
 
     /// Records that an upstream can't be reached or did not complete its response.
@@ -286,16 +322,23 @@
 
     /// Returns whether any upstream needs a health check, now or later.
     pub fn has_unhealthy(&self) -> bool {
-        self.upstreams.values().any(|upstream| upstream.health != Health::Healthy)
+        let needs_check = |upstream: &UpstreamState| {
+            upstream.health != Health::Healthy && !self.notices.is_leaving(&upstream.listed.id)
+        };
+        self.upstreams.values().any(needs_check)
     }
 
-    /// Returns the upstreams whose health check is due.
+    /// Returns the upstreams whose health check is due, unless they leave or want no requests
+    /// now.
     ///
     /// Each is returned only once until the result of its check is passed to
     /// [`Balancer::record_check`].
     pub fn take_due_checks(&mut self, now: Duration) -> Vec<(Choice, Arc<ServiceSpec>)> {
         let services = &self.services;
-        let due = self.upstreams.values_mut().filter(|upstream| upstream.health.is_check_due(now));
+        let notices = &self.notices;
+        let due = self.upstreams.values_mut().filter(|upstream| {
+            upstream.health.is_check_due(now) && !notices.is_silenced(&upstream.listed.id, now)
+        });
         due.filter_map(|upstream| {
             upstream.health = upstream.health.after_check_started();
             let service = services.get(&upstream.listed.service)?;
@@ -321,10 +364,14 @@
     }
 
     fn is_usable(&self, upstream: &UpstreamState, requirements: &Requirements<'_>) -> bool {
+        upstream.health == Health::Healthy
+            && self.is_in_service(upstream)
+            && self.is_permitted(upstream, requirements)
+    }
+
+    fn is_permitted(&self, upstream: &UpstreamState, requirements: &Requirements<'_>) -> bool {
         let listed = &upstream.listed;
         listed.service == *requirements.service
-            && upstream.health == Health::Healthy
-            && self.is_in_service(upstream)
             && !requirements.tried.contains(&listed.id)
             && (requirements.home_regions.is_empty()
                 || self.is_in_regions(upstream, requirements.home_regions))
@@ -343,45 +390,3 @@
         self.locality.regions_of_zones.get(&upstream.listed.zone)
     }
 }
-
-impl UpstreamState {
-    fn new(listed: ListedUpstream, is_local: bool, in_flight: u32, now: Duration) -> Self {
-        let cold_left = listed.cold_left;
-        let load = Load::new(listed.slots, in_flight, now);
-        let mut upstream = Self {
-            hash: upstream_hash(&listed.id),
-            is_local,
-            listed,
-            load,
-            health: Health::Healthy,
-            cold_until: Duration::ZERO,
-            next_cold_send_at: Duration::ZERO,
-        };
-        upstream.set_cold(cold_left, now);
-        upstream
-    }
-
-    fn set_listed(&mut self, listed: ListedUpstream, now: Duration) {
-        self.set_cold(listed.cold_left, now);
-        self.listed = listed;
-    }
-
-    fn set_cold(&mut self, remaining: Duration, now: Duration) {
-        if !remaining.is_zero() {
-            self.cold_until = self.cold_until.max(now + remaining + COLD_MARGIN);
-        }
-    }
-
-    fn candidate(&self) -> Candidate {
-        Candidate { hash: self.hash, slots: self.listed.slots, in_requesting_region: self.is_local }
-    }
-
-    fn choice(&self, now: Duration) -> Choice {
-        Choice {
-            id: self.listed.id.clone(),
-            service: self.listed.service.clone(),
-            address: self.listed.address,
-            expected_wait: self.load.expected_wait(now),
-        }
-    }
-}
--- a/src/core/balance/mod.rs
+++ b/src/core/balance/mod.rs
@@ -4,14 +4,20 @@
 //! instances make the same choice without communicating.
 
 mod balancer;
+mod choice;
 mod cold;
 mod health;
 mod links;
 mod load;
+mod notices;
+mod pause;
+mod upstream_state;
 
 pub use self::{
-    balancer::{Balancer, Choice, Locality, Requirements},
+    balancer::Balancer,
+    choice::{Choice, Locality, PassedOver, Requirements},
     cold::ColdLimit,
     health::CheckResult,
     links::UpstreamLinks,
+    notices::{NoticeChange, NoticeKind, Obstacle},
 };
--- a/src/core/upstreams/mod.rs
+++ b/src/core/upstreams/mod.rs
@@ -1,12 +1,14 @@
-//! The list of upstreams that the platform publishes, and the load that
-//! upstreams report.
+//! The list of upstreams that the platform publishes, and what upstreams report of
+//! themselves.
 
 mod list;
 mod listed;
+mod notice;
 
 pub use self::{
     list::UpstreamList,
     listed::{ListedState, ListedUpstream, ListedUpstreams, ReportedLoad},
+    notice::UpstreamNotice,
 };
 
 /// Identifies an upstream. Most upstreams get a new id at each start.
--- a/src/explain/explanation.rs
+++ b/src/explain/explanation.rs
@@ -68,7 +68,7 @@
     let description = match line.message.as_str() {
         "sent" => format!(
             "attempt {} went to {} of {} on route {} with {} ms left; key {}, configuration {}, \
-             list of upstreams {} ms old",
+             list of upstreams {} ms old{}",
             field("attempt"),
             field("upstream"),
             field("service"),
@@ -77,6 +77,7 @@
             field("key"),
             field("config"),
             field("list_age_ms"),
+            passed_over(line),
         ),
         "answered" => format!(
             "answered {} by the {} after {} ms and {} attempts",
@@ -109,7 +110,10 @@
             format!("{}: {} ({})", line.message, field("peer"), field("error"))
         }
         "left service" => {
-            format!("{} left service before anything was sent to it", field("upstream"))
+            format!(
+                "{} left service or asked for a pause before anything was sent to it",
+                field("upstream")
+            )
         }
         "broken off" => format!("{} broke off: {}", field("upstream"), field("error")),
         "no route" => format!(
@@ -125,11 +129,24 @@
     Step { timestamp: line.timestamp.clone(), process: line.process.clone(), description }
 }
 
+/// Returns which upstream was not chosen because of what it said of itself, as a clause.
+fn passed_over(line: &LogLine) -> String {
+    let Some(upstream) = line.text("passed_over") else { return String::new() };
+    let clause = match line.text("obstacle").unwrap_or_default() {
+        "leaving" => "said that it leaves",
+        "paused" => "wants no requests for a while",
+        "resuming" => "gets few requests after its pause",
+        other => other,
+    };
+    format!("; {upstream} was passed over: it {clause}")
+}
+
 /// Returns why a request was refused, as a clause. An unknown reason is returned as it is.
 fn refusal_reason(line: &LogLine) -> &str {
     match line.text("reason").unwrap_or_default() {
         "busy" => "it would have waited too long for a slot at its upstream",
         "no_upstream" => "no upstream was left that may run it",
+        "paused" => "each upstream that may run it wants no requests from the instance for a while",
         "unreachable" => "no upstream that was tried could be reached",
         "peer_refused" => "upstreams could not be reached, and a peer refused it",
         "behind" => "the instance had an older configuration than the one that handed it over",
--- a/src/runtime/entry_node/announce.rs
+++ b/src/runtime/entry_node/announce.rs
@@ -6,14 +6,15 @@
 use tokio::net::UdpSocket;
 use tracing::warn;
 
-use super::state::EntryState;
+use super::{notices::log_ended_notices, state::EntryState};
 use crate::{
     core::roster::ANNOUNCE_INTERVAL,
     net::wire::{Announcement, encode},
 };
 
 /// Announces the instance every [`ANNOUNCE_INTERVAL`], and immediately when a stop
-/// begins. Also closes expired connections and updates the gauges each time.
+/// begins. Also closes expired connections, logs which notices of upstreams have ended, and
+/// updates the gauges each time.
 pub(super) async fn announce(state: Rc<EntryState>, callers_address: SocketAddr) {
     let socket = match UdpSocket::bind((state.settings.ip, 0)).await {
         Ok(socket) => socket,
@@ -30,6 +31,7 @@
     loop {
         state.pool.borrow_mut().close_expired();
         state.peer_pool.borrow_mut().close_expired();
+        log_ended_notices(&state);
         state.update_metrics();
         let announcement = Announcement {
             instance: state.settings.instance.clone(),
--- a/src/runtime/entry_node/attempt.rs
+++ b/src/runtime/entry_node/attempt.rs
@@ -7,6 +7,7 @@
 
 use super::{
     links::connect_to_upstream,
+    notices::{NoticeSource, record_notice},
     pool::{ConnectionPool, UpstreamConnection},
     request::Request,
     response::{Response, is_stripped},
@@ -30,8 +31,7 @@
     NotRun { status: u16, load: Option<ReportedLoad> },
     /// The connection could not be established, so nothing was sent.
     NotSent(io::Error),
-    /// The upstream left service while the connection was being established, so nothing
-    /// was sent.
+    /// The upstream left service or asked for a pause before anything was sent.
     LeftService,
     /// At least a part of the request was sent, and whether it ran is unknown.
     Unknown(io::Error),
@@ -47,18 +47,20 @@
 struct InFlight {
     state: Rc<EntryState>,
     id: UpstreamId,
+    sent_at: Duration,
 }
 
 impl InFlight {
     fn new(state: &Rc<EntryState>, id: &UpstreamId) -> Self {
-        state.balancer.borrow_mut().record_start(id, state.clock.now());
-        Self { state: state.clone(), id: id.clone() }
+        let sent_at = state.clock.now();
+        state.balancer.borrow_mut().record_start(id, sent_at);
+        Self { state: state.clone(), id: id.clone(), sent_at }
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.state.balancer.borrow_mut().record_end(&self.id);
+        self.state.balancer.borrow_mut().record_end(&self.id, self.sent_at);
     }
 }
 
@@ -79,11 +81,6 @@
             Err(error) => return AttemptOutcome::NotSent(error),
         },
     };
-    // Establishing the connection may have taken most of the time in which an upstream that
-    // leaves, or an evacuated zone, may still get requests.
-    if !state.balancer.borrow().takes_work(&choice.id) {
-        return AttemptOutcome::LeftService;
-    }
     match send(state, choice, request, deadline, connection).await {
         Ok(outcome) => outcome,
         Err(error) => AttemptOutcome::Unknown(error),
@@ -95,14 +92,21 @@
     choice: &Choice,
     request: &Request,
     deadline: Duration,
-    connection: UpstreamConnection,
+    mut connection: UpstreamConnection,
 ) -> io::Result<AttemptOutcome> {
     let time_left = deadline.saturating_sub(state.clock.now());
     let bytes = encode_request(request, time_left, |head| {
         head.field(headers::EXPECT_INSTANCE, choice.id.as_bytes());
     });
+    // Establishing the connection, or the wait for the link, may have taken most of the time in
+    // which an upstream that leaves or pauses, or an evacuated zone, may still get requests.
+    let takes_work = || state.balancer.borrow().takes_work(&choice.id, state.clock.now());
+    if !state.link.write_if(&mut connection.stream, &bytes, takes_work).await? {
+        return Ok(AttemptOutcome::LeftService);
+    }
+    let on_head = |head: &ResponseHead| record_notice(state, choice, head, NoticeSource::Response);
     let (pool, address) = (&state.pool, choice.address);
-    let (head, body) = send_and_receive(state, pool, address, request, &bytes, connection).await?;
+    let (head, body) = receive(state, pool, address, request, connection, on_head).await?;
     let load = headers::reported_load(&head.headers);
     if headers::is_not_run(&head.headers) || head.status == 421 {
         return Ok(AttemptOutcome::NotRun { status: head.status, load });
@@ -113,23 +117,22 @@
     })
 }
 
-/// Sends an encoded request and reads the response. The connection is put into the pool if
-/// it can be reused.
+/// Reads the response to a request that was sent. `on_head` gets its head as soon as it has
+/// arrived. The connection is put into the pool if it can be reused.
 ///
 /// # Errors
 ///
 /// Returns an error if the connection fails or the response is malformed.
-pub(super) async fn send_and_receive(
+pub(super) async fn receive(
     state: &EntryState,
     pool: &RefCell<ConnectionPool>,
     address: SocketAddr,
     request: &Request,
-    bytes: &[u8],
     mut connection: UpstreamConnection,
+    on_head: impl FnOnce(&ResponseHead),
 ) -> io::Result<(ResponseHead, Bytes)> {
-    state.link.write(&mut connection.stream, bytes).await?;
     let body_max_bytes = state.settings.response_max_bytes();
-    let (head, body) = read_response(&mut connection, request, body_max_bytes).await?;
+    let (head, body) = read_response(&mut connection, request, body_max_bytes, on_head).await?;
     if head.keeps_alive && connection.buffer.is_empty() {
         let keep_alive = keep_alive_timeout(&head);
         pool.borrow_mut().put(address, connection.stream, keep_alive);
@@ -167,6 +170,7 @@
     connection: &mut UpstreamConnection,
     request: &Request,
     body_max_bytes: usize,
+    on_head: impl FnOnce(&ResponseHead),
 ) -> io::Result<(ResponseHead, Bytes)> {
     let request_id = headers::request_id(&request.head.headers);
     for _ in 0..=SKIPPED_MAX {
@@ -174,11 +178,13 @@
         if head.status < 200 {
             continue;
         }
-        let body = read_body(connection, &head, body_max_bytes).await?;
         let response_id = headers::request_id(&head.headers);
         if response_id.is_none() || request_id.is_none() || response_id == request_id {
+            on_head(&head);
+            let body = read_body(connection, &head, body_max_bytes).await?;
             return Ok((head, body));
         }
+        read_body(connection, &head, body_max_bytes).await?;
         if !head.keeps_alive {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
--- a/src/runtime/entry_node/exchange.rs
+++ b/src/runtime/entry_node/exchange.rs
@@ -157,7 +157,10 @@
             }
             let Some(choice) = self.choose() else {
                 let response = self.hand_over().await;
-                return response.unwrap_or_else(|| self.refuse("no_upstream", RETRY_AFTER_DEFAULT));
+                return response.unwrap_or_else(|| match self.pause_left() {
+                    Some(left) => self.refuse("paused", left),
+                    None => self.refuse("no_upstream", RETRY_AFTER_DEFAULT),
+                });
             };
             if choice.expected_wait > self.route.objective.mul_f64(WAIT_FRACTION_MAX) {
                 return self.refuse("busy", choice.expected_wait);
@@ -206,14 +209,26 @@
     }
 
     fn choose(&self) -> Option<Choice> {
-        let requirements = Requirements {
+        let now = self.state.clock.now();
+        self.state.balancer.borrow_mut().choose(&self.requirements(), now)
+    }
+
+    fn requirements(&self) -> Requirements<'_> {
+        Requirements {
             service: self.service,
             object: self.object,
             has_large_body: self.route.execution == Execution::OnceWithLargeBody,
             home_regions: &self.route.home_regions,
             tried: &self.tried,
-        };
-        self.state.balancer.borrow_mut().choose(&requirements, self.state.clock.now())
+        }
+    }
+
+    /// Returns when the caller may send the request again if upstreams want no requests now.
+    fn pause_left(&self) -> Option<Duration> {
+        let now = self.state.clock.now();
+        let left = self.state.balancer.borrow().pause_left(&self.requirements(), now)?;
+        let left = if left.is_zero() { RETRY_AFTER_DEFAULT } else { left };
+        Some(left.min(self.deadline.saturating_sub(now)))
     }
 
     fn begin_attempt(&mut self, choice: &Choice, time_left: Duration) {
@@ -229,6 +244,8 @@
             key = self.key,
             upstream = choice.id,
             attempt = self.attempts,
+            passed_over = choice.passed_over.as_ref().map(|passed_over| passed_over.id.as_str()),
+            obstacle = choice.passed_over.as_ref().map(|passed_over| passed_over.obstacle.name()),
             left_ms = time_left.as_millis() as u64,
             body_bytes = self.request.head.framing.length(),
             config = self.state.config_version(),
@@ -249,7 +266,7 @@
                 let now = self.state.clock.now();
                 let mut balancer = self.state.balancer.borrow_mut();
                 self.state.links.record_reached(self.service);
-                balancer.record_elapsed(choice, now.saturating_sub(sent_at));
+                balancer.record_completed(choice, sent_at, now);
                 if let Some(load) = load {
                     balancer.record_load(&choice.id, load, now);
                 }
@@ -280,7 +297,8 @@
                 let (upstream, load) = (&choice.id, load.map(|load| load.to_string()));
                 info!(target: REQUEST_TARGET, request = self.id, upstream, status, load, "not run");
                 let will_retry = self.attempts < self.attempts_max && self.try_take_retry();
-                (!will_retry).then(|| self.refuse("shed", RETRY_AFTER_DEFAULT))
+                let retry_after = self.pause_left().unwrap_or(RETRY_AFTER_DEFAULT);
+                (!will_retry).then(|| self.refuse("shed", retry_after))
             }
             AttemptOutcome::Unknown(error) => {
                 self.record_failure(choice, &error, "broken off");
--- a/src/runtime/entry_node/hand_over.rs
+++ b/src/runtime/entry_node/hand_over.rs
@@ -5,7 +5,7 @@
 use tracing::info;
 
 use super::{
-    attempt::{encode_request, send_and_receive},
+    attempt::{encode_request, receive},
     pool::connect,
     request::Request,
     response::Response,
@@ -43,8 +43,8 @@
 const PEERS_TRIED_MAX: usize = 3;
 
 /// The reasons of a peer's refusal that say nothing about other peers.
-const REASONS_OF_ONE_PEER: [&str; 5] =
-    ["behind", "no_configuration", "no_upstream", "stopping", "unreachable"];
+const REASONS_OF_ONE_PEER: [&str; 6] =
+    ["behind", "no_configuration", "no_upstream", "paused", "stopping", "unreachable"];
 
 /// Hands a request over to a peer, and to further ones while none takes it over.
 ///
@@ -146,7 +146,7 @@
 ) -> PeerOutcome {
     let _in_progress = InProgress::new(state, peer.address);
     let pooled = state.peer_pool.borrow_mut().take(peer.address);
-    let connection = match pooled {
+    let mut connection = match pooled {
         Some(connection) => connection,
         None => match connect(peer.address, state.settings.link_queue_time()).await {
             Ok(connection) => connection,
@@ -155,8 +155,12 @@
     };
     let time_left = deadline.saturating_sub(state.clock.now());
     let bytes = encode_request(request, time_left, |head| terms.write(head));
+    if let Err(error) = state.link.write(&mut connection.stream, &bytes).await {
+        return PeerOutcome::Unknown(error);
+    }
+    // What the upstream says of itself in a response that the peer passes on concerns the peer.
     let (pool, address) = (&state.peer_pool, peer.address);
-    match send_and_receive(state, pool, address, request, &bytes, connection).await {
+    match receive(state, pool, address, request, connection, |_| {}).await {
         Ok((head, body)) => match Refusal::parse(&head.headers) {
             Some(refusal) => PeerOutcome::Refused(refusal),
             None => {
--- a/src/runtime/entry_node/health.rs
+++ b/src/runtime/entry_node/health.rs
@@ -8,6 +8,7 @@
 use super::{
     attempt::{read_body, read_head},
     links::connect_to_upstream,
+    notices::{NoticeSource, record_notice},
     state::EntryState,
 };
 use crate::{
@@ -63,8 +64,12 @@
     head.field("Host", choice.address.to_string().as_bytes());
     head.field(headers::EXPECT_INSTANCE, choice.id.as_bytes());
     head.field("Connection", b"close");
+    if state.balancer.borrow().is_silenced(&choice.id, state.clock.now()) {
+        return Ok(CheckResult::Unhealthy);
+    }
     connection.stream.write_all(&head.finish()).await?;
     let head = read_head(&mut connection, "GET").await?;
+    record_notice(state, choice, &head, NoticeSource::HealthCheck);
     read_body(&mut connection, &head, BODY_MAX_BYTES).await?;
     let is_other_upstream = headers::upstream_id(&head.headers).is_some_and(|id| id != choice.id);
     Ok(match head.status {
--- a/src/runtime/entry_node/link.rs
+++ b/src/runtime/entry_node/link.rs
@@ -31,21 +31,46 @@
     ///
     /// Returns an error if the connection fails.
     pub(super) async fn write<W>(&self, stream: &mut W, message: &[u8]) -> io::Result<()>
+    where
+        W: AsyncWrite + Unpin,
+    {
+        self.write_if(stream, message, || true).await.map(|_| ())
+    }
+
+    /// Writes a message as [`InstanceLink::write`] does, if `is_wanted` returns true right
+    /// before its first byte. Returns whether it was written.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection fails.
+    pub(super) async fn write_if<W>(
+        &self,
+        stream: &mut W,
+        message: &[u8],
+        is_wanted: impl Fn() -> bool,
+    ) -> io::Result<bool>
     where
         W: AsyncWrite + Unpin,
     {
         let piece_max_bytes = self.pacer.borrow().piece_max_bytes();
         if message.len() <= piece_max_bytes {
+            if !is_wanted() {
+                return Ok(false);
+            }
             self.record_write(message.len());
-            return stream.write_all(message).await;
+            stream.write_all(message).await?;
+            return Ok(true);
         }
-        for piece in message.chunks(piece_max_bytes) {
+        for (index, piece) in message.chunks(piece_max_bytes).enumerate() {
             // The turn is not kept while the connection takes the piece: a peer that stops
             // reading must not hold up the other bodies.
             self.take_turn(piece.len()).await?;
+            if index == 0 && !is_wanted() {
+                return Ok(false);
+            }
             stream.write_all(piece).await?;
         }
-        Ok(())
+        Ok(true)
     }
 
     async fn take_turn(&self, length: usize) -> io::Result<()> {
--- a/src/runtime/entry_node/links.rs
+++ b/src/runtime/entry_node/links.rs
@@ -109,7 +109,8 @@
             let services: Vec<ServiceName> =
                 state.links.links.borrow().lost_services().cloned().collect();
             for service in services {
-                let choice = state.balancer.borrow().probe_target(&service, round);
+                let now = state.clock.now();
+                let choice = state.balancer.borrow().probe_target(&service, round, now);
                 if let Some(choice) = choice {
                     tokio::task::spawn_local(probe(state.clone(), choice));
                 }
--- a/src/runtime/entry_node/metrics.rs
+++ b/src/runtime/entry_node/metrics.rs
@@ -23,6 +23,7 @@
     refused: IntCounterVec,
     retries: IntCounterVec,
     handed_over: IntCounterVec,
+    upstream_notices: IntCounterVec,
     links_lost: IntGauge,
     open_requests: IntGauge,
     ready: IntGauge,
@@ -116,6 +117,12 @@
                 "Requests that were sent to another entry instance, by outcome.",
                 &["outcome"],
             )?,
+            upstream_notices: counter(
+                "upstream_notices_total",
+                "Upstreams that began to say that they leave or want a pause, or that sent an \
+                 invalid value for it.",
+                &["notice"],
+            )?,
             links_lost: gauge(
                 "links_lost",
                 "1 while the upstreams of some service can't be reached.",
@@ -174,6 +181,11 @@
         self.handed_over.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts what an upstream began to say of itself.
+    pub(super) fn record_notice(&self, notice: &str) {
+        self.upstream_notices.with_label_values(&[notice]).inc();
+    }
+
     /// Updates the gauges from the state of the instance.
     pub(super) fn update(&self, state: &EntryState, dropped_lines: &DroppedLines) {
         self.open_requests.set(state.open_requests.get() as i64);
--- a/src/runtime/entry_node/mod.rs
+++ b/src/runtime/entry_node/mod.rs
@@ -14,6 +14,7 @@
 mod link;
 mod links;
 mod metrics;
+mod notices;
 mod pool;
 mod readiness;
 mod request;
--- a/tests/it/balance.rs
+++ b/tests/it/balance.rs
@@ -124,12 +124,12 @@
     let ids = ["leaving", "removed", "evacuated"];
     let mut balancer =
         balancer(&[upstream("leaving", "a"), upstream("removed", "a"), upstream("evacuated", "b")]);
-    assert!(ids.iter().all(|id| balancer.takes_work(&(*id).to_owned())));
+    assert!(ids.iter().all(|id| balancer.takes_work(&(*id).to_owned(), millis(0))));
     let mut leaving_upstream = upstream("leaving", "a");
     leaving_upstream.state = ListedState::Leaving;
     balancer.apply_delta(full_list(&[leaving_upstream, upstream("evacuated", "b")]), millis(1));
     balancer.set_evacuated(["b".to_owned()].into(), millis(1));
-    assert!(!ids.iter().any(|id| balancer.takes_work(&(*id).to_owned())));
+    assert!(!ids.iter().any(|id| balancer.takes_work(&(*id).to_owned(), millis(1))));
 }
 
 #[test]
--- a/tests/processes/hand_over.rs
+++ b/tests/processes/hand_over.rs
@@ -46,13 +46,8 @@
     }
 }
 
-/// Returns a control replica whose configuration has a route that is `safe` and one that is
-/// `unsafe`.
-fn control(
-    upstreams: Vec<ListedUpstream>,
-    peers: Vec<Peer>,
-    version: u64,
-) -> MeshHandler<NodeRequest, NodeReply> {
+/// Returns a policy with a route that is `safe` and one that is `unsafe`.
+pub(super) fn policy(version: u64) -> Policy {
     let route = |name: &str, kind: &str| {
         json!({"type": "routes", "meta": {"name": name}, "spec": {
             "host": "shop.example", "path_prefix": format!("/{name}/"), "kind": kind,
@@ -65,7 +60,16 @@
         route("menu", "safe"), route("order", "unsafe"),
     ]});
     let routing = configuration::decode(table.to_string().as_bytes()).unwrap();
-    let policy = Policy { version: 1, routing: routing.into(), ..Policy::default() };
+    Policy { version: 1, routing: routing.into(), ..Policy::default() }
+}
+
+/// Returns a control replica with [`policy`], whose list never changes.
+fn control(
+    upstreams: Vec<ListedUpstream>,
+    peers: Vec<Peer>,
+    version: u64,
+) -> MeshHandler<NodeRequest, NodeReply> {
+    let policy = policy(version);
     let put: Vec<_> = upstreams.iter().map(|listed| (listed.id.clone(), listed.clone())).collect();
     Arc::new(move |call, _peer| {
         let (policy, peers, put) = (policy.clone(), peers.clone(), put.clone());
@@ -81,7 +85,7 @@
     })
 }
 
-async fn start(number: u32, control: MeshHandler<NodeRequest, NodeReply>) -> Rig {
+pub(super) async fn start(number: u32, control: MeshHandler<NodeRequest, NodeReply>) -> Rig {
     let (_, events) = mpsc::unbounded_channel();
     let rig = Rig::launch(number, control, events, LINK_MBPS).await;
     rig.wait_ready().await;
@@ -121,7 +125,7 @@
 }
 
 /// Sends one request on a new connection and returns the status and the head of the response.
-async fn send(rig: &Rig, route: &str, id: &str) -> (u16, String) {
+pub(super) async fn send(rig: &Rig, route: &str, id: &str) -> (u16, String) {
     let mut caller = rig.connect().await;
     let method = if route == "order" { "POST" } else { "GET" };
     let request = format!(
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -5,6 +5,7 @@
 mod entry;
 mod guide;
 mod hand_over;
+mod notices;
 mod platform;
 mod requests;
 mod stops;
