--- a/tests/it/explain.rs
+++ b/tests/it/explain.rs
@@ -25,3 +25,18 @@
         insta::assert_snapshot!(format!("explained_{name}"), explain(request));
     }
 }
+
+/// What an upstream says of itself has to be named as the reason of a choice or a refusal.
+#[test]
+fn upstreams_that_leave_or_pause_are_named_as_the_reason() {
+    let lines = [
+        r#"{"message": "sent", "upstream": "i-2", "attempt": 1, "passed_over": "i-1",
+            "obstacle": "leaving"}"#,
+        r#"{"message": "refused", "reason": "paused", "retry_after_ms": 1500}"#,
+    ];
+    let lines = lines.iter().enumerate().map(|(index, line)| {
+        let fields = format!(r#"{{"request": "r1", "timestamp": "{index}", "#);
+        LogLine::parse("e1", index + 1, &line.replacen('{', &fields, 1))
+    });
+    insta::assert_snapshot!("explained_paused", explain_request("r1", lines));
+}
--- a/tests/it/notices.rs
+++ b/tests/it/notices.rs
@@ -176,6 +176,7 @@
     assert_eq!(kinds(began), [NoticeKind::PauseBegan(millis(5000))]);
     assert!(balancer.record_notice(&second, pause(millis(10)), millis(2)).is_empty());
     assert_eq!(choose(&mut balancer, 1, millis(2999)), None);
+    assert!(!balancer.takes_work(&first.id, millis(2999)), "chosen before, not sent yet");
     let tried = [first.id.clone(), second.id.clone()];
     let left = |balancer: &Balancer, ms| {
         balancer.pause_left(&requirements(&SERVICE.to_owned(), 1, &tried), millis(ms))
