--- a/src/runtime/entry_node/links.rs
+++ b/src/runtime/entry_node/links.rs
@@ -145,9 +145,10 @@
 
 /// Probes some upstreams of a service. If none can be reached, the links are lost.
 async fn probe_service(state: &EntryState, service: &ServiceName, round: usize) {
+    let now = state.clock.now();
     let targets: BTreeMap<UpstreamId, Choice> = (0..PROBES_PER_ROUND)
         .filter_map(|probe| {
-            state.balancer.borrow().probe_target(service, round * PROBES_PER_ROUND + probe)
+            state.balancer.borrow().probe_target(service, round * PROBES_PER_ROUND + probe, now)
         })
         .map(|choice| (choice.id.clone(), choice))
         .collect();
--- a/tests/processes/hand_over.rs
+++ b/tests/processes/hand_over.rs
@@ -57,23 +57,9 @@
     }
 }
 
-/// Returns a control replica whose configuration has routes that are `safe` and one that is
-/// `unsafe`: two to [`SERVICE`], one to [`FILES`], and one that is split between both.
-pub(super) fn control(
-    upstreams: Vec<ListedUpstream>,
-    peers: Vec<Peer>,
-    version: u64,
-) -> MeshHandler<NodeRequest, NodeReply> {
-    control_until(upstreams, peers, version, Arc::default())
-}
-
-/// Like [`control`], but no upstream is listed any more once `is_emptied` is set.
-fn control_until(
-    upstreams: Vec<ListedUpstream>,
-    peers: Vec<Peer>,
-    version: u64,
-    is_emptied: Arc<AtomicBool>,
-) -> MeshHandler<NodeRequest, NodeReply> {
+/// Returns a policy with routes that are `safe` and one that is `unsafe`: two to [`SERVICE`],
+/// one to [`FILES`], and one that is split between both.
+pub(super) fn policy(version: u64) -> Policy {
     let route = |name: &str, kind: &str, split: &[(&str, u32)]| {
         let part = |(name, weight): &(&str, u32)| json!({"service": name, "weight": weight});
         let split: Vec<_> = split.iter().map(part).collect();
@@ -92,7 +78,26 @@
         route("files", "safe", &[(FILES, 1)]), route("both", "safe", &[(SERVICE, 1), (FILES, 1)]),
     ]});
     let routing = configuration::decode(table.to_string().as_bytes()).unwrap();
-    let policy = Policy { version: 1, routing: routing.into(), ..Policy::default() };
+    Policy { version: 1, routing: routing.into(), ..Policy::default() }
+}
+
+/// Returns a control replica with [`policy`], whose list never changes.
+pub(super) fn control(
+    upstreams: Vec<ListedUpstream>,
+    peers: Vec<Peer>,
+    version: u64,
+) -> MeshHandler<NodeRequest, NodeReply> {
+    control_until(upstreams, peers, version, Arc::default())
+}
+
+/// Like [`control`], but no upstream is listed any more once `is_emptied` is set.
+fn control_until(
+    upstreams: Vec<ListedUpstream>,
+    peers: Vec<Peer>,
+    version: u64,
+    is_emptied: Arc<AtomicBool>,
+) -> MeshHandler<NodeRequest, NodeReply> {
+    let policy = policy(version);
     let put: Vec<_> = upstreams.iter().map(|listed| (listed.id.clone(), listed.clone())).collect();
     Arc::new(move |call, _peer| {
         let (policy, peers, mut put) = (policy.clone(), peers.clone(), put.clone());
