Record the response to a booking before its caller has all of it

What callers saw: a booking that was sent again through another instance right after its 200 got 409 `in_progress`; if the first instance died in between, each repetition got that for as long as the key is kept.

Cause: the relay passed the last chunk on as it came and submitted the result of the claim only afterwards.

Now a recorded response is passed on one chunk behind, and the last chunk, or the head of a response without a body, waits until the result is committed, 2 s at most: a response that is ready is delivered also without a quorum. Responses that are not recorded are relayed as before.

Evidence, a_booking_is_recorded_before_its_caller_has_the_whole_response on the code before, with two of three replicas suspended while the upstream works:

the caller has the response, which is not recorded

It passes now, as do the other tests of requests.

--- a/src/runtime/gateway/callers.rs
+++ b/src/runtime/gateway/callers.rs
@@ -255,7 +255,7 @@
         } else {
             first_result?
         };
-        response.relay(self, request, None, None)
+        response.relay(self, request, None, None).await
     }
 
     /// Runs a request under a claim on its key.
@@ -285,7 +285,7 @@
         response: UpstreamResponse,
     ) -> Result<Response, Problem> {
         let recorder = claim.recorder(response.status(), &response.headers());
-        let result = response.relay(self, request, Some(recorder), None);
+        let result = response.relay(self, request, Some(recorder), None).await;
         if result.is_err() {
             claim.finish(crate::core::claims::AttemptResult::Unknown).await;
         }
@@ -392,7 +392,7 @@
         if let Some(limiter) = &limiter {
             limiter.acquire(ASSUMED_HEAD_BYTES).await;
         }
-        response.relay(self, request, None, limiter)
+        response.relay(self, request, None, limiter).await
     }
 
     fn is_peer(&self, headers: &HeaderMap) -> bool {
--- a/src/runtime/gateway/response.rs
+++ b/src/runtime/gateway/response.rs
@@ -4,6 +4,7 @@
     io,
     pin::Pin,
     task::{Context, Poll},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -32,6 +33,8 @@
 
 /// How many chunks are buffered for a caller that reads slowly.
 const CHUNK_BUFFER_LEN: usize = 8;
+/// The longest time that the end of a response is held back until the response is recorded.
+const RECORD_TIMEOUT: Duration = Duration::from_secs(2);
 
 impl UpstreamResponse {
     /// Creates the response of an upstream that this instance owns.
@@ -69,12 +72,13 @@
     }
 
     /// Relays the response in a task of its own. With a `recorder` the body is read to its end
-    /// even if the caller disconnects, so that it can be recorded.
+    /// even if the caller disconnects, and the caller gets the end only once the response is
+    /// recorded, so that it can repeat the request then.
     ///
     /// # Errors
     ///
     /// Returns a problem if a truncated body could not be distinguished from a complete one.
-    pub(super) fn relay(
+    pub(super) async fn relay(
         self,
         gateway: &Gateway,
         request: &CallerRequest,
@@ -90,9 +94,16 @@
         let headers = self.headers();
         let (sender, receiver) = mpsc::channel(CHUNK_BUFFER_LEN);
         let (gateway, request) = (gateway.clone(), request.clone());
-        let relay = Relay { gateway, request, response: self, sender, recorder, limiter };
+        let is_recorded = recorder.is_some();
+        let last = None;
+        let relay = Relay { gateway, request, response: self, sender, recorder, limiter, last };
         tokio::spawn(relay.run());
-        let mut response = warp::reply::stream(Chunks { receiver }).into_response();
+        let mut chunks = Chunks { first: None, receiver };
+        if is_recorded {
+            // The head alone may be the whole response.
+            chunks.first = chunks.receiver.recv().await;
+        }
+        let mut response = warp::reply::stream(chunks).into_response();
         *response.status_mut() = status;
         *response.headers_mut() = headers;
         Ok(response)
@@ -107,6 +118,8 @@
     sender: mpsc::Sender<io::Result<Bytes>>,
     recorder: Option<Recorder>,
     limiter: Option<LinkLimiter>,
+    /// The chunk that was read last, if the response is recorded. The caller may not get it yet.
+    last: Option<Bytes>,
 }
 
 /// Represents how relaying a response ended.
@@ -135,7 +148,11 @@
             self.sender.send(Err(error)).await.ok();
         }
         if let Some(recorder) = self.recorder.take() {
-            recorder.finish(matches!(end, RelayEnd::Complete)).await;
+            let recording = tokio::spawn(recorder.finish(matches!(end, RelayEnd::Complete)));
+            tokio::time::timeout(RECORD_TIMEOUT, recording).await.ok();
+        }
+        if let (RelayEnd::Complete, Some(chunk)) = (end, self.last.take()) {
+            self.sender.send(Ok(chunk)).await.ok();
         }
     }
 
@@ -159,9 +176,14 @@
             if let Some(limiter) = &self.limiter {
                 limiter.acquire(chunk.len() as u64).await;
             }
-            if let Some(recorder) = &mut self.recorder {
-                recorder.add(&chunk);
-            }
+            let chunk = match &mut self.recorder {
+                Some(recorder) => {
+                    recorder.add(&chunk);
+                    self.last.replace(chunk)
+                }
+                None => Some(chunk),
+            };
+            let Some(chunk) = chunk else { continue };
             let caller_disconnected = self.sender.send(Ok(chunk)).await.is_err();
             if caller_disconnected && self.recorder.is_none() {
                 return RelayEnd::CallerDisconnected;
@@ -170,7 +192,10 @@
     }
 }
 
+/// The chunks of a response's body.
 struct Chunks {
+    /// The first chunk, if it was taken from the receiver already.
+    first: Option<io::Result<Bytes>>,
     receiver: mpsc::Receiver<io::Result<Bytes>>,
 }
 
@@ -178,6 +203,9 @@
     type Item = io::Result<Bytes>;
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        self.receiver.poll_recv(cx)
+        match self.first.take() {
+            Some(chunk) => Poll::Ready(Some(chunk)),
+            None => self.receiver.poll_recv(cx),
+        }
     }
 }
--- a/tests/processes/requests.rs
+++ b/tests/processes/requests.rs
@@ -6,7 +6,7 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use serde_json::Value;
@@ -282,6 +282,47 @@
     assert_eq!((status, other_body["error"].as_str()), (422, Some("key_reused")));
 }
 
+/// A booking sent again right after its 200 got 409 `in_progress`, because the caller had the whole
+/// response before it was recorded.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_booking_is_recorded_before_its_caller_has_the_whole_response() {
+    let deployment = Deployment::start();
+    deployment.wait_all_ready();
+    let epoch = deployment.key_epoch();
+    let replicas_stopped = ["n1", "n2"];
+    for round in 0.. {
+        let key = format!("{epoch}-recorded-{round}");
+        let has_line = |kind: &str| {
+            let lines = deployment.record_lines();
+            lines.iter().any(|line| line.starts_with(kind) && line.contains(&key))
+        };
+        let url = format!("{}/services/orders/bookings?ms=500", deployment.callers_url("s2"));
+        let request = deployment.http.post(url).header("idempotency-key", &key).body("a booking");
+        let booking = tokio::spawn(async move {
+            let response = request.send().await.unwrap();
+            (response.status().as_u16(), response.json::<Value>().await.unwrap())
+        });
+        deployment.wait_for("the booking to run", || has_line("run").then_some(()));
+        // Without a quorum nothing is recorded.
+        replicas_stopped.iter().for_each(|name| deployment.signal(name, "STOP"));
+        deployment.wait_for("the booking to end", || has_line("done").then_some(()));
+        let ended_at = Instant::now();
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let has_response = booking.is_finished();
+        let waited = ended_at.elapsed();
+        replicas_stopped.iter().for_each(|name| deployment.signal(name, "CONT"));
+        let response = booking.await.unwrap();
+        assert_eq!(response.0, 200, "{}", response.1);
+        // An instance delivers a response that can't be recorded, after a while.
+        if waited > Duration::from_secs(1) {
+            continue;
+        }
+        assert!(!has_response, "the caller has the response, which is not recorded");
+        assert_eq!(deployment.book("s1", &key, "?ms=500").await, Some(response));
+        return;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_disconnected_caller_and_a_passed_deadline_cancel_the_request() {
     let deployment = Deployment::start();
