Note the start of a heartbeat round once only

The replica had led, was suspended for 6.2 s and answered before it learned of its successor.

Cause: the start of a round was noted if no older one was unconfirmed, so the same round was noted again with each message after its confirmation, as begun and confirmed at that moment. A leader that handles any message right after a suspension was thereby "confirmed" after the read arrived. Leases and the age of the state that a leader reports have the same source.

With the former condition the new test fails:

left: Some(6s) right: Some(100ms)

Now `RoundTimes` keeps the newest round that was noted, so that its start never moves. The test passes, with the others of the replicated log.

--- a/src/runtime/replica/mod.rs
+++ b/src/runtime/replica/mod.rs
@@ -7,11 +7,7 @@
 mod pending;
 mod queries;
 
-use std::{
-    collections::{BTreeMap, VecDeque},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use tokio::sync::{oneshot, watch};
 use tracing::{error, info};
@@ -30,7 +26,7 @@
             Sessions, SessionsConfig, Topology, Version, plan,
         },
         replication::{
-            DurableState, Entry, Envelope, Input, LogIndex, Outputs, Payload, RaftNode, Round,
+            DurableState, Entry, Envelope, Input, LogIndex, Outputs, Payload, RaftNode, RoundTimes,
             Snapshot, Term, Timers, TimersConfig,
         },
     },
@@ -102,11 +98,7 @@
 /// Holds the state that a replica has only while it leads.
 struct Leadership {
     sessions: Sessions,
-    /// The unconfirmed heartbeat rounds and their start times, oldest first.
-    round_starts: VecDeque<(Round, Duration)>,
-    /// The newest round that a quorum replied to, and when it started. This replica was
-    /// certainly the leader at that time.
-    confirmed: Option<(Round, Duration)>,
+    round_times: RoundTimes,
     /// When a step of a shift was last applied, or else when the leadership began.
     last_shift_at: Duration,
     /// The index that must be committed before the next plan: that of the last planned command, or
@@ -144,8 +136,6 @@
 const QUERY_TIMEOUT: Duration = Duration::from_secs(3);
 /// The interval at which a new commit index is made durable.
 const RECORD_COMMIT_INTERVAL: Duration = Duration::from_millis(250);
-/// The largest number of unconfirmed rounds whose start is kept.
-const ROUNDS_MAX: usize = 256;
 
 impl Replica {
     /// Creates a replica from its durable state. `failure` receives a message if the replica fails.
@@ -278,24 +268,11 @@
         }
     }
 
-    /// Records when heartbeat rounds started, and which of them a quorum has replied to.
     fn record_rounds(&mut self) {
-        let now = self.clock.now();
-        let (Some(leadership), Some((latest_round, confirmed_round))) =
+        if let (Some(leadership), Some((latest, confirmed))) =
             (&mut self.leadership, self.node.rounds())
-        else {
-            return;
-        };
-        if leadership.round_starts.back().is_none_or(|(round, _)| *round < latest_round) {
-            leadership.round_starts.push_back((latest_round, now));
-        }
-        while leadership.round_starts.front().is_some_and(|(round, _)| *round <= confirmed_round) {
-            let round_start = leadership.round_starts.pop_front();
-            leadership.confirmed =
-                round_start.filter(|(round, _)| *round > 0).or(leadership.confirmed);
-        }
-        while leadership.round_starts.len() > ROUNDS_MAX {
-            leadership.round_starts.pop_front();
+        {
+            leadership.round_times.record(latest, confirmed, self.clock.now());
         }
     }
 
@@ -355,8 +332,7 @@
             let config = SessionsConfig { lease: timing.lease, drift_margin: timing.drift_margin };
             self.leadership = Some(Leadership {
                 sessions: Sessions::new(config, now),
-                round_starts: VecDeque::new(),
-                confirmed: None,
+                round_times: RoundTimes::default(),
                 last_shift_at: now,
                 planned_through: self.node.durable().last_index(),
             });
@@ -392,9 +368,7 @@
     fn staleness(&self) -> Option<Duration> {
         let now = self.clock.now();
         let current_at = match &self.leadership {
-            Some(leadership) if self.is_current() => {
-                leadership.confirmed.map(|(_, started_at)| started_at)
-            }
+            Some(leadership) if self.is_current() => leadership.round_times.confirmed_at(),
             _ => self.follower_current_at,
         };
         current_at.map(|current_at| now.saturating_sub(current_at))
--- a/src/runtime/replica/pending.rs
+++ b/src/runtime/replica/pending.rs
@@ -46,7 +46,7 @@
         let lease = self.setup.timing.lease;
         let Some(leadership) = &mut self.leadership else { return };
         // A leader grants no lease before a quorum has confirmed its leadership.
-        let Some((_, confirmed_at)) = leadership.confirmed else {
+        let Some(confirmed_at) = leadership.round_times.confirmed_at() else {
             self.pending_watches.push(pending);
             return;
         };
@@ -89,10 +89,11 @@
 
     fn reply_to_queries(&mut self, now: Duration) {
         let is_current = self.is_current();
-        let confirmed = self.leadership.as_ref().and_then(|leadership| leadership.confirmed);
+        let leadership = self.leadership.as_ref();
+        let confirmed_at = leadership.and_then(|leadership| leadership.round_times.confirmed_at());
         for pending in std::mem::take(&mut self.pending_queries) {
             let is_confirmed_since_receipt =
-                confirmed.is_some_and(|(_, started_at)| started_at > pending.received_at);
+                confirmed_at.is_some_and(|confirmed_at| confirmed_at > pending.received_at);
             if is_current && is_confirmed_since_receipt {
                 let reply = self.query_reply(&pending.request, now);
                 pending.reply.send(reply).ok();
--- a/tests/it/replication.rs
+++ b/tests/it/replication.rs
@@ -1,8 +1,8 @@
 //! Tests of the replicated log across restarts, and of the first election.
 
 use bulrushspan::core::replication::{
-    DurableState, Entry, Envelope, Input, Members, Message, Payload, RaftNode, Role, Timers,
-    TimersConfig,
+    DurableState, Entry, Envelope, Input, Members, Message, Payload, RaftNode, Role, RoundTimes,
+    Timers, TimersConfig,
 };
 use std::time::Duration;
 
@@ -71,3 +71,21 @@
     assert!(!is_current(4, 2, &[entry(5, 2)], 5), "the entries 4 and 5 are missing");
     assert!(is_current(3, 2, &[entry(4, 2), entry(5, 2)], 5));
 }
+
+/// A leader that was suspended took its last round for one that a quorum confirmed now: it answered
+/// a read with an old configuration, and could grant leases, although another replica led.
+#[test]
+fn a_round_that_was_confirmed_once_is_not_confirmed_again_later() {
+    let ms = Duration::from_millis;
+    let mut times = RoundTimes::default();
+    times.record(1, 0, ms(100));
+    assert_eq!(times.confirmed_at(), None);
+    times.record(1, 1, ms(150));
+    assert_eq!(times.confirmed_at(), Some(ms(100)));
+    // The replica was suspended, and handles a message of another kind.
+    times.record(1, 1, ms(6000));
+    assert_eq!(times.confirmed_at(), Some(ms(100)));
+    times.record(3, 1, ms(6010));
+    times.record(3, 3, ms(6120));
+    assert_eq!(times.confirmed_at(), Some(ms(6010)));
+}
