Log every rejection of a caller's request

A request that got 408, 413 or 431 left no line in the log, so that a rejection by a limit could not be told from one that never reached the instance. All rejections now leave one line with the status, the reason and the version of the configuration.

--- a/src/runtime/entry_node/callers.rs
+++ b/src/runtime/entry_node/callers.rs
@@ -16,7 +16,7 @@
 use crate::{
     core::routing::CallerLimits,
     net::{
-        http1::{BodyError, BodyReader, Framing, HeadError, RequestHead, parse_request_head},
+        http1::{BodyError, BodyReader, HeadError, RequestHead, parse_request_head},
         mesh::configure_stream,
         relay::{RELAY_FIELDS_MAX_BYTES, RelayTerms},
     },
@@ -172,10 +172,7 @@
                         Ok(Some(head)) => self.handle_head(head).await?,
                         Err(HeadError::TooLarge) => self.reject(431, "head_too_large"),
                         Err(HeadError::Malformed(what)) => {
-                            info!(
-                                what,
-                                "malformed request head; responding 400 and closing the connection"
-                            );
+                            info!(what, "malformed request head");
                             self.reject(400, "malformed");
                         }
                     }
@@ -184,10 +181,7 @@
                     let is_done = match append_body(reader, body, &mut self.buffer) {
                         Ok(()) => reader.is_done(),
                         Err(error) => {
-                            info!(
-                                %error,
-                                "malformed request body; responding 400 and closing the connection"
-                            );
+                            info!(%error, "malformed request body");
                             self.reject(400, "malformed");
                             continue;
                         }
@@ -209,8 +203,13 @@
     /// body.
     async fn handle_head(&mut self, head: RequestHead) -> io::Result<()> {
         let arrived_at = self.state.clock.now();
-        if let Some(response) = self.error_response(&head) {
-            self.push_last_response(response);
+        let host_count = head.headers.get_all("host").count();
+        if host_count > 1 || (head.is_http11 && host_count == 0) || !head.target.starts_with('/') {
+            self.reject(400, "malformed");
+            return Ok(());
+        }
+        if head.framing.length().is_some_and(|length| length > self.limits.body_max_bytes) {
+            self.reject(413, "body_too_large");
             return Ok(());
         }
         if head
@@ -226,21 +225,6 @@
         Ok(())
     }
 
-    /// Returns the error response to a request whose head is invalid or whose body is
-    /// too large, or `None` if the request is accepted.
-    fn error_response(&self, head: &RequestHead) -> Option<Response> {
-        let host_count = head.headers.get_all("host").count();
-        if host_count > 1 || (head.is_http11 && host_count == 0) || !head.target.starts_with('/') {
-            return Some(Response::local(400, "malformed").with_connection_close());
-        }
-        match head.framing {
-            Framing::Length(length) if length > self.limits.body_max_bytes => {
-                Some(Response::local(413, "body_too_large").with_connection_close())
-            }
-            _ => None,
-        }
-    }
-
     /// Starts handling a request that has arrived in full.
     fn start_request(&mut self) {
         let read_state = std::mem::replace(&mut self.read_state, ReadState::Head);
@@ -285,6 +269,8 @@
 
     /// Responds with an error and stops reading from the connection.
     fn reject(&mut self, status: u16, error: &str) {
+        let (sender, config) = (self.sender, self.state.config_version());
+        info!(status, error, ?sender, config, "request rejected; closing the connection");
         self.push_last_response(Response::local(status, error).with_connection_close());
     }
 
