Check callers' requests against the limits in force

Callers saw 431 and 413 for requests within the limits of the newest configuration, and connections closed, or 408, after the idle timeout of an earlier one. Cause: an entry instance read the limits when a connection was opened and kept them for its life. Now it reads them for each request and each wait. A body is still checked against the limit that held when its head arrived, so that a limit that is lowered meanwhile doesn't end a request that was within all limits when it was sent.

On the code before, the new tests fail: statuses `[431, 413]` instead of `[200, 200]`, and a connection closed 4 s after its last response by the timeout of 2 s of version 1, while version 2 allowed 30 s. With this change both pass.

--- a/src/runtime/entry_node/callers.rs
+++ b/src/runtime/entry_node/callers.rs
@@ -14,7 +14,6 @@
 
 use super::{exchange, request::Request, response::Response, state::EntryState};
 use crate::{
-    core::routing::CallerLimits,
     net::{
         http1::{BodyError, BodyReader, HeadError, RequestHead, parse_request_head},
         mesh::configure_stream,
@@ -80,7 +79,6 @@
     sender: Sender,
     stream: TcpStream,
     buffer: BytesMut,
-    limits: CallerLimits,
     read_state: ReadState,
     pending: FuturesOrdered<PendingResponse>,
     /// When the connection was accepted, last received a full request or last
@@ -95,6 +93,8 @@
         head: Box<RequestHead>,
         reader: BodyReader,
         body: BytesMut,
+        /// The limit in force when the head arrived.
+        body_max_bytes: u64,
         arrived_at: Duration,
     },
     /// No further request is read; the connection is closed after the pending
@@ -104,13 +104,11 @@
 
 impl CallerConnection {
     fn new(state: Rc<EntryState>, stream: TcpStream, sender: Sender) -> Self {
-        let limits = state.limits();
         Self {
             state,
             sender,
             stream,
             buffer: BytesMut::new(),
-            limits,
             read_state: ReadState::Head,
             pending: FuturesOrdered::new(),
             last_active_at: Instant::now(),
@@ -145,6 +143,11 @@
                     }
                 }
                 () = tokio::time::sleep_until(deadline), if self.pending.is_empty() => {
+                    // A new configuration may have raised the timeout meanwhile.
+                    let is_stopping = *self.state.stopping.borrow();
+                    if !is_stopping && Instant::now() < self.read_deadline() {
+                        continue;
+                    }
                     if self.is_idle() {
                         return Ok(());
                     }
@@ -177,7 +180,8 @@
                         }
                     }
                 }
-                ReadState::Body { reader, body, .. } => {
+                ReadState::Body { reader, body, body_max_bytes, .. } => {
+                    let body_max_bytes = *body_max_bytes;
                     let is_done = match append_body(reader, body, &mut self.buffer) {
                         Ok(()) => reader.is_done(),
                         Err(error) => {
@@ -186,7 +190,7 @@
                             continue;
                         }
                     };
-                    if body.len() as u64 > self.limits.body_max_bytes {
+                    if body.len() as u64 > body_max_bytes {
                         self.reject(413, "body_too_large");
                     } else if is_done {
                         self.start_request();
@@ -208,7 +212,8 @@
             self.reject(400, "malformed");
             return Ok(());
         }
-        if head.framing.length().is_some_and(|length| length > self.limits.body_max_bytes) {
+        let body_max_bytes = self.state.limits().body_max_bytes;
+        if head.framing.length().is_some_and(|length| length > body_max_bytes) {
             self.reject(413, "body_too_large");
             return Ok(());
         }
@@ -220,8 +225,13 @@
             self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
         }
         let reader = BodyReader::new(head.framing);
-        self.read_state =
-            ReadState::Body { head: Box::new(head), reader, body: BytesMut::new(), arrived_at };
+        self.read_state = ReadState::Body {
+            head: Box::new(head),
+            reader,
+            body: BytesMut::new(),
+            body_max_bytes,
+            arrived_at,
+        };
         Ok(())
     }
 
@@ -329,8 +339,8 @@
 
     fn header_max_bytes(&self) -> u64 {
         match self.sender {
-            Sender::Caller => self.limits.header_max_bytes,
-            Sender::Peer => self.limits.header_max_bytes + RELAY_FIELDS_MAX_BYTES,
+            Sender::Caller => self.state.limits().header_max_bytes,
+            Sender::Peer => self.state.limits().header_max_bytes + RELAY_FIELDS_MAX_BYTES,
         }
     }
 
@@ -344,14 +354,15 @@
     /// While a request is arriving, the longer of the idle timeout and the
     /// header timeout applies; it also covers the body.
     fn read_deadline(&self) -> Instant {
+        let limits = self.state.limits();
         if !self.is_idle() {
-            return self.last_active_at + self.limits.idle_timeout.max(self.limits.header_timeout);
+            return self.last_active_at + limits.idle_timeout.max(limits.header_timeout);
         }
         if *self.state.stopping.borrow() {
-            return (self.last_active_at + self.limits.idle_timeout)
+            return (self.last_active_at + limits.idle_timeout)
                 .min(Instant::now() + STOP_IDLE_TIMEOUT);
         }
-        self.last_active_at + self.limits.idle_timeout
+        self.last_active_at + limits.idle_timeout
     }
 }
 
--- a/tests/processes/entry.rs
+++ b/tests/processes/entry.rs
@@ -34,7 +34,7 @@
 };
 
 pub(super) const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
-const POLL_INTERVAL: Duration = Duration::from_millis(50);
+pub(super) const POLL_INTERVAL: Duration = Duration::from_millis(50);
 pub(super) const SERVICE: &str = "orders";
 const MEMORY_MB: u64 = 64;
 pub(super) const LINK_MBPS: f64 = 1000.0;
--- /dev/null
+++ b/tests/processes/limits.rs
@@ -0,0 +1,183 @@
+//! Runs entry instances that must not reject requests within the limits in force.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use bulrushspan::{
+    core::{control::Policy, peers::Peer, upstreams::ListedUpstream},
+    net::{
+        mesh::MeshHandler,
+        wire::{NodeReply, NodeRequest, PolicyUpdate},
+    },
+    platform::configuration,
+};
+use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time::{sleep, timeout},
+};
+
+use super::{
+    entry::{POLL_INTERVAL, Rig, SERVICE, WAIT_TIMEOUT, address, follow_reply, listed_upstream},
+    hand_over::start,
+};
+
+/// Limits on callers, in bytes and seconds.
+#[derive(Clone, Copy)]
+struct Limits {
+    header_bytes: u64,
+    body_bytes: u64,
+    header_s: f64,
+    idle_s: f64,
+}
+
+const LOW: Limits = Limits { header_bytes: 600, body_bytes: 100, header_s: 1.0, idle_s: 2.0 };
+const HIGH: Limits = Limits { header_bytes: 4000, body_bytes: 2000, header_s: 1.0, idle_s: 30.0 };
+
+/// Returns a policy with one route and these limits.
+fn policy(version: u64, limits: Limits) -> Policy {
+    let table = json!({"version": format!("r{version}"), "resources": [
+        {"type": "services", "meta": {"name": SERVICE}, "spec": {
+            "health_path": "/health", "max_conns": 100, "cold_start_s": 0.0, "cold_per_s": 5.0}},
+        {"type": "routes", "meta": {"name": "menu"}, "spec": {
+            "host": "shop.example", "path_prefix": "/menu/", "kind": "safe", "timeout_s": 20.0,
+            "slo_s": 10.0, "priority": 1, "service": SERVICE, "max_attempts": 1}},
+        {"type": "limits", "meta": {}, "spec": {
+            "max_header_bytes": limits.header_bytes, "max_body_bytes": limits.body_bytes,
+            "header_timeout_s": limits.header_s, "idle_timeout_s": limits.idle_s}},
+    ]});
+    let routing = configuration::decode(table.to_string().as_bytes()).unwrap();
+    Policy { version, routing: routing.into(), ..Policy::default() }
+}
+
+/// Returns a control replica that has the first policy until the switch is set, and then the
+/// last.
+fn control(
+    policies: Vec<Policy>,
+    switch: Arc<AtomicBool>,
+    upstream: ListedUpstream,
+    peers: Vec<Peer>,
+) -> MeshHandler<NodeRequest, NodeReply> {
+    Arc::new(move |call, _peer| {
+        let is_switched = switch.load(Ordering::Relaxed);
+        let policy = if is_switched { policies.last() } else { policies.first() };
+        let (policy, upstream, peers) = (policy.unwrap().clone(), upstream.clone(), peers.clone());
+        Box::pin(async move {
+            let NodeRequest::Follow(request) = call else { return None };
+            sleep(Duration::from_millis(request.hold_ms.min(100))).await;
+            let mut reply = follow_reply(&request, &policy, upstream);
+            reply.peers = request.peers_of.map(|_| peers);
+            if request.version.is_some_and(|version| version < policy.version) {
+                reply.update = PolicyUpdate::Whole(Box::new(policy));
+            }
+            Some(NodeReply::Follow(Box::new(reply)))
+        })
+    })
+}
+
+/// Listens as the upstream of an instance, and responds with the head of each request.
+async fn serve(number: u32) -> ListedUpstream {
+    let listener = TcpListener::bind(address(number + 160, 8080)).await.unwrap();
+    let upstream = listed_upstream(listener.local_addr().unwrap());
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut head = Vec::new();
+                while !head.windows(4).any(|window| window == b"\r\n\r\n") {
+                    if stream.read_buf(&mut head).await.unwrap_or(0) == 0 {
+                        return;
+                    }
+                }
+                let length = head.len();
+                let response = format!(
+                    "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n"
+                );
+                stream.write_all(response.as_bytes()).await.ok();
+                stream.write_all(&head).await.ok();
+                stream.read_to_end(&mut head).await.ok();
+            });
+        }
+    });
+    upstream
+}
+
+/// Starts an instance with [`LOW`] limits. Setting the switch replaces them by [`HIGH`] ones.
+async fn start_low(number: u32) -> (Rig, Arc<AtomicBool>) {
+    let switch = Arc::new(AtomicBool::new(false));
+    let policies = vec![policy(1, LOW), policy(2, HIGH)];
+    let control = control(policies, switch.clone(), serve(number).await, Vec::new());
+    (start(number, control).await, switch)
+}
+
+fn request(header_bytes: usize, body_bytes: usize) -> String {
+    format!(
+        "POST /menu/1 HTTP/1.1\r\nHost: shop.example\r\nBulrushspan-Request-Id: r1\r\n\
+         X-Filler: {}\r\nContent-Length: {body_bytes}\r\n\r\n{}",
+        "x".repeat(header_bytes),
+        "y".repeat(body_bytes)
+    )
+}
+
+/// Sends a request and returns the status and the text of the response; 0 if the connection is
+/// closed.
+async fn send(stream: &mut TcpStream, request: &str) -> (u16, String) {
+    let mut response = vec![0; 16 * 1024];
+    let mut length = 0;
+    if stream.write_all(request.as_bytes()).await.is_ok() {
+        let read = stream.read(&mut response);
+        length = timeout(WAIT_TIMEOUT, read).await.unwrap().unwrap_or(0);
+    }
+    let text = String::from_utf8_lossy(&response[..length]).into_owned();
+    (text.split(' ').nth(1).map_or(0, |status| status.parse().unwrap()), text)
+}
+
+async fn status(stream: &mut TcpStream, request: &str) -> u16 {
+    send(stream, request).await.0
+}
+
+/// Waits until new connections get the limits that the switch puts in force.
+async fn wait_high_limits(rig: &Rig) {
+    let started_at = Instant::now();
+    while status(&mut rig.connect().await, &request(1000, 0)).await != 200 {
+        assert!(started_at.elapsed() < WAIT_TIMEOUT, "the second policy is not in force");
+        sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Proper requests were rejected with 431 and 413 because their connection was older than the
+/// limits.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_on_an_older_connection_get_the_size_limits_in_force() {
+    let (rig, switch) = start_low(12).await;
+    let mut for_head = rig.connect().await;
+    let mut for_body = rig.connect().await;
+    for caller in [&mut for_head, &mut for_body] {
+        assert_eq!(status(caller, &request(10, 10)).await, 200);
+    }
+    switch.store(true, Ordering::Relaxed);
+    wait_high_limits(&rig).await;
+    let statuses = [
+        status(&mut for_head, &request(1000, 10)).await,
+        status(&mut for_body, &request(10, 1000)).await,
+    ];
+    assert_eq!(statuses, [200, 200]);
+}
+
+/// A connection was closed after the idle timeout of an earlier configuration, while its caller
+/// could still reuse it.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idle_connection_stays_open_for_the_timeout_in_force() {
+    let (rig, switch) = start_low(13).await;
+    let mut caller = rig.connect().await;
+    assert_eq!(status(&mut caller, &request(10, 10)).await, 200);
+    switch.store(true, Ordering::Relaxed);
+    wait_high_limits(&rig).await;
+    sleep(Duration::from_secs_f64(2.0 * LOW.idle_s)).await;
+    assert_eq!(status(&mut caller, &request(10, 10)).await, 200);
+}
