Count the time for a request to arrive from its first byte

Callers saw 408 for requests on kept connections, and for large bodies over slow links. Cause: the time for a request to arrive was counted from the last activity before it and never moved while it arrived. A caller that reused a connection after four fifths of the idle timeout, which the protocol allows, had one fifth left for the whole request; a body that took longer than the timeout was never accepted, however steadily it arrived.

Now the time starts with the first byte of a request, and again with each part of its body. A head still has to arrive within one such time as a whole.

On the code before, the new tests fail: 408 instead of 200 for a request whose body comes 1 s after its head, after 1.6 s of the 2 s that a connection may be idle; and a connection closed while one byte of a body arrives each second, with a timeout of 2 s.

--- a/src/runtime/entry_node/callers.rs
+++ b/src/runtime/entry_node/callers.rs
@@ -81,8 +81,8 @@
     buffer: BytesMut,
     read_state: ReadState,
     pending: FuturesOrdered<PendingResponse>,
-    /// When the connection was accepted, last received a full request or last
-    /// had a response written to it.
+    /// When the connection was accepted, last received the first byte, a part of the body
+    /// or the end of a request, or last had a response written to it.
     last_active_at: Instant,
 }
 
@@ -128,6 +128,9 @@
                 return Ok(());
             }
             let wants_input = self.wants_input();
+            // A head that arrives byte by byte must not keep the connection open for ever.
+            let is_active_on_input =
+                self.is_idle() || matches!(self.read_state, ReadState::Body { .. });
             let deadline = self.read_deadline();
             tokio::select! {
                 biased;
@@ -138,6 +141,9 @@
                     if read? == 0 {
                         return Ok(());
                     }
+                    if is_active_on_input {
+                        self.last_active_at = Instant::now();
+                    }
                     if self.is_finished() {
                         self.buffer.clear();
                     }
@@ -351,8 +357,8 @@
 
     /// Returns when the connection times out, unless a request is pending.
     ///
-    /// While a request is arriving, the longer of the idle timeout and the
-    /// header timeout applies; it also covers the body.
+    /// While a request is arriving, the longer of the idle timeout and the header timeout
+    /// applies: to its whole head, and to each wait for more of its body.
     fn read_deadline(&self) -> Instant {
         let limits = self.state.limits();
         if !self.is_idle() {
--- a/tests/processes/limits.rs
+++ b/tests/processes/limits.rs
@@ -181,3 +181,34 @@
     sleep(Duration::from_secs_f64(2.0 * LOW.idle_s)).await;
     assert_eq!(status(&mut caller, &request(10, 10)).await, 200);
 }
+
+/// A request on a reused connection was rejected with 408 because the connection was idle before.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_time_for_a_request_to_arrive_starts_with_its_first_byte() {
+    let (rig, _switch) = start_low(14).await;
+    let mut caller = rig.connect().await;
+    assert_eq!(status(&mut caller, &request(10, 10)).await, 200);
+    // Callers may reuse a connection that was idle for four fifths of the timeout.
+    sleep(Duration::from_secs_f64(0.8 * LOW.idle_s)).await;
+    let request = request(10, 10);
+    let (head, body) = request.split_at(request.len() - 10);
+    caller.write_all(head.as_bytes()).await.unwrap();
+    sleep(Duration::from_secs_f64(LOW.header_s)).await;
+    assert_eq!(status(&mut caller, body).await, 200);
+}
+
+/// A large body over a slow link was rejected with 408 while it was arriving.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_keeps_arriving_is_not_timed_out() {
+    let (rig, _switch) = start_low(18).await;
+    let mut caller = rig.connect().await;
+    let request = request(10, 6);
+    let (start, last_byte) = request.split_at(request.len() - 1);
+    let (head, body) = start.split_at(start.len() - 5);
+    caller.write_all(head.as_bytes()).await.unwrap();
+    for byte in body.as_bytes() {
+        sleep(Duration::from_secs_f64(0.5 * LOW.idle_s)).await;
+        caller.write_all(&[*byte]).await.unwrap();
+    }
+    assert_eq!(status(&mut caller, last_byte).await, 200);
+}
