Accept requests with any number of header fields within the size limit

Callers saw 431 for requests of more than 100 header fields, whatever their size. Cause: the parser had room for 100 fields, while the configuration limits only the size of a head. Now a request with more fields is parsed again with room for as many as fit into the size limit; others are parsed as before, without an allocation.

On the code before, the new test fails with `TooLarge` for a head of 777 bytes and 151 fields with a limit of 1,024 bytes.

--- a/src/net/http1/head.rs
+++ b/src/net/http1/head.rs
@@ -45,7 +45,7 @@
 /// Represents the reason why a head was rejected.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum HeadError {
-    /// The head is longer than allowed or has too many header fields.
+    /// The head is longer than allowed, or a response has too many header fields.
     TooLarge,
     /// The bytes are not a valid HTTP/1.x head, or the framing of the body is
     /// ambiguous.
@@ -65,8 +65,11 @@
 
 impl Error for HeadError {}
 
-/// The maximum number of header fields of one message.
+/// The maximum number of header fields of a response, and the number of fields of a
+/// request that are parsed without an allocation.
 const FIELDS_MAX: usize = 100;
+/// The size of the shortest header field: a name of one byte, a colon and a line feed.
+const FIELD_MIN_BYTES: usize = 3;
 
 impl Headers {
     /// Returns an iterator over names and values.
@@ -119,16 +122,23 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the head is malformed, is longer than `max_bytes` or has
-/// too many header fields.
+/// Returns an error if the head is malformed or is longer than `max_bytes`.
 pub fn parse_request_head(
     buffer: &mut BytesMut,
     max_bytes: usize,
 ) -> Result<Option<RequestHead>, HeadError> {
     skip_empty_lines(buffer);
     let mut fields = [httparse::EMPTY_HEADER; FIELDS_MAX];
+    let mut more_fields = Vec::new();
     let mut request = httparse::Request::new(&mut fields);
-    let length = match request.parse(buffer) {
+    let mut result = request.parse(buffer);
+    if result == Err(httparse::Error::TooManyHeaders) {
+        let fields_max = buffer.len().min(max_bytes) / FIELD_MIN_BYTES;
+        more_fields.resize(fields_max, httparse::EMPTY_HEADER);
+        request = httparse::Request::new(&mut more_fields);
+        result = request.parse(buffer);
+    }
+    let length = match result {
         Ok(httparse::Status::Complete(length)) if length <= max_bytes => length,
         Ok(httparse::Status::Partial) if buffer.len() <= max_bytes => return Ok(None),
         Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(HeadError::TooLarge),
--- a/tests/it/http1.rs
+++ b/tests/it/http1.rs
@@ -119,3 +119,13 @@
         assert!(reader.next(&mut buffer).is_err(), "{line:?} was taken for a chunk size");
     }
 }
+
+/// A request within the size limit was rejected with 431 because of the number of its fields.
+#[test]
+fn a_head_within_the_size_limit_may_have_many_fields() {
+    let fields = "a:b\r\n".repeat(150);
+    let text = format!("GET / HTTP/1.1\r\nHost: h\r\n{fields}\r\n");
+    assert!(text.len() <= HEAD_MAX);
+    let head = parse_request_head(&mut BytesMut::from(text.as_str()), HEAD_MAX).unwrap().unwrap();
+    assert_eq!(head.headers.get_all("a").count(), 150);
+}
