Check a request that is handed over against limits only once

Callers of an instance without links to upstreams saw 431 or 413 for requests that the instance had accepted. Cause: the peer that takes a request over checked it once more, against the limits of its own configuration and with the size of the head that was forwarded, which is larger by one byte for each field without a space after its colon. The peer's rejection was then passed on to the caller.

--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -22,8 +22,6 @@
 /// The reason why the instance refused the request, which has not run, and after how many
 /// milliseconds the caller may send it again.
 const REFUSED: &str = "Relay-Refused";
-/// The maximum size in bytes by which the fields of [`RelayTerms`] extend a head.
-pub const RELAY_FIELDS_MAX_BYTES: u64 = 256;
 
 impl RelayTerms {
     /// Adds the fields to the head of a request.
--- a/src/runtime/entry_node/callers.rs
+++ b/src/runtime/entry_node/callers.rs
@@ -14,10 +14,11 @@
 
 use super::{exchange, request::Request, response::Response, state::EntryState};
 use crate::{
+    core::routing::CallerLimits,
     net::{
         http1::{BodyError, BodyReader, HeadError, RequestHead, parse_request_head},
         mesh::configure_stream,
-        relay::{RELAY_FIELDS_MAX_BYTES, RelayTerms},
+        relay::RelayTerms,
     },
     platform::headers,
 };
@@ -175,7 +176,7 @@
                     if self.buffer.is_empty() {
                         return Ok(());
                     }
-                    let header_max = self.header_max_bytes() as usize;
+                    let header_max = self.limits().header_max_bytes as usize;
                     match parse_request_head(&mut self.buffer, header_max) {
                         Ok(None) => return Ok(()),
                         Ok(Some(head)) => self.handle_head(head).await?,
@@ -218,7 +219,7 @@
             self.reject(400, "malformed");
             return Ok(());
         }
-        let body_max_bytes = self.state.limits().body_max_bytes;
+        let body_max_bytes = self.limits().body_max_bytes;
         if head.framing.length().is_some_and(|length| length > body_max_bytes) {
             self.reject(413, "body_too_large");
             return Ok(());
@@ -343,10 +344,15 @@
         matches!(self.read_state, ReadState::Finished)
     }
 
-    fn header_max_bytes(&self) -> u64 {
+    /// Returns the limits on what the sender may send. What a peer hands over was within those
+    /// of its own configuration.
+    fn limits(&self) -> CallerLimits {
+        let limits = self.state.limits();
         match self.sender {
-            Sender::Caller => self.state.limits().header_max_bytes,
-            Sender::Peer => self.state.limits().header_max_bytes + RELAY_FIELDS_MAX_BYTES,
+            Sender::Caller => limits,
+            Sender::Peer => {
+                CallerLimits { header_max_bytes: u64::MAX, body_max_bytes: u64::MAX, ..limits }
+            }
         }
     }
 
@@ -360,7 +366,7 @@
     /// While a request is arriving, the longer of the idle timeout and the header timeout
     /// applies: to its whole head, and to each wait for more of its body.
     fn read_deadline(&self) -> Instant {
-        let limits = self.state.limits();
+        let limits = self.limits();
         if !self.is_idle() {
             return self.last_active_at + limits.idle_timeout.max(limits.header_timeout);
         }
