Refuse large requests with 503 while no configuration is known

Callers of an instance that had just started saw 431 and 413, after which they don't retry, for requests that the first configuration might allow. Cause: before the first configuration, requests were rejected by the default limits, which nobody had set. The defaults still bound what is read, but the answer is now the 503 that every other request gets from such an instance.

On the code before, the new test fails: 431 instead of 503 for a head of 20,000 bytes.

--- a/src/runtime/entry_node/callers.rs
+++ b/src/runtime/entry_node/callers.rs
@@ -180,7 +180,7 @@
                     match parse_request_head(&mut self.buffer, header_max) {
                         Ok(None) => return Ok(()),
                         Ok(Some(head)) => self.handle_head(head).await?,
-                        Err(HeadError::TooLarge) => self.reject(431, "head_too_large"),
+                        Err(HeadError::TooLarge) => self.reject_size(431, "head_too_large"),
                         Err(HeadError::Malformed(what)) => {
                             info!(what, "malformed request head");
                             self.reject(400, "malformed");
@@ -198,7 +198,7 @@
                         }
                     };
                     if body.len() as u64 > body_max_bytes {
-                        self.reject(413, "body_too_large");
+                        self.reject_size(413, "body_too_large");
                     } else if is_done {
                         self.start_request();
                     } else {
@@ -221,7 +221,7 @@
         }
         let body_max_bytes = self.limits().body_max_bytes;
         if head.framing.length().is_some_and(|length| length > body_max_bytes) {
-            self.reject(413, "body_too_large");
+            self.reject_size(413, "body_too_large");
             return Ok(());
         }
         if head
@@ -291,6 +291,17 @@
         self.push_last_response(Response::local(status, error).with_connection_close());
     }
 
+    /// Rejects a request that is too large; before a configuration is known, the request is
+    /// refused like any other.
+    fn reject_size(&mut self, status: u16, error: &str) {
+        if self.state.has_configuration() {
+            self.reject(status, error);
+        } else {
+            let response = exchange::refuse_without_configuration(&self.state, "");
+            self.push_last_response(response.with_connection_close());
+        }
+    }
+
     /// Queues the last response of the connection.
     fn push_last_response(&mut self, response: Response) {
         self.read_state = ReadState::Finished;
--- a/src/runtime/entry_node/exchange.rs
+++ b/src/runtime/entry_node/exchange.rs
@@ -47,7 +47,7 @@
         return refuse(state, id, "stopping", RETRY_AFTER_STOPPING);
     }
     if !state.has_configuration() {
-        return refuse(state, id, "no_configuration", RETRY_AFTER_DEFAULT);
+        return refuse_without_configuration(state, id);
     }
     if request.relay_terms.is_some_and(|terms| terms.config_version > state.config_version()) {
         return refuse(state, id, "behind", RETRY_AFTER_DEFAULT);
@@ -395,6 +395,11 @@
     }
 }
 
+/// Refuses a request because no configuration is known yet.
+pub(super) fn refuse_without_configuration(state: &EntryState, id: &str) -> Response {
+    refuse(state, id, "no_configuration", RETRY_AFTER_DEFAULT)
+}
+
 /// Counts and logs a refused request, and returns its 503 response. The request has
 /// not run.
 fn refuse(state: &EntryState, id: &str, reason: &'static str, retry_after: Duration) -> Response {
--- a/tests/processes/limits.rs
+++ b/tests/processes/limits.rs
@@ -235,3 +235,25 @@
         assert_eq!(status, 200, "{response}");
     }
 }
+
+/// An instance that knew no configuration rejected requests by limits that nobody had set.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_without_a_configuration_refuses_large_requests_with_503() {
+    let never = Arc::new(|_, _| -> std::pin::Pin<Box<dyn Future<Output = _> + Send>> {
+        Box::pin(async { None })
+    });
+    let (_, events) = tokio::sync::mpsc::unbounded_channel();
+    let rig = Rig::launch(34, never, events, super::entry::LINK_MBPS).await;
+    let started_at = Instant::now();
+    while TcpStream::connect(address(34, 8144)).await.is_err() {
+        assert!(started_at.elapsed() < WAIT_TIMEOUT, "the instance does not listen");
+        sleep(POLL_INTERVAL).await;
+    }
+    let large_body = "POST /menu/1 HTTP/1.1\r\nHost: shop.example\r\n\
+                      Content-Length: 100000000\r\n\r\n";
+    for request in [request(10, 10), request(20_000, 0), large_body.to_owned()] {
+        let (status, response) = send(&mut rig.connect().await, &request).await;
+        assert_eq!(status, 503, "{response}");
+        assert!(response.contains("retry-after"), "{response}");
+    }
+}
