Accept request targets in absolute form

Callers saw 400 for `GET http://host/path HTTP/1.1`, which RFC 9112 section 3.2.2 requires a server to accept. Cause: every target that doesn't begin with a slash was rejected. Now such a target is split when it is parsed: its host and port take the place of the `Host` field, for routing and in what is forwarded, and the rest is the target in origin form. Other schemes and targets with user information still get 400.

On the code before, the new test of a process fails: 400 instead of 200.

--- a/src/net/http1/head.rs
+++ b/src/net/http1/head.rs
@@ -19,8 +19,12 @@
 pub struct RequestHead {
     /// The method.
     pub method: String,
-    /// The request target in origin form, as it was sent.
+    /// The request target in origin form. A target of another form that can't be converted
+    /// is kept as it was sent.
     pub target: String,
+    /// The host and port of a target that was sent in absolute form. They replace the `Host`
+    /// field.
+    pub authority: Option<String>,
     /// Whether the request uses HTTP/1.1 rather than HTTP/1.0.
     pub is_http11: bool,
     /// The header fields.
@@ -145,14 +149,14 @@
         Err(_) => return Err(HeadError::Malformed("not a valid HTTP/1.x request head")),
     };
     let method = request.method.unwrap_or_default().to_owned();
-    let target = request.path.unwrap_or_default().to_owned();
+    let (target, authority) = to_origin_form(request.path.unwrap_or_default());
     let is_http11 = request.version == Some(1);
     // The parsed fields borrow the buffer, so they are copied before it is advanced.
     let raw = Bytes::copy_from_slice(&buffer[..length]);
     let headers = copy_fields(&buffer[..length], raw, request.headers);
     bytes::Buf::advance(buffer, length);
     let framing = request_framing(&headers)?;
-    Ok(Some(RequestHead { method, target, is_http11, headers, framing }))
+    Ok(Some(RequestHead { method, target, authority, is_http11, headers, framing }))
 }
 
 /// Parses a response head and removes it from the front of `buffer`. Returns `None` if
@@ -199,6 +203,21 @@
     Headers { raw, fields }
 }
 
+/// Splits a target in absolute form into its origin form and its authority. Other targets
+/// are returned as they are, and so are those with another scheme or with user information.
+fn to_origin_form(target: &str) -> (String, Option<String>) {
+    let rest = match target.split_once("://") {
+        Some((scheme, rest)) if scheme.eq_ignore_ascii_case("http") => rest,
+        _ => return (target.to_owned(), None),
+    };
+    let (authority, path) = rest.split_at(rest.find(['/', '?']).unwrap_or(rest.len()));
+    if authority.is_empty() || authority.contains('@') {
+        return (target.to_owned(), None);
+    }
+    let slash = if path.starts_with('/') { "" } else { "/" };
+    (format!("{slash}{path}"), Some(authority.to_owned()))
+}
+
 /// Skips empty lines before a request line, as RFC 9112 section 2.2 recommends.
 fn skip_empty_lines(buffer: &mut BytesMut) {
     while buffer.starts_with(b"\r\n") {
--- a/src/runtime/entry_node/attempt.rs
+++ b/src/runtime/entry_node/attempt.rs
@@ -169,10 +169,16 @@
 ) -> Bytes {
     let mut head = HeadWriter::with_request(&request.head.method, &request.head.target);
     let fields = &request.head.headers;
+    let authority = request.head.authority.as_deref();
+    if let Some(authority) = authority {
+        head.field("Host", authority.as_bytes());
+    }
+    let is_replaced = |name: &str| authority.is_some() && name.eq_ignore_ascii_case("host");
     for (name, value) in fields.iter() {
         let is_forwarded = !is_stripped(name, fields)
             && !headers::is_set_by_system(name)
-            && !name.eq_ignore_ascii_case("expect");
+            && !name.eq_ignore_ascii_case("expect")
+            && !is_replaced(name);
         if is_forwarded {
             head.field(name, value);
         }
--- a/src/runtime/entry_node/request.rs
+++ b/src/runtime/entry_node/request.rs
@@ -32,9 +32,10 @@
         self.id().is_some() && headers::request_id(&response.headers) == self.id()
     }
 
-    /// Returns the `Host` field, or an empty string if it is missing.
+    /// Returns the host that the request is addressed to, or an empty string if it names none.
     pub(super) fn host(&self) -> &str {
-        self.head.headers.get_str("host").unwrap_or_default()
+        let authority = self.head.authority.as_deref();
+        authority.or_else(|| self.head.headers.get_str("host")).unwrap_or_default()
     }
 
     /// Returns the path without the query.
--- a/tests/it/http1.rs
+++ b/tests/it/http1.rs
@@ -129,3 +129,45 @@
     let head = parse_request_head(&mut BytesMut::from(text.as_str()), HEAD_MAX).unwrap().unwrap();
     assert_eq!(head.headers.get_all("a").count(), 150);
 }
+
+/// Valid framing that is seldom used was rejected with 400.
+#[test]
+fn valid_request_heads_are_accepted() {
+    let lines = [
+        ("POST / HTTP/1.1", "TRANSFER-ENCODING: \t Chunked \t", Framing::Chunked),
+        ("POST / HTTP/1.1", "content-length:3", Framing::Length(3)),
+        ("POST / HTTP/1.1", "Content-Length: 3\r\nContent-Length: 3", Framing::Length(3)),
+        ("GET / HTTP/1.1", "Content-Length: 3", Framing::Length(3)),
+        ("GET / HTTP/1.0", "X: y", Framing::Length(0)),
+        ("PURGE /%ff?a=b&c={d}|e HTTP/1.1", "X: \u{e9}\ty", Framing::Length(0)),
+    ];
+    for (line, field, framing) in lines {
+        for end in ["\r\n", "\n"] {
+            let text = format!("\r\n\r\n{line}{end}host:  a:80 {end}{field}{end}{end}");
+            let parsed = parse_request_head(&mut BytesMut::from(text.as_str()), HEAD_MAX);
+            assert_eq!(parsed.unwrap().unwrap().framing, framing, "{text:?}");
+        }
+    }
+}
+
+/// Targets in absolute form were rejected with 400; others must not be taken for such.
+#[test]
+fn a_target_in_absolute_form_is_split() {
+    let targets = [
+        ("http://a/b?c", "/b?c", Some("a")),
+        ("HTTP://a:80", "/", Some("a:80")),
+        ("http://[::1]:8?c=/", "/?c=/", Some("[::1]:8")),
+        ("/http://a/b", "/http://a/b", None),
+        ("/x?u=http://a/b", "/x?u=http://a/b", None),
+        ("http:///b", "http:///b", None),
+        ("http://u@a/b", "http://u@a/b", None),
+        ("https://a/b", "https://a/b", None),
+        ("*", "*", None),
+    ];
+    for (sent, target, authority) in targets {
+        let text = format!("GET {sent} HTTP/1.1\r\nHost: h\r\n\r\n");
+        let parsed = parse_request_head(&mut BytesMut::from(text.as_str()), HEAD_MAX);
+        let head = parsed.unwrap().unwrap();
+        assert_eq!((head.target.as_str(), head.authority.as_deref()), (target, authority));
+    }
+}
--- a/tests/processes/limits.rs
+++ b/tests/processes/limits.rs
@@ -257,3 +257,18 @@
         assert!(response.contains("retry-after"), "{response}");
     }
 }
+
+/// Requests in absolute form, which RFC 9112 section 3.2.2 requires servers to accept, got 400.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_in_absolute_form_is_routed_by_its_target() {
+    let (rig, _switch) = start_low(35).await;
+    for target in ["http://shop.example/menu/1?q", "HTTP://SHOP.example:8144/menu/1?q"] {
+        let host = target.split('/').nth(2).unwrap();
+        let request = format!("GET {target} HTTP/1.1\r\nHost: other.example\r\n\r\n");
+        let (status, response) = send(&mut rig.connect().await, &request).await;
+        assert_eq!(status, 200, "{response}");
+        assert!(response.contains("GET /menu/1?q HTTP/1.1\r\n"), "{response}");
+        assert!(response.to_lowercase().contains(&format!("host: {}\r\n", host.to_lowercase())));
+        assert!(!response.contains("other.example"), "{response}");
+    }
+}
