Match IPv6 hosts, hosts with a port and paths in any script

Callers saw 404 although a route matched. Causes, all in the look-up of a route: the host was cut at its last colon, also inside an IPv6 address without a port; it was compared without its port even if the route's host has one, so that such a route never matched; and a path was searched by the bytes that it shares with a prefix, which ended the search if they end inside a character. Only digits after the last colon are a port now, the whole host is looked up first, and the search goes on from the last whole character.

On the code before, both new tests fail: 404 for `[2001:db8::1]`, and for `/menü`-like paths beside a route of `/`.

--- a/src/core/routing/table.rs
+++ b/src/core/routing/table.rs
@@ -132,12 +132,13 @@
 
     /// Returns the route of `host` with the longest prefix of `path`.
     ///
-    /// The host is compared without its port and regardless of case.
+    /// The host is compared regardless of case, and without its port unless a route's host has
+    /// one.
     pub fn find(&self, host: &str, path: &str) -> Option<(&RouteName, &Arc<Route>)> {
-        let name = host.rsplit_once(':').map_or(host, |(name, _port)| name);
-        let prefixes = match self.hosts.get(name) {
+        let find = |host: &str| self.hosts.get(host).or_else(|| self.hosts.get(without_port(host)));
+        let prefixes = match find(host) {
             Some(prefixes) => prefixes,
-            None => self.hosts.get(&name.to_ascii_lowercase())?,
+            None => find(&host.to_ascii_lowercase())?,
         };
         // The greatest indexed prefix that sorts at or before `rest` is the
         // longest match if `rest` starts with it. Otherwise every indexed prefix
@@ -153,7 +154,15 @@
             }
             let common_bytes =
                 rest.bytes().zip(prefix.bytes()).take_while(|(left, right)| left == right).count();
-            rest = rest.get(..common_bytes)?;
+            rest = &rest[..rest.floor_char_boundary(common_bytes)];
         }
     }
 }
+
+/// Returns a host without its port. The colons of an IPv6 address are not followed by a port.
+fn without_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -14,6 +14,7 @@
 mod platform;
 mod replication;
 mod roster;
+mod routing;
 mod settings;
 mod sizes;
 mod steering;
