--- a/src/runtime/entry_node/callers.rs
+++ b/src/runtime/entry_node/callers.rs
@@ -16,9 +16,9 @@
 use crate::{
     core::routing::CallerLimits,
     net::{
-        http1::{BodyError, BodyReader, Framing, HeadError, RequestHead, parse_request_head},
+        http1::{BodyError, BodyReader, HeadError, RequestHead, parse_request_head},
         mesh::configure_stream,
-        relay::{RELAY_FIELDS_MAX_BYTES, RelayTerms},
+        relay::RelayTerms,
     },
     platform::headers,
 };
@@ -80,11 +80,10 @@
     sender: Sender,
     stream: TcpStream,
     buffer: BytesMut,
-    limits: CallerLimits,
     read_state: ReadState,
     pending: FuturesOrdered<PendingResponse>,
-    /// When the connection was accepted, last received a full request or last
-    /// had a response written to it.
+    /// When the connection was accepted, last received the first byte, a part of the body
+    /// or the end of a request, or last had a response written to it.
     last_active_at: Instant,
 }
 
@@ -95,6 +94,8 @@
         head: Box<RequestHead>,
         reader: BodyReader,
         body: BytesMut,
+        /// The limit in force when the head arrived.
+        body_max_bytes: u64,
         arrived_at: Duration,
     },
     /// No further request is read; the connection is closed after the pending
@@ -104,13 +105,11 @@
 
 impl CallerConnection {
     fn new(state: Rc<EntryState>, stream: TcpStream, sender: Sender) -> Self {
-        let limits = state.limits();
         Self {
             state,
             sender,
             stream,
             buffer: BytesMut::new(),
-            limits,
             read_state: ReadState::Head,
             pending: FuturesOrdered::new(),
             last_active_at: Instant::now(),
@@ -130,6 +129,9 @@
                 return Ok(());
             }
             let wants_input = self.wants_input();
+            // A head that arrives byte by byte must not keep the connection open for ever.
+            let is_active_on_input =
+                self.is_idle() || matches!(self.read_state, ReadState::Body { .. });
             let deadline = self.read_deadline();
             tokio::select! {
                 biased;
@@ -140,11 +142,19 @@
                     if read? == 0 {
                         return Ok(());
                     }
+                    if is_active_on_input {
+                        self.last_active_at = Instant::now();
+                    }
                     if self.is_finished() {
                         self.buffer.clear();
                     }
                 }
                 () = tokio::time::sleep_until(deadline), if self.pending.is_empty() => {
+                    // A new configuration may have raised the timeout meanwhile.
+                    let is_stopping = *self.state.stopping.borrow();
+                    if !is_stopping && Instant::now() < self.read_deadline() {
+                        continue;
+                    }
                     if self.is_idle() {
                         return Ok(());
                     }
@@ -166,34 +176,29 @@
                     if self.buffer.is_empty() {
                         return Ok(());
                     }
-                    let header_max = self.header_max_bytes() as usize;
+                    let header_max = self.limits().header_max_bytes as usize;
                     match parse_request_head(&mut self.buffer, header_max) {
                         Ok(None) => return Ok(()),
                         Ok(Some(head)) => self.handle_head(head).await?,
-                        Err(HeadError::TooLarge) => self.reject(431, "head_too_large"),
+                        Err(HeadError::TooLarge) => self.reject_size(431, "head_too_large"),
                         Err(HeadError::Malformed(what)) => {
-                            info!(
-                                what,
-                                "malformed request head; responding 400 and closing the connection"
-                            );
+                            info!(what, "malformed request head");
                             self.reject(400, "malformed");
                         }
                     }
                 }
-                ReadState::Body { reader, body, .. } => {
+                ReadState::Body { reader, body, body_max_bytes, .. } => {
+                    let body_max_bytes = *body_max_bytes;
                     let is_done = match append_body(reader, body, &mut self.buffer) {
                         Ok(()) => reader.is_done(),
                         Err(error) => {
-                            info!(
-                                %error,
-                                "malformed request body; responding 400 and closing the connection"
-                            );
+                            info!(%error, "malformed request body");
                             self.reject(400, "malformed");
                             continue;
                         }
                     };
-                    if body.len() as u64 > self.limits.body_max_bytes {
-                        self.reject(413, "body_too_large");
+                    if body.len() as u64 > body_max_bytes {
+                        self.reject_size(413, "body_too_large");
                     } else if is_done {
                         self.start_request();
                     } else {
@@ -209,8 +214,14 @@
     /// body.
     async fn handle_head(&mut self, head: RequestHead) -> io::Result<()> {
         let arrived_at = self.state.clock.now();
-        if let Some(response) = self.error_response(&head) {
-            self.push_last_response(response);
+        let host_count = head.headers.get_all("host").count();
+        if host_count > 1 || (head.is_http11 && host_count == 0) || !head.target.starts_with('/') {
+            self.reject(400, "malformed");
+            return Ok(());
+        }
+        let body_max_bytes = self.limits().body_max_bytes;
+        if head.framing.length().is_some_and(|length| length > body_max_bytes) {
+            self.reject_size(413, "body_too_large");
             return Ok(());
         }
         if head
@@ -221,26 +232,16 @@
             self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
         }
         let reader = BodyReader::new(head.framing);
-        self.read_state =
-            ReadState::Body { head: Box::new(head), reader, body: BytesMut::new(), arrived_at };
+        self.read_state = ReadState::Body {
+            head: Box::new(head),
+            reader,
+            body: BytesMut::new(),
+            body_max_bytes,
+            arrived_at,
+        };
         Ok(())
     }
 
-    /// Returns the error response to a request whose head is invalid or whose body is
-    /// too large, or `None` if the request is accepted.
-    fn error_response(&self, head: &RequestHead) -> Option<Response> {
-        let host_count = head.headers.get_all("host").count();
-        if host_count > 1 || (head.is_http11 && host_count == 0) || !head.target.starts_with('/') {
-            return Some(Response::local(400, "malformed").with_connection_close());
-        }
-        match head.framing {
-            Framing::Length(length) if length > self.limits.body_max_bytes => {
-                Some(Response::local(413, "body_too_large").with_connection_close())
-            }
-            _ => None,
-        }
-    }
-
     /// Starts handling a request that has arrived in full.
     fn start_request(&mut self) {
         let read_state = std::mem::replace(&mut self.read_state, ReadState::Head);
@@ -285,9 +286,22 @@
 
     /// Responds with an error and stops reading from the connection.
     fn reject(&mut self, status: u16, error: &str) {
+        let (sender, config) = (self.sender, self.state.config_version());
+        info!(status, error, ?sender, config, "request rejected; closing the connection");
         self.push_last_response(Response::local(status, error).with_connection_close());
     }
 
+    /// Rejects a request that is too large; before a configuration is known, the request is
+    /// refused like any other.
+    fn reject_size(&mut self, status: u16, error: &str) {
+        if self.state.has_configuration() {
+            self.reject(status, error);
+        } else {
+            let response = exchange::refuse_without_configuration(&self.state, "");
+            self.push_last_response(response.with_connection_close());
+        }
+    }
+
     /// Queues the last response of the connection.
     fn push_last_response(&mut self, response: Response) {
         self.read_state = ReadState::Finished;
@@ -341,10 +355,15 @@
         matches!(self.read_state, ReadState::Finished)
     }
 
-    fn header_max_bytes(&self) -> u64 {
+    /// Returns the limits on what the sender may send. What a peer hands over was within those
+    /// of its own configuration.
+    fn limits(&self) -> CallerLimits {
+        let limits = self.state.limits();
         match self.sender {
-            Sender::Caller => self.limits.header_max_bytes,
-            Sender::Peer => self.limits.header_max_bytes + RELAY_FIELDS_MAX_BYTES,
+            Sender::Caller => limits,
+            Sender::Peer => {
+                CallerLimits { header_max_bytes: u64::MAX, body_max_bytes: u64::MAX, ..limits }
+            }
         }
     }
 
@@ -355,17 +374,18 @@
 
     /// Returns when the connection times out, unless a request is pending.
     ///
-    /// While a request is arriving, the longer of the idle timeout and the
-    /// header timeout applies; it also covers the body.
+    /// While a request is arriving, the longer of the idle timeout and the header timeout
+    /// applies: to its whole head, and to each wait for more of its body.
     fn read_deadline(&self) -> Instant {
+        let limits = self.limits();
         if !self.is_idle() {
-            return self.last_active_at + self.limits.idle_timeout.max(self.limits.header_timeout);
+            return self.last_active_at + limits.idle_timeout.max(limits.header_timeout);
         }
         if *self.state.stopping.borrow() {
-            return (self.last_active_at + self.limits.idle_timeout)
+            return (self.last_active_at + limits.idle_timeout)
                 .min(Instant::now() + STOP_IDLE_TIMEOUT);
         }
-        self.last_active_at + self.limits.idle_timeout
+        self.last_active_at + limits.idle_timeout
     }
 }
 
