Log how searches for a control replica fail and how old a configuration is

Whether an instance that lacks an acknowledged configuration hears of no replica, or hears of replicas that are behind, could not be told from its log, nor for how long it had not known whether its configuration was the newest.

`config_age_ms` on `no route`, on `control lost` and `control regained`, and a metric tell when the configuration was last known to be the newest. That time counts from the sending of the request, by how long the replica says that it held its reply back, less the time for which the replica was behind: a reply that is queued on a link for seconds confirms no more than what was true when the replica wrote it.

--- a/src/explain/explanation.rs
+++ b/src/explain/explanation.rs
@@ -117,10 +117,11 @@
         }
         "broken off" => format!("{} broke off: {}", field("upstream"), field("error")),
         "no route" => format!(
-            "configuration {} has no route for {}{}",
+            "configuration {} has no route for {}{}{}",
             field("config"),
             field("host"),
             field("path"),
+            config_age(line),
         ),
         "caller left" => format!("the caller left after {} ms", field("took_ms")),
         "retry budget spent" => format!("no retry is left for {}", field("service")),
@@ -141,6 +142,14 @@
     format!("; {upstream} was passed over: it {clause}")
 }
 
+/// Returns how long ago the configuration was last known to be the newest, as a clause.
+fn config_age(line: &LogLine) -> String {
+    match line.number("config_age_ms") {
+        Some(age_ms) => format!("; it was the newest {age_ms} ms before"),
+        None => String::new(),
+    }
+}
+
 /// Returns why a request was refused, as a clause. An unknown reason is returned as it is.
 fn refusal_reason(line: &LogLine) -> &str {
     match line.text("reason").unwrap_or_default() {
--- a/src/net/wire.rs
+++ b/src/net/wire.rs
@@ -316,6 +316,9 @@
     /// The requested peers.
     #[serde(default)]
     pub peers: Option<Vec<Peer>>,
+    /// How long the reply was held back.
+    #[serde(default)]
+    pub held_ms: u64,
 }
 
 /// Represents changes of the list of upstreams, with the process that numbered them.
--- a/src/runtime/control_node/calls.rs
+++ b/src/runtime/control_node/calls.rs
@@ -157,13 +157,17 @@
     record_demand(state, request.demand);
     let replica = state.replica()?;
     let mut version_receiver = replica.send(Subscribe).await.ok()?;
-    let deadline = Instant::now() + Duration::from_millis(request.hold_ms);
+    let received_at = Instant::now();
+    let deadline = received_at + Duration::from_millis(request.hold_ms);
     loop {
+        // Measured before the state is read, since it tells how recent that is.
+        let held = received_at.elapsed();
         let policy_reply = replica.send(GetPolicyUpdate(request.version)).await.ok()?;
         let list = request.list.and_then(|cursor| list_delta(state, cursor));
         let has_changes = list.is_some() || !is_empty_update(&policy_reply.update);
         if has_changes || Instant::now() >= deadline {
-            return Some(follow_reply(state, policy_reply, list, request.peers_of.as_ref()));
+            let peers_of = request.peers_of.as_ref();
+            return Some(follow_reply(state, policy_reply, list, peers_of, held));
         }
         let remaining = deadline.saturating_duration_since(Instant::now()).min(LIST_POLL_INTERVAL);
         tokio::time::timeout(remaining, version_receiver.changed()).await.ok();
@@ -179,6 +183,7 @@
     policy_reply: PolicyUpdateReply,
     list: Option<ListDelta>,
     peers_of: Option<&InstanceName>,
+    held: Duration,
 ) -> FollowReply {
     let now = state.clock.now();
     let read_at = lock(&state.list).read_at();
@@ -193,6 +198,7 @@
         behind_ms: policy_reply.staleness.map(|staleness| staleness.as_millis() as u64),
         entries: roster.up_count(now) as u32,
         peers: peers_of.map(|instance| roster.peers_of(instance, now)),
+        held_ms: held.as_millis() as u64,
     }
 }
 
--- a/src/runtime/entry_node/exchange.rs
+++ b/src/runtime/entry_node/exchange.rs
@@ -61,6 +61,7 @@
             host,
             path,
             config = state.config_version(),
+            config_age_ms = state.config_age_ms(),
             "no route"
         );
         return Response::local(404, "no_route");
--- a/src/runtime/entry_node/follow.rs
+++ b/src/runtime/entry_node/follow.rs
@@ -9,7 +9,7 @@
 
 use super::state::EntryState;
 use crate::{
-    core::routing::RouteIndex,
+    core::{control::Version, routing::RouteIndex},
     net::{
         mesh::{MeshClient, MeshError},
         wire::{
@@ -62,20 +62,31 @@
 ) -> Option<(SocketAddr, Client)> {
     let call_timeout = REPLY_MARGIN + state.settings.link_queue_time();
     let addresses = state.all_control_addresses().into_iter();
-    let probes =
-        addresses.map(|address| probe(address, Client::new(address), Duration::ZERO, call_timeout));
+    let probes = addresses
+        .map(|address| probe(state, address, Client::new(address), Duration::ZERO, call_timeout));
     let mut replies: FuturesUnordered<_> = probes.collect();
     let mut nearest: Option<(u8, SocketAddr, Client)> = None;
     let mut nearest_behind = u8::MAX;
     let mut deadline = Instant::now() + call_timeout;
-    while let Ok(Some((address, client, reply))) =
+    let mut counts = ReplyCounts::default();
+    while let Ok(Some(ProbeReply { address, client, sent_at, reply })) =
         timeout(deadline.saturating_duration_since(Instant::now()), replies.next()).await
     {
-        let Ok(NodeReply::Follow(reply)) = reply else {
-            replies.push(probe(address, client, PROBE_INTERVAL, call_timeout));
-            continue;
+        let reply = match reply {
+            Ok(NodeReply::Follow(reply)) => reply,
+            Err(MeshError::Unreachable) => {
+                counts.unreachable += 1;
+                replies.push(probe(state, address, client, PROBE_INTERVAL, call_timeout));
+                continue;
+            }
+            _ => {
+                counts.no_reply += 1;
+                replies.push(probe(state, address, client, PROBE_INTERVAL, call_timeout));
+                continue;
+            }
         };
         apply_replicas(state, &reply);
+        record_confirmation(state, reply.version, current_at(state, &reply, sent_at));
         let distance = state.distance_to(&reply.zone);
         if is_up_to_date(&reply) {
             if nearest.is_none() {
@@ -88,31 +99,68 @@
                 break;
             }
         } else {
+            counts.behind += 1;
             if has_newer_state(state, &reply) {
                 fetch_state(state, &client, progress, call_timeout).await;
             }
             // Probing all of them again would load the replicas while they elect a leader.
             nearest_behind = nearest_behind.min(distance);
             if distance == nearest_behind {
-                replies.push(probe(address, client, PROBE_INTERVAL, call_timeout));
+                replies.push(probe(state, address, client, PROBE_INTERVAL, call_timeout));
             }
         }
     }
+    if nearest.is_none() {
+        counts.log(state, replies.len());
+    }
     nearest.map(|(_, address, client)| (address, client))
 }
 
+/// How replicas replied during a search that failed.
+#[derive(Default)]
+struct ReplyCounts {
+    unreachable: u32,
+    no_reply: u32,
+    behind: u32,
+}
+
+impl ReplyCounts {
+    fn log(&self, state: &EntryState, awaited: usize) {
+        state.metrics.record_failed_search();
+        warn!(
+            unreachable = self.unreachable,
+            no_reply = self.no_reply,
+            behind = self.behind,
+            awaited,
+            config_age_ms = state.config_age_ms(),
+            "no control replica is up to date; searching on"
+        );
+    }
+}
+
+/// The reply of a replica to a probe.
+struct ProbeReply {
+    address: SocketAddr,
+    client: Client,
+    /// When the probe was sent, by the instance's clock.
+    sent_at: Duration,
+    reply: Result<NodeReply, MeshError>,
+}
+
 /// Asks a replica how up to date it is, after a delay.
 async fn probe(
+    state: &EntryState,
     address: SocketAddr,
     client: Client,
     delay: Duration,
     call_timeout: Duration,
-) -> (SocketAddr, Client, Result<NodeReply, MeshError>) {
+) -> ProbeReply {
     tokio::time::sleep(delay).await;
+    let sent_at = state.clock.now();
     let request =
         FollowRequest { version: None, list: None, demand: Vec::new(), hold_ms: 0, peers_of: None };
     let reply = client.call(NodeRequest::Follow(request), call_timeout).await;
-    (address, client, reply)
+    ProbeReply { address, client, sent_at, reply }
 }
 
 /// Returns whether a replica has a newer policy, or a list of upstreams while
@@ -131,10 +179,11 @@
     call_timeout: Duration,
 ) {
     let request = build_request(state, progress, Duration::ZERO);
+    let sent_at = state.clock.now();
     if let Ok(NodeReply::Follow(reply)) =
         client.call(NodeRequest::Follow(request), call_timeout).await
     {
-        apply_reply(state, *reply, progress);
+        apply_reply(state, *reply, sent_at, progress);
     }
 }
 
@@ -145,24 +194,27 @@
     client: &Client,
     progress: &mut FollowState,
 ) {
-    info!(replica = %address, "control regained");
+    info!(replica = %address, config_age_ms = state.config_age_ms(), "control regained");
     let call_timeout = LONG_POLL_TIMEOUT + REPLY_MARGIN + state.settings.link_queue_time();
     loop {
         let request = build_request(state, progress, LONG_POLL_TIMEOUT);
+        let sent_at = state.clock.now();
         let reply = client.call(NodeRequest::Follow(request), call_timeout).await;
         let Ok(NodeReply::Follow(reply)) = reply else {
             warn!(
                 replica = %address,
+                config_age_ms = state.config_age_ms(),
                 "control lost: the replica does not reply; looking for another"
             );
             return;
         };
         let (up_to_date, behind_ms) = (is_up_to_date(&reply), reply.behind_ms);
-        apply_reply(state, *reply, progress);
+        apply_reply(state, *reply, sent_at, progress);
         if !up_to_date {
             warn!(
                 replica = %address,
                 behind_ms,
+                config_age_ms = state.config_age_ms(),
                 "control lost: the replica is not up to date; looking for another"
             );
             return;
@@ -195,9 +247,16 @@
     list_cursor: Cursor,
 }
 
-fn apply_reply(state: &EntryState, reply: FollowReply, progress: &mut FollowState) {
+fn apply_reply(
+    state: &EntryState,
+    reply: FollowReply,
+    sent_at: Duration,
+    progress: &mut FollowState,
+) {
     apply_replicas(state, &reply);
+    let (version, current_at) = (reply.version, current_at(state, &reply, sent_at));
     apply_policy(state, reply.update);
+    record_confirmation(state, version, current_at);
     apply_list(state, reply.list, reply.list_age_ms, progress);
     state.record_entry_count(reply.entries);
     if let Some(peers) = reply.peers {
@@ -214,6 +273,26 @@
     }
 }
 
+/// Returns a time at which the state in a reply was the newest, or `None` if it is not known
+/// ever to have been. The request was sent at `sent_at`.
+///
+/// The reply may have been delayed on its way, so it counts from the request and from how long
+/// the replica held it back.
+fn current_at(state: &EntryState, reply: &FollowReply, sent_at: Duration) -> Option<Duration> {
+    let behind = Duration::from_millis(reply.behind_ms?);
+    let replied_at = (sent_at + Duration::from_millis(reply.held_ms)).min(state.clock.now());
+    Some(replied_at.saturating_sub(behind))
+}
+
+/// Records that a version of the policy was the newest at a time, if it is in force here.
+fn record_confirmation(state: &EntryState, version: Version, current_at: Option<Duration>) {
+    if let Some(current_at) = current_at
+        && state.policy.borrow().version >= version
+    {
+        state.record_config_confirmed(current_at);
+    }
+}
+
 /// Applies a delta of the list of upstreams. A complete list is ignored if it is
 /// older than the current one.
 fn apply_list(
--- a/src/runtime/entry_node/metrics.rs
+++ b/src/runtime/entry_node/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use prometheus::{HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Registry};
+use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry};
 
 use super::state::EntryState;
 use crate::{
@@ -28,6 +28,8 @@
     open_requests: IntGauge,
     ready: IntGauge,
     config_version: IntGauge,
+    failed_searches: IntCounter,
+    config_age_ms: IntGauge,
     list_age_ms: IntGauge,
     upstreams: IntGaugeVec,
     entry_instances: IntGauge,
@@ -130,6 +132,18 @@
             open_requests: gauge("open_requests", "Requests in progress.")?,
             ready: gauge("ready", "1 while the directory may name this instance.")?,
             config_version: gauge("config_version", "Version of the configuration in force.")?,
+            failed_searches: register_metric(
+                &registry,
+                IntCounter::with_opts(opts(
+                    "failed_searches_total",
+                    "Searches that found no control replica that is up to date.",
+                )),
+            )?,
+            config_age_ms: gauge(
+                "config_age_milliseconds",
+                "Time since the configuration in force was last known to be the newest; -1 while \
+                 it never was.",
+            )?,
             list_age_ms: gauge(
                 "list_age_milliseconds",
                 "Age of the list of upstreams; -1 while there is none.",
@@ -181,6 +195,11 @@
         self.handed_over.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a search that found no control replica that is up to date.
+    pub(super) fn record_failed_search(&self) {
+        self.failed_searches.inc();
+    }
+
     /// Counts what an upstream began to say of itself.
     pub(super) fn record_notice(&self, notice: &str) {
         self.upstream_notices.with_label_values(&[notice]).inc();
@@ -192,6 +211,7 @@
         self.ready.set(i64::from(state.is_ready.load(std::sync::atomic::Ordering::Relaxed)));
         self.links_lost.set(i64::from(state.links.is_any_lost()));
         self.config_version.set(state.config_version() as i64);
+        self.config_age_ms.set(state.config_age_ms().map_or(-1, |age_ms| age_ms as i64));
         self.list_age_ms.set(state.list_age_ms().map_or(-1, |age_ms| age_ms as i64));
         self.entry_instances.set(i64::from(state.entry_count()));
         let balancer = state.balancer.borrow();
--- a/src/runtime/entry_node/state.rs
+++ b/src/runtime/entry_node/state.rs
@@ -57,6 +57,8 @@
     pub(super) seeds: RefCell<Vec<SocketAddr>>,
     /// Notified when an upstream fails, to start health checks.
     pub(super) upstream_failed: Notify,
+    /// The last time at which the configuration in force is known to have been the newest.
+    config_confirmed_at: Cell<Option<Duration>>,
     /// When the current list of upstreams was read from the platform.
     pub(super) list_read_at: Cell<Option<Duration>>,
     pub(super) is_ready: Flag,
@@ -121,6 +123,7 @@
             routes: RefCell::default(),
             balancer: RefCell::new(Balancer::new(locality, cold_limit)),
             pool: RefCell::default(),
+            config_confirmed_at: Cell::new(None),
             list_read_at: Cell::new(None),
             is_ready: Flag::default(),
             stopping: watch::Sender::new(false),
@@ -248,6 +251,22 @@
         self.policy.borrow().routing.version
     }
 
+    /// Records that the configuration in force was the newest at a time.
+    pub(super) fn record_config_confirmed(&self, at: Duration) {
+        self.config_confirmed_at.set(self.config_confirmed_at.get().max(Some(at)));
+    }
+
+    /// Returns the time since the configuration in force was last known to be the newest, or
+    /// `None` if it never was.
+    pub(super) fn config_age(&self) -> Option<Duration> {
+        Some(self.clock.now().saturating_sub(self.config_confirmed_at.get()?))
+    }
+
+    /// Returns [`EntryState::config_age`] in milliseconds.
+    pub(super) fn config_age_ms(&self) -> Option<u64> {
+        self.config_age().map(|age| age.as_millis() as u64)
+    }
+
     /// Returns the age of the list of upstreams in milliseconds, or `None`
     /// before the first list.
     pub(super) fn list_age_ms(&self) -> Option<u64> {
--- a/tests/processes/entry.rs
+++ b/tests/processes/entry.rs
@@ -236,6 +236,7 @@
         behind_ms: Some(0),
         entries: 1,
         peers: None,
+        held_ms: 0,
     }
 }
 
