Refuse a request without a route while the configuration may be old

Callers don't try again after a 404.

Cause: an instance responded 404 by whatever configuration it had, also by one that it could not know to be the newest: no replica had confirmed it for seconds, or it came from a replica without a leader after a restart, or the process had been suspended.

Now a 404 needs a configuration that was known to be the newest within `config_s`; otherwise the request is refused with 503 and the reason `stale_configuration`, which truthfully says that it has not run, and a peer that refuses for it says nothing about other peers. Requests that have a route are handled as before: refusing those would end all service of instances that lose control.

--- a/src/explain/explanation.rs
+++ b/src/explain/explanation.rs
@@ -162,6 +162,10 @@
         "shed" => "its upstream was full, and no retry was left",
         "stopping" => "the instance was about to stop",
         "no_configuration" => "the instance had no configuration yet",
+        "stale_configuration" => {
+            "no route matched, and the instance did not know whether its configuration was the \
+             newest"
+        }
         "no_service" => "its route has no service with a weight",
         "timeout" => "its time was over before it could be sent",
         other => other,
--- a/src/runtime/entry_node/exchange.rs
+++ b/src/runtime/entry_node/exchange.rs
@@ -30,9 +30,10 @@
 const TIMEOUT_DEFAULT: Duration = Duration::from_secs(30);
 /// The `Retry-After` of refused requests if no expected wait is known.
 const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(300);
-/// The `Retry-After` of requests that are refused while the instance stops. It is
-/// short since the caller should send the request to another instance.
-const RETRY_AFTER_STOPPING: Duration = Duration::from_millis(20);
+/// The `Retry-After` of requests that are refused while the instance stops, or while it may have
+/// an old configuration. It is short since the caller should send the request to another
+/// instance.
+const RETRY_AFTER_ELSEWHERE: Duration = Duration::from_millis(20);
 /// A request is refused if its expected wait exceeds this fraction of its
 /// route's latency objective.
 const WAIT_FRACTION_MAX: f64 = 0.6;
@@ -44,7 +45,7 @@
 pub(super) async fn handle_request(state: &Rc<EntryState>, request: &Request) -> Response {
     let id = headers::request_id(&request.head.headers).unwrap_or_default();
     if state.refuses_requests() {
-        return refuse(state, id, "stopping", RETRY_AFTER_STOPPING);
+        return refuse(state, id, "stopping", RETRY_AFTER_ELSEWHERE);
     }
     if !state.has_configuration() {
         return refuse(state, id, "no_configuration", RETRY_AFTER_DEFAULT);
@@ -54,6 +55,10 @@
     }
     let routes = state.routes.borrow().clone();
     let Some((name, route)) = routes.find(request.host(), request.path()) else {
+        // A response of 404 is final for callers.
+        if !state.is_config_newest() {
+            return refuse(state, id, "stale_configuration", RETRY_AFTER_ELSEWHERE);
+        }
         let (host, path) = (request.host(), request.path());
         info!(
             target: REQUEST_TARGET,
@@ -406,6 +411,7 @@
         reason,
         retry_after_ms = retry_after.as_millis() as u64,
         config = state.config_version(),
+        config_age_ms = state.config_age_ms(),
         list_age_ms = state.list_age_ms(),
         "refused"
     );
--- a/src/runtime/entry_node/hand_over.rs
+++ b/src/runtime/entry_node/hand_over.rs
@@ -43,8 +43,15 @@
 const PEERS_TRIED_MAX: usize = 3;
 
 /// The reasons of a peer's refusal that say nothing about other peers.
-const REASONS_OF_ONE_PEER: [&str; 6] =
-    ["behind", "no_configuration", "no_upstream", "paused", "stopping", "unreachable"];
+const REASONS_OF_ONE_PEER: [&str; 7] = [
+    "behind",
+    "no_configuration",
+    "no_upstream",
+    "paused",
+    "stale_configuration",
+    "stopping",
+    "unreachable",
+];
 
 /// Hands a request over to a peer, and to further ones while none takes it over.
 ///
--- a/src/runtime/entry_node/state.rs
+++ b/src/runtime/entry_node/state.rs
@@ -262,6 +262,13 @@
         Some(self.clock.now().saturating_sub(self.config_confirmed_at.get()?))
     }
 
+    /// Returns whether the configuration in force is known to have been the newest so lately that
+    /// each one acknowledged since may still be on its way.
+    pub(super) fn is_config_newest(&self) -> bool {
+        let age_max = self.settings.bounds.config_propagation;
+        self.config_age().is_some_and(|age| age <= age_max)
+    }
+
     /// Returns [`EntryState::config_age`] in milliseconds.
     pub(super) fn config_age_ms(&self) -> Option<u64> {
         self.config_age().map(|age| age.as_millis() as u64)
--- a/tests/it/explain.rs
+++ b/tests/it/explain.rs
@@ -26,6 +26,25 @@
     }
 }
 
+/// A route that is missing in a configuration that may be old has to be told from one that is
+/// missing in the newest.
+#[test]
+fn the_age_of_the_configuration_is_named_where_a_route_is_missing() {
+    let lines = [
+        r#"{"message": "no route", "request": "r1", "config": 7, "config_age_ms": 130}"#,
+        r#"{"message": "refused", "request": "r2", "reason": "stale_configuration",
+            "retry_after_ms": 20}"#,
+    ];
+    let explain = |request| {
+        let lines = lines.iter().enumerate().map(|(index, line)| {
+            let fields = format!(r#"{{"timestamp": "{index}", "#);
+            LogLine::parse("e1", index + 1, &line.replacen('{', &fields, 1))
+        });
+        explain_request(request, lines).to_string()
+    };
+    insta::assert_snapshot!("explained_missing_route", [explain("r1"), explain("r2")].join("\n"));
+}
+
 /// What an upstream says of itself has to be named as the reason of a choice or a refusal.
 #[test]
 fn upstreams_that_leave_or_pause_are_named_as_the_reason() {
--- a/tests/processes/entry.rs
+++ b/tests/processes/entry.rs
@@ -136,6 +136,11 @@
         text.split(' ').nth(1).unwrap_or_default().parse().unwrap()
     }
 
+    pub(super) fn signal(&self, name: &str) {
+        let (signal, pid) = (format!("-{name}"), self.process.id().to_string());
+        assert!(Command::new("kill").args([&signal, &pid]).status().unwrap().success());
+    }
+
     async fn next_event(&mut self) -> Event {
         timeout(WAIT_TIMEOUT, self.events.recv()).await.unwrap().unwrap()
     }
@@ -356,8 +361,7 @@
     let mut caller = rig.connect().await;
     caller.write_all(request("r1", "close").as_bytes()).await.unwrap();
     assert_eq!(rig.next_event().await, Event::Requested);
-    let pid = rig.process.id().to_string();
-    assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    rig.signal("TERM");
     let mut response = Vec::new();
     timeout(WAIT_TIMEOUT, caller.read_to_end(&mut response)).await.unwrap().unwrap();
     assert!(response.len() > LARGE_BYTES, "cut after {} bytes", response.len());
--- /dev/null
+++ b/tests/processes/follow.rs
@@ -0,0 +1,117 @@
+//! Runs one entry instance against a stand-in for its control replica that does not
+//! reply, or that is behind.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use bulrushspan::net::{
+    mesh::MeshHandler,
+    wire::{NodeReply, NodeRequest},
+};
+use tokio::{sync::mpsc, time::sleep};
+
+use super::{
+    entry::{LINK_MBPS, Rig, WAIT_TIMEOUT, address, follow_reply, listed_upstream},
+    hand_over::{policy, send, serve},
+};
+
+/// How a stand-in for a control replica replies.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Mode {
+    UpToDate,
+    Behind,
+    Silent,
+}
+
+/// A path that has a route, and one that has none.
+const ROUTED: &str = "menu/1";
+const UNROUTED: &str = "none/1";
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Starts an instance whose control replica replies as `mode` says, and an upstream.
+async fn start(number: u32, mode: Arc<Mutex<Mode>>) -> Rig {
+    serve(address(number + 160, 8080), false).await;
+    let policy = policy(1);
+    let control: MeshHandler<NodeRequest, NodeReply> = Arc::new(move |call, _peer| {
+        let (policy, mode) = (policy.clone(), mode.clone());
+        Box::pin(async move {
+            let NodeRequest::Follow(request) = call else { return None };
+            sleep(Duration::from_millis(request.hold_ms.min(200))).await;
+            let listed = listed_upstream(address(number + 160, 8080).parse().unwrap());
+            let mut reply = follow_reply(&request, &policy, listed);
+            match *mode.lock().unwrap() {
+                Mode::UpToDate => {}
+                Mode::Behind => reply.behind_ms = None,
+                Mode::Silent => return None,
+            }
+            Some(NodeReply::Follow(Box::new(reply)))
+        })
+    });
+    launch(number, control).await
+}
+
+async fn launch(number: u32, control: MeshHandler<NodeRequest, NodeReply>) -> Rig {
+    let (_, events) = mpsc::unbounded_channel();
+    let rig = Rig::launch(number, control, events, LINK_MBPS).await;
+    rig.wait_ready().await;
+    rig
+}
+
+/// Sends requests without a route until the instance responds with `status`.
+async fn wait_for_unrouted(rig: &Rig, status: u16) -> String {
+    let started_at = Instant::now();
+    loop {
+        let (seen, response) = send(rig, UNROUTED, "r1").await;
+        if seen == status {
+            return response;
+        }
+        assert!(started_at.elapsed() < WAIT_TIMEOUT, "{response}");
+        sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Callers got 404, after which they don't try again, for a route that was acknowledged while
+/// their instance had no control replica.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_missing_route_is_refused_while_the_configuration_may_be_old() {
+    let mode = Arc::new(Mutex::new(Mode::UpToDate));
+    let rig = start(58, mode.clone()).await;
+    wait_for_unrouted(&rig, 404).await;
+    *mode.lock().unwrap() = Mode::Silent;
+    let response = wait_for_unrouted(&rig, 503).await;
+    assert!(response.contains("retry-after"), "{response}");
+    assert_eq!(send(&rig, ROUTED, "r2").await.0, 200);
+    *mode.lock().unwrap() = Mode::UpToDate;
+    wait_for_unrouted(&rig, 404).await;
+}
+
+/// Callers got 404 by a configuration that a restarted instance took over from a replica without
+/// a leader.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_missing_route_is_refused_while_only_replicas_that_are_behind_were_asked() {
+    let mode = Arc::new(Mutex::new(Mode::Behind));
+    let rig = start(59, mode.clone()).await;
+    let (status, response) = send(&rig, UNROUTED, "r1").await;
+    assert_eq!(status, 503, "{response}");
+    assert_eq!(send(&rig, ROUTED, "r2").await.0, 200);
+    *mode.lock().unwrap() = Mode::UpToDate;
+    wait_for_unrouted(&rig, 404).await;
+}
+
+/// An instance that was suspended took its configuration for confirmed by a reply that had waited
+/// for it meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_reply_from_before_a_suspension_does_not_confirm_the_configuration() {
+    let mode = Arc::new(Mutex::new(Mode::UpToDate));
+    let rig = start(60, mode.clone()).await;
+    wait_for_unrouted(&rig, 404).await;
+    rig.signal("STOP");
+    sleep(Duration::from_millis(1000)).await;
+    *mode.lock().unwrap() = Mode::Silent;
+    sleep(Duration::from_millis(2500)).await;
+    rig.signal("CONT");
+    let (status, response) = send(&rig, UNROUTED, "r2").await;
+    assert_eq!(status, 503, "{response}");
+}
--- a/tests/processes/hand_over.rs
+++ b/tests/processes/hand_over.rs
@@ -128,7 +128,7 @@
 
 /// Listens at an address, records the ids of requests, and answers 200 or, if `breaks_off`,
 /// closes the connection.
-async fn serve(address: String, breaks_off: bool) -> Received {
+pub(super) async fn serve(address: String, breaks_off: bool) -> Received {
     let received = Received::default();
     let listener = TcpListener::bind(address).await.unwrap();
     let ids = received.clone();
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -4,6 +4,7 @@
 mod deployment;
 mod entry;
 mod faulty_upstreams;
+mod follow;
 mod guide;
 mod hand_over;
 mod notices;
