Use replies of control replicas that arrive late

Cause: each wait of an instance was shorter than a round trip on its full link, and what was not over by then was thrown away. A search for a replica began anew every 1.1 s, with new connections that had 500 ms to open; a reply of the followed replica that came after 1.7 s and the link's queue time was dropped with its connection.

Now a search keeps its connections and awaited replies from one round to the next, and connections may take 2 s. The late reply of the followed replica is still awaited while another is looked for, applied when it arrives, and shows whether that replica can be followed on. One state is fetched at a time, without holding up the probes. Changes of the list count only if they follow on the list in force, and its age counts from the call, since replies may now arrive out of order or late.

On the code before, both tests end with 'the instance is not ready' after 60 s; they pass now.

--- a/src/net/mesh.rs
+++ b/src/net/mesh.rs
@@ -61,7 +61,7 @@
 
 impl std::error::Error for MeshError {}
 
-/// The maximum time for establishing a connection.
+/// The default of the maximum time for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// The delay after a failure to connect or to accept a connection.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -108,8 +108,18 @@
     ///
     /// Panics if it is called outside a Tokio runtime.
     pub fn new(address: SocketAddr) -> Self {
+        Self::with_connect_timeout(address, CONNECT_TIMEOUT)
+    }
+
+    /// Creates a client like [`new`](Self::new), with another maximum time for establishing
+    /// a connection.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it is called outside a Tokio runtime.
+    pub fn with_connect_timeout(address: SocketAddr, connect_timeout: Duration) -> Self {
         let (calls, queue) = mpsc::channel(QUEUE_LEN);
-        tokio::spawn(run_client(address, queue));
+        tokio::spawn(run_client(address, connect_timeout, queue));
         Self { calls }
     }
 
@@ -132,14 +142,17 @@
     }
 }
 
-async fn run_client<Req, Rep>(address: SocketAddr, mut queue: mpsc::Receiver<Call<Req, Rep>>)
-where
+async fn run_client<Req, Rep>(
+    address: SocketAddr,
+    connect_timeout: Duration,
+    mut queue: mpsc::Receiver<Call<Req, Rep>>,
+) where
     Req: Serialize,
     Rep: DeserializeOwned + Send + 'static,
 {
     let mut last_id = 0;
     while let Some(first_call) = queue.recv().await {
-        let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let stream = time::timeout(connect_timeout, TcpStream::connect(address)).await;
         let Ok(Ok(stream)) = stream else {
             first_call.reply.send(Err(MeshError::Unreachable)).ok();
             while let Ok(call) = queue.try_recv() {
--- a/src/runtime/entry_node/mod.rs
+++ b/src/runtime/entry_node/mod.rs
@@ -17,6 +17,8 @@
 mod notices;
 mod pool;
 mod readiness;
+mod replica_call;
+mod replica_search;
 mod request;
 mod response;
 mod state;
--- /dev/null
+++ b/src/runtime/entry_node/replica_call.rs
@@ -0,0 +1,256 @@
+//! Calls control replicas, and applies their replies.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use futures_util::future::LocalBoxFuture;
+use tracing::info;
+
+use super::state::EntryState;
+use crate::{
+    core::{control::Version, routing::RouteIndex},
+    net::{
+        mesh::{MeshClient, MeshError},
+        wire::{
+            Cursor, FollowReply, FollowRequest, ListDelta, NodeReply, NodeRequest, PolicyUpdate,
+        },
+    },
+};
+
+/// How long a reply may take in addition to the time for which it is held back, before another
+/// replica is looked for.
+pub(super) const REPLY_MARGIN: Duration = Duration::from_millis(700);
+/// A replica is not followed if it was last known to be up to date longer ago
+/// than this.
+const BEHIND_MAX: Duration = Duration::from_millis(1200);
+/// How long a reply is awaited before its connection is given up. It includes
+/// [`CONNECT_TIMEOUT`].
+pub(super) const REPLY_TIMEOUT: Duration = Duration::from_secs(4);
+/// How long a connection may take to open. Linux sends a lost request for a connection again
+/// after 1 s.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+pub(super) type Client = MeshClient<NodeRequest, NodeReply>;
+
+/// The reply of a replica that is still awaited.
+pub(super) type PendingReply = LocalBoxFuture<'static, ReplicaReply>;
+
+/// The reply of a replica to a call.
+pub(super) struct ReplicaReply {
+    pub(super) address: SocketAddr,
+    pub(super) call: ReplicaCall,
+    pub(super) result: Result<Box<FollowReply>, MeshError>,
+}
+
+/// A call to a replica.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ReplicaCall {
+    /// When it was sent, by the instance's clock.
+    sent_at: Duration,
+    timeout: Duration,
+    /// Whether the replica was asked for its state, not only how up to date it is.
+    pub(super) is_state: bool,
+    /// The position in the list of upstreams from which changes were requested, if any.
+    list: Option<Cursor>,
+}
+
+impl ReplicaCall {
+    /// Returns the earliest time at which the replica may have replied.
+    ///
+    /// The reply may have been delayed on its way, so this counts from the call and from how
+    /// long the replica held the reply back.
+    fn replied_at(&self, state: &EntryState, reply: &FollowReply) -> Duration {
+        (self.sent_at + Duration::from_millis(reply.held_ms)).min(state.clock.now())
+    }
+}
+
+/// The progress in following the control replicas.
+#[derive(Default)]
+pub(super) struct FollowState {
+    /// Identifies the last delta of the list of upstreams that was applied.
+    list_cursor: Cursor,
+}
+
+/// Returns a client of the replica at an address.
+pub(super) fn new_client(address: SocketAddr) -> Client {
+    Client::with_connect_timeout(address, CONNECT_TIMEOUT)
+}
+
+/// Asks a replica how up to date it is, after a delay.
+pub(super) fn probe(
+    state: &Rc<EntryState>,
+    address: SocketAddr,
+    client: &Client,
+    delay: Duration,
+) -> PendingReply {
+    let (state, client) = (state.clone(), client.clone());
+    Box::pin(async move {
+        tokio::time::sleep(delay).await;
+        let call = ReplicaCall {
+            sent_at: state.clock.now(),
+            timeout: REPLY_TIMEOUT,
+            is_state: false,
+            list: None,
+        };
+        let request = FollowRequest {
+            version: None,
+            list: None,
+            demand: Vec::new(),
+            hold_ms: 0,
+            peers_of: None,
+        };
+        send(address, &client, request, call).await
+    })
+}
+
+/// Asks a replica for its state. It may hold its reply back for `hold` while that has not
+/// changed.
+pub(super) fn fetch_state(
+    state: &Rc<EntryState>,
+    address: SocketAddr,
+    client: &Client,
+    hold: Duration,
+    progress: &FollowState,
+) -> PendingReply {
+    let client = client.clone();
+    let call = ReplicaCall {
+        sent_at: state.clock.now(),
+        timeout: hold + REPLY_TIMEOUT,
+        is_state: true,
+        list: Some(progress.list_cursor),
+    };
+    let request = FollowRequest {
+        version: Some(state.policy.borrow().version),
+        list: call.list,
+        demand: state.take_demand_report().into_iter().collect(),
+        hold_ms: hold.as_millis() as u64,
+        peers_of: state.take_peers_request(),
+    };
+    Box::pin(async move { send(address, &client, request, call).await })
+}
+
+async fn send(
+    address: SocketAddr,
+    client: &Client,
+    request: FollowRequest,
+    call: ReplicaCall,
+) -> ReplicaReply {
+    let result = match client.call(NodeRequest::Follow(request), call.timeout).await {
+        Ok(NodeReply::Follow(reply)) => Ok(reply),
+        Ok(_) => Err(MeshError::NoReply),
+        Err(error) => Err(error),
+    };
+    ReplicaReply { address, call, result }
+}
+
+pub(super) fn is_up_to_date(reply: &FollowReply) -> bool {
+    reply.behind_ms.is_some_and(|behind| Duration::from_millis(behind) <= BEHIND_MAX)
+}
+
+/// Applies the reply to a probe.
+pub(super) fn apply_probe_reply(state: &EntryState, reply: &FollowReply, call: &ReplicaCall) {
+    apply_replicas(state, reply);
+    record_confirmation(state, reply.version, current_at(state, reply, call));
+}
+
+/// Applies the reply of a replica that was asked for its state.
+pub(super) fn apply_reply(
+    state: &EntryState,
+    reply: FollowReply,
+    call: &ReplicaCall,
+    progress: &mut FollowState,
+) {
+    apply_replicas(state, &reply);
+    let (version, current_at) = (reply.version, current_at(state, &reply, call));
+    let list_read_at = reply
+        .list_age_ms
+        .map(|age_ms| call.replied_at(state, &reply).saturating_sub(Duration::from_millis(age_ms)));
+    apply_policy(state, reply.update);
+    record_confirmation(state, version, current_at);
+    if let Some(list_read_at) = list_read_at {
+        apply_list(state, reply.list, list_read_at, call, progress);
+    }
+    state.record_entry_count(reply.entries);
+    if let Some(peers) = reply.peers {
+        state.peers.borrow_mut().set(peers);
+    }
+    state.update_readiness();
+}
+
+fn apply_replicas(state: &EntryState, reply: &FollowReply) {
+    let replicas: Vec<SocketAddr> =
+        reply.replicas.iter().filter_map(|name| name.parse().ok()).collect();
+    if !replicas.is_empty() {
+        *state.control_addresses.borrow_mut() = replicas;
+    }
+}
+
+/// Returns a time at which the state in a reply was the newest, or `None` if it is not known
+/// ever to have been.
+fn current_at(state: &EntryState, reply: &FollowReply, call: &ReplicaCall) -> Option<Duration> {
+    let behind = Duration::from_millis(reply.behind_ms?);
+    Some(call.replied_at(state, reply).saturating_sub(behind))
+}
+
+/// Records that a version of the policy was the newest at a time, if it is in force here.
+fn record_confirmation(state: &EntryState, version: Version, current_at: Option<Duration>) {
+    if let Some(current_at) = current_at
+        && state.policy.borrow().version >= version
+    {
+        state.record_config_confirmed(current_at);
+    }
+}
+
+/// Applies a delta of the list of upstreams. A complete list is ignored if it is
+/// older than the current one, and changes if they don't follow on the current one.
+fn apply_list(
+    state: &EntryState,
+    list: Option<ListDelta>,
+    read_at: Duration,
+    call: &ReplicaCall,
+    progress: &mut FollowState,
+) {
+    let now = state.clock.now();
+    let is_newer = state.list_read_at.get().is_none_or(|current| read_at >= current);
+    let follows = call.list == Some(progress.list_cursor);
+    let Some(delta) = list else {
+        if is_newer && follows {
+            state.list_read_at.set(Some(read_at));
+        }
+        return;
+    };
+    let is_applicable = if delta.change.is_full { is_newer } else { follows };
+    if !is_applicable {
+        return;
+    }
+    state.list_read_at.set(Some(read_at));
+    progress.list_cursor = delta.cursor();
+    let mut balancer = state.balancer.borrow_mut();
+    balancer.apply_delta(delta.change, now);
+    let list_age_ms = now.saturating_sub(read_at).as_millis() as u64;
+    info!(upstreams = balancer.len(), list_age_ms, "upstreams changed");
+}
+
+fn apply_policy(state: &EntryState, update: PolicyUpdate) {
+    let mut policy = state.policy.borrow_mut();
+    let previous_version = policy.version;
+    match update {
+        PolicyUpdate::Deltas(deltas) => {
+            for delta in &deltas {
+                policy.apply_delta(delta);
+            }
+        }
+        PolicyUpdate::Whole(new_policy) if new_policy.version > previous_version => {
+            *policy = *new_policy
+        }
+        PolicyUpdate::Whole(_) => {}
+    }
+    if policy.version == previous_version {
+        return;
+    }
+    info!(version = policy.version, routing = policy.routing.version, "policy in force");
+    *state.routes.borrow_mut() = Rc::new(RouteIndex::new(&policy.routing));
+    let mut balancer = state.balancer.borrow_mut();
+    balancer.set_services(policy.routing.services.clone());
+    balancer.set_placement(policy.placement.clone());
+    balancer.set_evacuated(policy.evacuated.clone(), state.clock.now());
+}
--- a/tests/processes/follow.rs
+++ b/tests/processes/follow.rs
@@ -1,8 +1,11 @@
-//! Runs one entry instance against a stand-in for its control replica that does not
-//! reply, or that is behind.
+//! Runs one entry instance against a stand-in for its control replica that replies late, or
+//! not at all, or that is behind.
 
 use std::{
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -72,6 +75,50 @@
     }
 }
 
+/// A stand-in that replies to probes after one delay and to requests for its state after
+/// another, and counts the requests of an instance that has no policy.
+fn delayed(
+    number: u32,
+    probe_delay: Duration,
+    state_delay: Duration,
+) -> (MeshHandler<NodeRequest, NodeReply>, Arc<AtomicUsize>) {
+    let policy = policy(1);
+    let asked = Arc::<AtomicUsize>::default();
+    let asked_by_test = asked.clone();
+    let control: MeshHandler<NodeRequest, NodeReply> = Arc::new(move |call, _peer| {
+        let (policy, asked) = (policy.clone(), asked.clone());
+        Box::pin(async move {
+            let NodeRequest::Follow(request) = call else { return None };
+            if request.version == Some(0) {
+                asked.fetch_add(1, Ordering::Relaxed);
+            }
+            let is_probe = request.version.is_none();
+            sleep(if is_probe { probe_delay } else { state_delay }).await;
+            let listed = listed_upstream(address(number + 160, 8080).parse().unwrap());
+            Some(NodeReply::Follow(Box::new(follow_reply(&request, &policy, listed))))
+        })
+    });
+    (control, asked_by_test)
+}
+
+/// A restarted instance that never found a control replica, because the traffic on its link
+/// delayed each reply to a probe for longer than a search waited.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_is_found_although_its_replies_are_delayed() {
+    let (control, _) = delayed(55, Duration::from_millis(1500), Duration::from_millis(100));
+    launch(55, control).await;
+}
+
+/// An instance that threw away each late reply of the replica that it followed, and so never
+/// learned of a configuration.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_reply_of_the_followed_replica_is_used() {
+    let (control, asked) = delayed(56, Duration::ZERO, Duration::from_millis(2500));
+    launch(56, control).await;
+    let asked = asked.load(Ordering::Relaxed);
+    assert!(asked <= 2, "asked for the whole policy {asked} times");
+}
+
 /// Callers got 404, after which they don't try again, for a route that was acknowledged while
 /// their instance had no control replica.
 #[tokio::test(flavor = "multi_thread")]
