Await a replica's state longer after it did not arrive in time

A whole policy or list that took longer on a slow link than its time-out was given up and requested again in full, each time, from the same replica or from another that replied to probes: none ever arrived. Now both the time until another replica is looked for and the time for which a state is awaited double, up to 32 s, until one arrives. Seen in tests only.

--- a/src/runtime/entry_node/follow.rs
+++ b/src/runtime/entry_node/follow.rs
@@ -7,9 +7,7 @@
 use tracing::{info, warn};
 
 use super::{
-    replica_call::{
-        Client, FollowState, REPLY_MARGIN, ReplicaReply, apply_reply, fetch_state, is_up_to_date,
-    },
+    replica_call::{Client, FollowState, ReplicaReply, apply_reply, fetch_state, is_up_to_date},
     replica_search::Search,
     state::EntryState,
 };
@@ -36,8 +34,9 @@
     progress: &mut FollowState,
 ) -> Search {
     info!(replica = %address, config_age_ms = state.config_age_ms(), "control regained");
-    let reply_timeout = LONG_POLL_TIMEOUT + REPLY_MARGIN + state.settings.link_queue_time();
+    let queue_time = state.settings.link_queue_time();
     loop {
+        let reply_timeout = LONG_POLL_TIMEOUT + progress.reply_margin() + queue_time;
         let mut pending = fetch_state(state, address, &client, LONG_POLL_TIMEOUT, progress);
         let Ok(ReplicaReply { call, result, .. }) = timeout(reply_timeout, &mut pending).await
         else {
@@ -46,6 +45,7 @@
                 config_age_ms = state.config_age_ms(),
                 "control lost: the reply of the replica is late; looking for another"
             );
+            progress.record_late();
             return Search::with_late_reply(address, client, pending);
         };
         let Ok(reply) = result else {
--- a/src/runtime/entry_node/replica_call.rs
+++ b/src/runtime/entry_node/replica_call.rs
@@ -24,7 +24,9 @@
 const BEHIND_MAX: Duration = Duration::from_millis(1200);
 /// How long a reply is awaited before its connection is given up. It includes
 /// [`CONNECT_TIMEOUT`].
-pub(super) const REPLY_TIMEOUT: Duration = Duration::from_secs(4);
+const REPLY_TIMEOUT: Duration = Duration::from_secs(4);
+/// The maximum time for which a reply with the replica's state is awaited.
+const STATE_TIMEOUT_MAX: Duration = Duration::from_secs(32);
 /// How long a connection may take to open. Linux sends a lost request for a connection again
 /// after 1 s.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -64,10 +66,48 @@
 }
 
 /// The progress in following the control replicas.
-#[derive(Default)]
 pub(super) struct FollowState {
     /// Identifies the last delta of the list of upstreams that was applied.
     list_cursor: Cursor,
+    /// How long a reply with a replica's state may take before another replica is looked for, and
+    /// how long it is awaited. Both grow while none arrives in time, and fall once one arrives.
+    reply_margin: Duration,
+    state_timeout: Duration,
+}
+
+impl Default for FollowState {
+    fn default() -> Self {
+        Self {
+            list_cursor: Cursor::default(),
+            reply_margin: REPLY_MARGIN,
+            state_timeout: REPLY_TIMEOUT,
+        }
+    }
+}
+
+impl FollowState {
+    pub(super) fn state_timeout(&self) -> Duration {
+        self.state_timeout
+    }
+
+    pub(super) fn reply_margin(&self) -> Duration {
+        self.reply_margin
+    }
+
+    /// Records a reply with a replica's state that did not arrive in time. If each replica is
+    /// given up before its whole state has arrived, none ever arrives.
+    pub(super) fn record_late(&mut self) {
+        self.reply_margin = (self.reply_margin * 2).min(STATE_TIMEOUT_MAX);
+        self.state_timeout = self.state_timeout.max(self.reply_margin);
+    }
+
+    /// Records a call that failed. If a replica's state did not arrive in time, it is awaited
+    /// for longer the next time.
+    pub(super) fn record_failed(&mut self, call: &ReplicaCall, now: Duration) {
+        if call.is_state && now >= call.sent_at + call.timeout {
+            self.state_timeout = (self.state_timeout * 2).min(STATE_TIMEOUT_MAX);
+        }
+    }
 }
 
 /// Returns a client of the replica at an address.
@@ -114,7 +154,7 @@
     let client = client.clone();
     let call = ReplicaCall {
         sent_at: state.clock.now(),
-        timeout: hold + REPLY_TIMEOUT,
+        timeout: hold + progress.state_timeout,
         is_state: true,
         list: Some(progress.list_cursor),
     };
@@ -159,6 +199,7 @@
     call: &ReplicaCall,
     progress: &mut FollowState,
 ) {
+    (progress.reply_margin, progress.state_timeout) = (REPLY_MARGIN, REPLY_TIMEOUT);
     apply_replicas(state, &reply);
     let (version, current_at) = (reply.version, current_at(state, &reply, call));
     let list_read_at = reply
--- a/src/runtime/entry_node/replica_search.rs
+++ b/src/runtime/entry_node/replica_search.rs
@@ -13,8 +13,8 @@
 
 use super::{
     replica_call::{
-        Client, FollowState, PendingReply, REPLY_MARGIN, REPLY_TIMEOUT, ReplicaReply,
-        apply_probe_reply, apply_reply, fetch_state, is_up_to_date, new_client, probe,
+        Client, FollowState, PendingReply, REPLY_MARGIN, ReplicaReply, apply_probe_reply,
+        apply_reply, fetch_state, is_up_to_date, new_client, probe,
     },
     state::EntryState,
 };
@@ -109,6 +109,7 @@
                 Ok(reply) => reply,
                 Err(error) => {
                     counts.record_error(error);
+                    progress.record_failed(&call, state.clock.now());
                     // The connection may have stopped delivering data without a reset.
                     self.clients.remove(&address);
                     if state.all_control_addresses().contains(&address) {
@@ -163,7 +164,7 @@
         let client = self.client(address);
         self.awaited.insert(address);
         self.replies.push(fetch_state(state, address, &client, Duration::ZERO, progress));
-        self.next_fetch_at = state.clock.now() + REPLY_TIMEOUT / 2;
+        self.next_fetch_at = state.clock.now() + progress.state_timeout() / 2;
     }
 
     fn client(&mut self, address: SocketAddr) -> Client {
--- a/tests/processes/follow.rs
+++ b/tests/processes/follow.rs
@@ -10,10 +10,10 @@
 };
 
 use bulrushspan::net::{
-    mesh::MeshHandler,
+    mesh::{MeshHandler, serve_mesh},
     wire::{NodeReply, NodeRequest},
 };
-use tokio::{sync::mpsc, time::sleep};
+use tokio::{net::TcpListener, sync::mpsc, time::sleep};
 
 use super::{
     entry::{LINK_MBPS, Rig, WAIT_TIMEOUT, address, follow_reply, listed_upstream},
@@ -119,6 +119,26 @@
     assert!(asked <= 2, "asked for the whole policy {asked} times");
 }
 
+/// A whole policy or list on a slow link that was requested again and again, since it never
+/// arrived before the timeout.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_reply_that_takes_longer_than_its_timeout_is_awaited_longer_the_next_time() {
+    let (control, _) = delayed(57, Duration::ZERO, Duration::from_millis(6500));
+    launch(57, control).await;
+}
+
+/// Two replicas whose whole state took longer to arrive than each was awaited: the instance
+/// changed from one to the other and asked for all of it again each time.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_state_arrives_although_another_replica_replies_to_probes() {
+    let state_delay = Duration::from_millis(3000);
+    let (control, _) = delayed(8, Duration::ZERO, state_delay);
+    let (other, _) = delayed(8, Duration::ZERO, state_delay);
+    let listener = TcpListener::bind(address(48, 7660)).await.unwrap();
+    tokio::spawn(serve_mesh(listener, other));
+    launch(8, control).await;
+}
+
 /// Callers got 404, after which they don't try again, for a route that was acknowledged while
 /// their instance had no control replica.
 #[tokio::test(flavor = "multi_thread")]
