Don't request a list that is older again at once

An instance that changed to a replica whose copy of the list of upstreams was older than its own ignored that replica's complete list, and asked again without a pause: the replica does not hold back a reply that has changes. Now the list is requested again after 250 ms; meanwhile news of the policy is followed as before.

--- a/src/runtime/entry_node/replica_call.rs
+++ b/src/runtime/entry_node/replica_call.rs
@@ -25,6 +25,9 @@
 /// How long a reply is awaited before its connection is given up. It includes
 /// [`CONNECT_TIMEOUT`].
 const REPLY_TIMEOUT: Duration = Duration::from_secs(4);
+/// The pause before a list of upstreams is requested again after a complete one that was older
+/// than the current one.
+const LIST_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// The maximum time for which a reply with the replica's state is awaited.
 const STATE_TIMEOUT_MAX: Duration = Duration::from_secs(32);
 /// How long a connection may take to open. Linux sends a lost request for a connection again
@@ -69,6 +72,8 @@
 pub(super) struct FollowState {
     /// Identifies the last delta of the list of upstreams that was applied.
     list_cursor: Cursor,
+    /// When changes of the list are next requested, by the instance's clock.
+    next_list_at: Duration,
     /// How long a reply with a replica's state may take before another replica is looked for, and
     /// how long it is awaited. Both grow while none arrives in time, and fall once one arrives.
     reply_margin: Duration,
@@ -79,6 +84,7 @@
     fn default() -> Self {
         Self {
             list_cursor: Cursor::default(),
+            next_list_at: Duration::ZERO,
             reply_margin: REPLY_MARGIN,
             state_timeout: REPLY_TIMEOUT,
         }
@@ -152,11 +158,14 @@
     progress: &FollowState,
 ) -> PendingReply {
     let client = client.clone();
+    let now = state.clock.now();
+    let list_delay = progress.next_list_at.saturating_sub(now);
+    let hold = if list_delay.is_zero() { hold } else { hold.min(list_delay) };
     let call = ReplicaCall {
-        sent_at: state.clock.now(),
+        sent_at: now,
         timeout: hold + progress.state_timeout,
         is_state: true,
-        list: Some(progress.list_cursor),
+        list: list_delay.is_zero().then_some(progress.list_cursor),
     };
     let request = FollowRequest {
         version: Some(state.policy.borrow().version),
@@ -261,6 +270,7 @@
     };
     let is_applicable = if delta.change.is_full { is_newer } else { follows };
     if !is_applicable {
+        progress.next_list_at = now + LIST_RETRY_DELAY;
         return;
     }
     state.list_read_at.set(Some(read_at));
--- a/tests/processes/follow.rs
+++ b/tests/processes/follow.rs
@@ -9,9 +9,12 @@
     time::{Duration, Instant},
 };
 
-use bulrushspan::net::{
-    mesh::{MeshHandler, serve_mesh},
-    wire::{NodeReply, NodeRequest},
+use bulrushspan::{
+    core::MapDelta,
+    net::{
+        mesh::{MeshHandler, serve_mesh},
+        wire::{Cursor, ListDelta, NodeReply, NodeRequest},
+    },
 };
 use tokio::{net::TcpListener, sync::mpsc, time::sleep};
 
@@ -139,6 +142,46 @@
     launch(8, control).await;
 }
 
+/// A replica whose list of upstreams was older than the instance's: the instance ignored its
+/// complete list and asked for it again at once, which filled the links of both.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_list_that_is_older_is_not_requested_again_at_once() {
+    let lists_sent = Arc::<AtomicUsize>::default();
+    let (counter, policy) = (lists_sent.clone(), policy(1));
+    let control: MeshHandler<NodeRequest, NodeReply> = Arc::new(move |call, _peer| {
+        let (lists_sent, policy) = (lists_sent.clone(), policy.clone());
+        Box::pin(async move {
+            let NodeRequest::Follow(request) = call else { return None };
+            let listed = listed_upstream(address(215, 8080).parse().unwrap());
+            let mut reply = follow_reply(&request, &policy, listed);
+            match request.list {
+                Some(cursor) if cursor == Cursor::default() => {}
+                Some(_) => {
+                    lists_sent.fetch_add(1, Ordering::Relaxed);
+                    reply.list_age_ms = Some(60_000);
+                    let change = MapDelta {
+                        version: 1,
+                        is_full: true,
+                        put: Vec::new(),
+                        removed: Vec::new(),
+                    };
+                    reply.list = Some(ListDelta { counter: 2, change });
+                }
+                None => {
+                    reply.list = None;
+                    sleep(Duration::from_millis(request.hold_ms)).await;
+                }
+            }
+            Some(NodeReply::Follow(Box::new(reply)))
+        })
+    });
+    let _rig = launch(54, control).await;
+    let before = counter.load(Ordering::Relaxed);
+    sleep(Duration::from_secs(2)).await;
+    let sent = counter.load(Ordering::Relaxed) - before;
+    assert!(sent <= 20, "{sent} complete lists within 2 s");
+}
+
 /// Callers got 404, after which they don't try again, for a route that was acknowledged while
 /// their instance had no control replica.
 #[tokio::test(flavor = "multi_thread")]
