Let the test of a late response refuse connections for certain

Two of two whole runs of the tests of processes failed here: the unsafe request of hand_over::a_late_response_does_not_end_the_hand_over_while_connections_are_refused got 502, 'Connection reset by peer', where its connection should have been refused.

Cause: the test closes its listening socket, but a process that another test starts at that moment holds a copy of it until it runs its own program. A connection is then accepted by the kernel, and reset a moment later. The socket is now shut down, which ends listening for all copies; the checks are the same.

--- a/tests/processes/hand_over.rs
+++ b/tests/processes/hand_over.rs
@@ -1,6 +1,7 @@
 //! Runs entry instances whose links to upstreams are gone, beside peers that have theirs.
 
 use std::{
+    net::Shutdown,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -17,6 +18,7 @@
     platform::configuration,
 };
 use serde_json::json;
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, UdpSocket},
@@ -249,6 +251,9 @@
     let (accepted_by_test, respond_by_test) = (accepted.clone(), respond.clone());
     tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.unwrap();
+        // A process that another test is starting may still hold the socket, so closing it is
+        // not enough to refuse connections.
+        SockRef::from(&listener).shutdown(Shutdown::Both).unwrap();
         drop(listener);
         accepted.notify_one();
         respond.notified().await;
