--- a/tests/processes/hand_over.rs
+++ b/tests/processes/hand_over.rs
@@ -1,6 +1,7 @@
 //! Runs entry instances whose links to upstreams are gone, beside peers that have theirs.
 
 use std::{
+    net::Shutdown,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -17,6 +18,7 @@
     platform::configuration,
 };
 use serde_json::json;
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, UdpSocket},
@@ -128,7 +130,7 @@
 
 /// Listens at an address, records the ids of requests, and answers 200 or, if `breaks_off`,
 /// closes the connection.
-async fn serve(address: String, breaks_off: bool) -> Received {
+pub(super) async fn serve(address: String, breaks_off: bool) -> Received {
     let received = Received::default();
     let listener = TcpListener::bind(address).await.unwrap();
     let ids = received.clone();
@@ -249,6 +251,9 @@
     let (accepted_by_test, respond_by_test) = (accepted.clone(), respond.clone());
     tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.unwrap();
+        // A process that another test is starting may still hold the socket, so closing it is
+        // not enough to refuse connections.
+        SockRef::from(&listener).shutdown(Shutdown::Both).unwrap();
         drop(listener);
         accepted.notify_one();
         respond.notified().await;
