Answer the calls that a stopping control replica is reading or handling

What callers saw: an operator's call at a control replica that got SIGTERM ended with a closed connection, although the replica had read a part of it or was handling it, and whether the change was made stayed unknown.

Cause: the control role ended at once at the signal, with its servers in detached tasks.

Now the servers for operators and for the directory stop taking connections at the signal, and the process ends when what they were reading or handling is answered, or a tenth of a second before the end of the grace period (`core::StopPlan`). The replica goes on meanwhile, since a change that is being handled needs it.

Evidence, on the code before:

test platform::a_stopping_replica_answers_the_call_that_it_is_reading ...

The response was empty. A connection on which nothing was ever sent keeps the process until the end of that time; that was read in the code and not tested.

--- a/src/cli/node.rs
+++ b/src/cli/node.rs
@@ -76,7 +76,7 @@
             let node = start_result.wrap_err_with(|| file.start_failure())?;
             let reload_result = reload_until_stopped(file, |settings| node.reload(settings)).await;
             reload_result.map_err(eyre::Report::from)?;
-            node.log_stopped();
+            node.stop().await;
             Ok(())
         })
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -16,11 +16,13 @@
 pub mod roster;
 pub mod routing;
 pub mod steering;
+mod stop_plan;
 pub mod upstreams;
 mod versioned_map;
 
 pub use self::{
     link_pacer::LinkPacer,
     recent_max::RecentMax,
+    stop_plan::{StopPhase, StopPlan},
     versioned_map::{MapDelta, VersionedMap},
 };
--- a/src/runtime/control_node/mod.rs
+++ b/src/runtime/control_node/mod.rs
@@ -21,13 +21,18 @@
     time::Duration,
 };
 
-use tokio::{net::TcpListener, sync::oneshot};
+use tokio::{
+    net::TcpListener,
+    sync::{oneshot, watch},
+    task::JoinSet,
+    time::timeout,
+};
 use tracing::{error, info, warn};
 use xtra::{Address, Mailbox};
 
 use super::{
     clock::Clock,
-    http_handler::{HttpHandler, listen, listen_udp, serve_http_handler},
+    http_handler::{HttpHandler, listen, listen_udp, serve_http_handler_until},
     logs::DroppedLines,
     metrics::InstanceMetrics,
     metrics_server::{MetricsConfig, TextFuture, serve_metrics},
@@ -37,6 +42,7 @@
 };
 use crate::{
     core::{
+        StopPlan,
         control::{Command, InstanceName},
         placement::{DemandReport, Planner},
         replication::{DurableState, ReplicaId},
@@ -51,6 +57,9 @@
 /// Represents the process of a control replica.
 pub struct ControlNode {
     state: Arc<ControlNodeState>,
+    /// The servers for operators and for callers of the directory.
+    servers: JoinSet<()>,
+    stop_sender: watch::Sender<()>,
 }
 
 /// Holds the state that the tasks of a control replica's process share.
@@ -131,13 +140,21 @@
         tokio::spawn(calls::receive_announcements(state.clone(), announcement_socket));
         tokio::spawn(list_reader::maintain_list(state.clone()));
         let listen_addresses = state.settings.listen;
-        serve_if_set(listen_addresses.operators, operators::handler(state.clone())).await?;
-        serve_if_set(listen_addresses.directory, directory::handler(state.clone())).await?;
+        let (mut servers, stop_sender) = (JoinSet::new(), watch::Sender::new(()));
+        let handlers = [
+            (listen_addresses.operators, operators::handler(state.clone())),
+            (listen_addresses.directory, directory::handler(state.clone())),
+        ];
+        for (address, handler) in handlers {
+            let Some(address) = address else { continue };
+            let listener = listen(address).await?;
+            servers.spawn(serve_until_stopped(listener, handler, stop_sender.subscribe()));
+        }
         if let Some(port) = metrics_config.metrics_port {
             serve_control_metrics(state.clone(), port, metrics_config.dropped_lines).await?;
         }
         info!(instance = state.settings.instance, "control started");
-        Ok(Self { state })
+        Ok(Self { state, servers, stop_sender })
     }
 
     /// Applies the seeds from settings that were changed while the process runs. Other
@@ -147,9 +164,17 @@
         *lock(&self.state.seeds) = settings.seed_cluster_addresses();
     }
 
-    /// Logs that the control replica has stopped.
-    pub fn log_stopped(&self) {
-        info!(instance = self.state.settings.instance, "control stopped");
+    /// Takes no more calls of operators and callers, and returns when those that were being
+    /// read or handled have been answered, or shortly before the end of the stop grace period.
+    /// The replica goes on meanwhile.
+    pub async fn stop(self) {
+        let instance = &self.state.settings.instance;
+        info!(instance, "control stops");
+        self.stop_sender.send_replace(());
+        let grace = self.state.settings.bounds.stop_grace;
+        let limit = StopPlan::new(Duration::ZERO, grace).exit_at;
+        let complete = timeout(limit, self.servers.join_all()).await.is_ok();
+        info!(instance, complete, "control stopped");
     }
 }
 
@@ -186,13 +211,16 @@
     }
 }
 
-/// Serves `handler` at an address, if the settings name one.
-async fn serve_if_set(address: Option<SocketAddr>, handler: HttpHandler) -> Result<(), NodeError> {
-    if let Some(address) = address {
-        let listener: TcpListener = listen(address).await?;
-        tokio::spawn(serve_http_handler(listener, handler));
-    }
-    Ok(())
+/// Serves `handler` until a stop begins, and then what was being read or handled.
+async fn serve_until_stopped(
+    listener: TcpListener,
+    handler: HttpHandler,
+    mut stop_receiver: watch::Receiver<()>,
+) {
+    let stop = async {
+        stop_receiver.changed().await.ok();
+    };
+    serve_http_handler_until(listener, handler, stop).await;
 }
 
 impl ControlNodeState {
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -17,4 +17,5 @@
 mod settings;
 mod sizes;
 mod steering;
+mod stop_plan;
 mod storage;
--- a/tests/processes/platform.rs
+++ b/tests/processes/platform.rs
@@ -13,6 +13,10 @@
 };
 
 use serde_json::{Value, json};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 use warp::{Filter, http::Response};
 
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
@@ -36,10 +40,11 @@
 type Runs = Arc<Mutex<BTreeMap<String, u32>>>;
 
 impl Fleet {
-    async fn start() -> Self {
+    /// Starts the fleet with this number, which sets its addresses.
+    async fn start(number: u32) -> Self {
         let pid = std::process::id();
-        let ip_prefix = format!("127.{}.{}", 100 + pid % 100, pid / 100 % 250);
-        let folder = std::env::temp_dir().join(format!("bulrushspan-fleet-{pid}"));
+        let ip_prefix = format!("127.{}.{}", 100 + pid % 100, (pid / 100 + 125 * number) % 250);
+        let folder = std::env::temp_dir().join(format!("bulrushspan-fleet-{pid}-{number}"));
         fs::create_dir_all(&folder).unwrap();
         let mut fleet = Self {
             folder,
@@ -241,9 +246,32 @@
     .to_string()
 }
 
+/// Planned stops of control replicas: operators' calls that were being read got no answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_replica_answers_the_call_that_it_is_reading() {
+    let fleet = Fleet::start(1).await;
+    fleet.configure("r2", "/book/").await;
+    let body = configuration("r3", "/order/");
+    let (first, rest) = body.split_at(body.len() / 2);
+    let mut call = TcpStream::connect(format!("{}:8146", fleet.ip("c2"))).await.unwrap();
+    let head = format!(
+        "PUT /api/config HTTP/1.1\r\nHost: control\r\nContent-Length: {}\r\n\r\n{first}",
+        body.len()
+    );
+    call.write_all(head.as_bytes()).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fleet.signal("c2", "-TERM");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    call.write_all(rest.as_bytes()).await.unwrap();
+    let mut response = Vec::new();
+    tokio::time::timeout(WAIT_TIMEOUT, call.read_to_end(&mut response)).await.unwrap().unwrap();
+    let text = String::from_utf8_lossy(&response);
+    assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn bookings_run_once_while_instances_stop_and_replicas_are_killed() {
-    let mut fleet = Fleet::start().await;
+    let mut fleet = Fleet::start(0).await;
     fleet.configure("r2", "/book/").await;
     for entry in ["e1", "e2"] {
         fleet.wait_for(&format!("http://{}:8140/api/readyz", fleet.ip(entry)), 200, "").await;
