Answer all requests on a connection that a stopping instance closes

What callers saw: several requests stood one behind another on a connection when the instance began a planned stop. The first was answered, and the connection closed; those behind it, which had been sent to upstreams, got no answer.

Cause: whether a response closes the connection was decided when the response was ready, before it was known what stood behind it, and a close dropped what was pending.

Now that is decided when the response is written: while the instance stops, the last pending one closes the connection, and no further request is started behind one that is pending. `ReadyResponse`, `OpenRequest` and `Sender` move to a module of their own.

Evidence, on the code before (status, whether the connection is kept):

late_requests::a_stop_answers_all_pipelined_requests_that_were_sent_on left: [(200, false)] right: [(200, true), (200, true), (200, true), (200, false)]

--- a/src/runtime/entry_node/callers.rs
+++ b/src/runtime/entry_node/callers.rs
@@ -3,7 +3,7 @@
 
 use std::{io, rc::Rc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use futures_util::{StreamExt, future::LocalBoxFuture, stream::FuturesOrdered};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -12,7 +12,13 @@
 };
 use tracing::{info, warn};
 
-use super::{exchange, request::Request, response::Response, state::EntryState};
+use super::{
+    exchange,
+    ready_response::{OpenRequest, ReadyResponse, Sender},
+    request::Request,
+    response::Response,
+    state::EntryState,
+};
 use crate::{
     core::routing::CallerLimits,
     net::{
@@ -20,7 +26,6 @@
         mesh::configure_stream,
         relay::{RELAY_FIELDS_MAX_BYTES, RelayTerms},
     },
-    platform::headers,
 };
 
 /// The maximum number of requests in progress on one connection.
@@ -37,14 +42,6 @@
 /// The idle timeout of connections while the instance stops.
 const STOP_IDLE_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Who sends requests over a connection.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Sender {
-    Caller,
-    /// Another entry instance, which hands over requests of its callers.
-    Peer,
-}
-
 /// Accepts connections for as long as the process runs.
 pub(super) async fn accept(state: Rc<EntryState>, listener: TcpListener, sender: Sender) {
     loop {
@@ -62,17 +59,7 @@
     }
 }
 
-type PendingResponse = LocalBoxFuture<'static, EncodedResponse>;
-
-/// A response that is ready to be written.
-struct EncodedResponse {
-    bytes: Bytes,
-    closes_connection: bool,
-    /// Whether the caller may still send input, which is then discarded.
-    has_unread_input: bool,
-    /// Keeps the request open until the response is written, so that a stop waits for it.
-    open_request: Option<OpenRequest>,
-}
+type PendingResponse = LocalBoxFuture<'static, ReadyResponse>;
 
 /// The state of one caller's connection.
 struct CallerConnection {
@@ -133,6 +120,7 @@
             let deadline = self.read_deadline();
             tokio::select! {
                 biased;
+                _ = stopping.changed() => {}
                 Some(response) = self.pending.next() => {
                     self.write_response(response).await?;
                 }
@@ -150,16 +138,13 @@
                     }
                     self.reject(408, "slow_request");
                 }
-                changed = stopping.changed(), if !*self.state.stopping.borrow() => {
-                    changed.ok();
-                }
             }
         }
     }
 
     /// Parses the buffered input and starts each complete request.
     async fn parse_requests(&mut self) -> io::Result<()> {
-        while self.pending.len() < PIPELINED_MAX {
+        while self.pending.len() < self.pipelined_max() {
             match &mut self.read_state {
                 ReadState::Finished => return Ok(()),
                 ReadState::Head => {
@@ -210,7 +195,7 @@
     async fn handle_head(&mut self, head: RequestHead) -> io::Result<()> {
         let arrived_at = self.state.clock.now();
         if let Some(response) = self.error_response(&head) {
-            self.push_last_response(response);
+            self.push_last_response(response, Some(head));
             return Ok(());
         }
         if head
@@ -262,54 +247,41 @@
         };
         let request = Request { head: *head, body: body.freeze(), arrived_at, relay_terms };
         let state = self.state.clone();
+        let _open_request = OpenRequest::new(&state);
         self.pending.push_back(Box::pin(async move {
-            let open_request = Some(OpenRequest::new(&state));
             let response = exchange::handle_request(&state, &request).await;
-            let closes_connection = !keeps_alive || *state.stopping.borrow();
-            let response =
-                if closes_connection { response.with_connection_close() } else { response };
-            let id = headers::request_id(&request.head.headers);
-            let bytes = if request.relay_terms.is_some() {
-                response.encode_for_peer(&request.head.method, id)
-            } else {
-                response.encode(&request.head.method, id)
-            };
-            EncodedResponse {
-                bytes,
-                closes_connection: response.closes_connection,
-                has_unread_input: false,
-                open_request,
-            }
+            let response = if keeps_alive { response } else { response.with_connection_close() };
+            let head = Some(request.head);
+            ReadyResponse { response, head, has_unread_input: false, _open_request }
         }));
     }
 
     /// Responds with an error and stops reading from the connection.
     fn reject(&mut self, status: u16, error: &str) {
-        self.push_last_response(Response::local(status, error).with_connection_close());
+        self.push_last_response(Response::local(status, error).with_connection_close(), None);
     }
 
     /// Queues the last response of the connection.
-    fn push_last_response(&mut self, response: Response) {
+    fn push_last_response(&mut self, response: Response, head: Option<RequestHead>) {
         self.read_state = ReadState::Finished;
-        let bytes = response.encode("", None);
-        let encoded = EncodedResponse {
-            bytes,
-            closes_connection: true,
-            has_unread_input: true,
-            open_request: None,
-        };
-        self.pending.push_back(Box::pin(std::future::ready(encoded)));
+        let _open_request = OpenRequest::new(&self.state);
+        let ready = ReadyResponse { response, head, has_unread_input: true, _open_request };
+        self.pending.push_back(Box::pin(std::future::ready(ready)));
     }
 
-    async fn write_response(&mut self, response: EncodedResponse) -> io::Result<()> {
-        self.state.link.write(&mut self.stream, &response.bytes).await?;
+    async fn write_response(&mut self, ready: ReadyResponse) -> io::Result<()> {
+        let is_stopping = *self.state.stopping.borrow();
+        // Requests behind this one that were sent on are answered before the connection closes.
+        let is_last = is_stopping && self.pending.is_empty();
+        let ready = if is_last { ready.with_connection_close() } else { ready };
+        self.state.link.write(&mut self.stream, &ready.encode(self.sender)).await?;
         self.last_active_at = Instant::now();
-        drop(response.open_request);
-        if response.closes_connection {
+        if ready.response.closes_connection {
             self.read_state = ReadState::Finished;
             self.pending = FuturesOrdered::new();
             self.stream.shutdown().await?;
-            if response.has_unread_input {
+            // The caller of a stopping instance doesn't expect the close, and may be sending.
+            if ready.has_unread_input || is_stopping {
                 let discarding = self.discard_input();
                 tokio::time::timeout(CLOSE_LINGER, discarding).await.unwrap_or(Ok(()))?;
             }
@@ -333,10 +305,16 @@
     /// caller disconnects. What follows the last request is discarded.
     fn wants_input(&self) -> bool {
         self.is_finished()
-            || self.pending.len() < PIPELINED_MAX
+            || self.pending.len() < self.pipelined_max()
             || self.buffer.len() < PIPELINED_MAX_BYTES
     }
 
+    /// Returns how many requests may be in progress. While the instance stops, the connection
+    /// is closed after the response to the last one.
+    fn pipelined_max(&self) -> usize {
+        if *self.state.stopping.borrow() { 1 } else { PIPELINED_MAX }
+    }
+
     fn is_finished(&self) -> bool {
         matches!(self.read_state, ReadState::Finished)
     }
@@ -380,21 +358,3 @@
     }
     Ok(())
 }
-
-/// Counts a request as open until dropped.
-struct OpenRequest {
-    state: Rc<EntryState>,
-}
-
-impl OpenRequest {
-    fn new(state: &Rc<EntryState>) -> Self {
-        state.open_requests.set(state.open_requests.get() + 1);
-        Self { state: state.clone() }
-    }
-}
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.state.open_requests.set(self.state.open_requests.get() - 1);
-    }
-}
--- a/src/runtime/entry_node/mod.rs
+++ b/src/runtime/entry_node/mod.rs
@@ -17,6 +17,7 @@
 mod notices;
 mod pool;
 mod readiness;
+mod ready_response;
 mod request;
 mod response;
 mod state;
@@ -25,7 +26,7 @@
 
 use tracing::info;
 
-use self::{callers::Sender, metrics::EntryMetrics, state::EntryState};
+use self::{metrics::EntryMetrics, ready_response::Sender, state::EntryState};
 use super::{
     http_handler::{listen, serve_http_handler},
     metrics_server::{MetricsConfig, TextFuture, serve_metrics},
--- /dev/null
+++ b/src/runtime/entry_node/ready_response.rs
@@ -0,0 +1,64 @@
+//! Responses that wait to be written to a connection.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+
+use super::{response::Response, state::EntryState};
+use crate::{net::http1::RequestHead, platform::headers};
+
+/// Who sends requests over a connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Sender {
+    Caller,
+    /// Another entry instance, which hands over requests of its callers.
+    Peer,
+}
+
+/// A response that is ready to be written.
+pub(super) struct ReadyResponse {
+    pub(super) response: Response,
+    /// The head of the request, if it could be read.
+    pub(super) head: Option<RequestHead>,
+    /// Whether the caller may still send input, which is then discarded.
+    pub(super) has_unread_input: bool,
+    /// Keeps the request open until the response is written, so that a stop waits for it.
+    pub(super) _open_request: OpenRequest,
+}
+
+impl ReadyResponse {
+    /// Makes this the last response on its connection.
+    pub(super) fn with_connection_close(mut self) -> Self {
+        self.response = self.response.with_connection_close();
+        self
+    }
+
+    /// Encodes the response for the sender of the request.
+    pub(super) fn encode(&self, sender: Sender) -> Bytes {
+        let head = self.head.as_ref();
+        let method = head.map_or("", |head| head.method.as_str());
+        let id = head.and_then(|head| headers::request_id(&head.headers));
+        match sender {
+            Sender::Caller => self.response.encode(method, id),
+            Sender::Peer => self.response.encode_for_peer(method, id),
+        }
+    }
+}
+
+/// Counts a request as open until dropped.
+pub(super) struct OpenRequest {
+    state: Rc<EntryState>,
+}
+
+impl OpenRequest {
+    pub(super) fn new(state: &Rc<EntryState>) -> Self {
+        state.open_requests.set(state.open_requests.get() + 1);
+        Self { state: state.clone() }
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.state.open_requests.set(self.state.open_requests.get() - 1);
+    }
+}
--- a/tests/processes/entry.rs
+++ b/tests/processes/entry.rs
@@ -38,6 +38,7 @@
 pub(super) const SERVICE: &str = "orders";
 const MEMORY_MB: u64 = 64;
 pub(super) const LINK_MBPS: f64 = 1000.0;
+const GRACE_S: f64 = 6.0;
 /// The length of the body of [`large_response`].
 const LARGE_BYTES: usize = 400_000;
 
@@ -85,6 +86,25 @@
         control: MeshHandler<NodeRequest, NodeReply>,
         events: mpsc::UnboundedReceiver<Event>,
         link_mbps: f64,
+    ) -> Self {
+        Self::launch_with(number, control, events, (link_mbps, GRACE_S)).await
+    }
+
+    /// Starts the instance with another time from SIGTERM to SIGKILL.
+    pub(super) async fn launch_with_grace(
+        number: u32,
+        control: MeshHandler<NodeRequest, NodeReply>,
+        events: mpsc::UnboundedReceiver<Event>,
+        grace_s: f64,
+    ) -> Self {
+        Self::launch_with(number, control, events, (LINK_MBPS, grace_s)).await
+    }
+
+    async fn launch_with(
+        number: u32,
+        control: MeshHandler<NodeRequest, NodeReply>,
+        events: mpsc::UnboundedReceiver<Event>,
+        (link_mbps, grace_s): (f64, f64),
     ) -> Self {
         let ip = ip(number);
         let folder =
@@ -98,7 +118,7 @@
             "listen": {"front": format!("{ip}:8144"), "ready": format!("{ip}:8140")},
             "cluster_ports": [7660, 7675], "seeds": seeds, "bootstrap": true, "data_dir": null,
             "limits": {"cpu_share": 1.0, "memory_mb": MEMORY_MB, "max_fds": 4000, "link_mbps": link_mbps},
-            "bounds": {"grace_s": 6, "retry_slack": 1000.0},
+            "bounds": {"grace_s": grace_s, "retry_slack": 1000.0},
         });
         let file = folder.join("node.json");
         fs::write(&file, settings.to_string()).unwrap();
@@ -122,6 +142,12 @@
         }
     }
 
+    /// Begins a planned stop.
+    pub(super) fn terminate(&self) {
+        let pid = self.process.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    }
+
     pub(super) async fn connect(&self) -> TcpStream {
         TcpStream::connect(format!("{}:8144", self.ip)).await.unwrap()
     }
@@ -355,8 +381,7 @@
     let mut caller = rig.connect().await;
     caller.write_all(request("r1", "close").as_bytes()).await.unwrap();
     assert_eq!(rig.next_event().await, Event::Requested);
-    let pid = rig.process.id().to_string();
-    assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    rig.terminate();
     let mut response = Vec::new();
     timeout(WAIT_TIMEOUT, caller.read_to_end(&mut response)).await.unwrap().unwrap();
     assert!(response.len() > LARGE_BYTES, "cut after {} bytes", response.len());
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -6,6 +6,7 @@
 mod faulty_upstreams;
 mod guide;
 mod hand_over;
+mod late_requests;
 mod notices;
 mod platform;
 mod requests;
