Answer every request that a stopping instance has taken

What callers saw: in a planned stop, requests that came after SIGTERM were taken and sent to upstreams, and their connections were cut at the end of the grace period with no answer, among them requests that run at most once. A request whose body was arriving was cut too. With a grace period under 2.5 s requests were taken until the process ended.

Cause: the stop had one time from which new requests were refused and one at which the process ended, whatever was open. Neither depended on what requests needed, and nothing answered those that were left.

Now `core::StopPlan` derives three times from the grace period, and the stop has phases. A request is sent on, first or again, if it ends before the stop answers what is left: by its route's latency objective if it may be repeated, by its deadline if not, since its outcome would be unknown. Otherwise it is refused, not run, reason `stopping`. Then all requests are refused, also those whose body is still arriving; the refusal has the request's id, so that a peer that handed it over tries another one. `explain` names the stop as the cause by the new line `ended by the stop`. Peers' idle connections stay open, since a close that crosses a request handed over leaves its outcome unknown. Refusals move to a module of their own.

Refusing by the deadline alone would turn away long reads that normally take a second or two; refusing nothing would leave bookings unknown.

Evidence, on the code before:

requests_that_a_stop_can_not_complete_are_refused_and_none_is_cut cut, grace 0.5 s left: ["longest", "menu-0-2", "menu-3-2", "menu-6-2", "menu-9-2", "order-10-2", "order-11-2", "order-2-2", "order-4-2", "order-5-2", "order-7-2", "order-8-2"] right: [] a_stop_refuses_a_request_whose_body_does_not_arrive_in_time left: None right: Some((503, false)) a_stop_takes_late_requests_that_may_be_repeated_and_will_probably_complete left: [(200, false), (200, false), (200, false), (200, false)] right: [(200, false), (503, false), (200, false), (200, false)]

--- a/src/explain/explanation.rs
+++ b/src/explain/explanation.rs
@@ -123,6 +123,7 @@
             field("path"),
         ),
         "caller left" => format!("the caller left after {} ms", field("took_ms")),
+        "ended by the stop" => "ended by the stop of the instance, and it may have run".to_owned(),
         "retry budget spent" => format!("no retry is left for {}", field("service")),
         other => other.to_owned(),
     };
@@ -186,6 +187,10 @@
     match (line.text("source"), status) {
         (Some("upstream"), ..400) => "none: it was served".to_owned(),
         (Some("upstream"), _) => format!("{} answered {status} itself", line.display("upstream")),
+        (_, 504) if last_line("ended by the stop").is_some() => format!(
+            "the instance stopped before the answer of {} came; it may have run",
+            line.display("upstream")
+        ),
         (_, 504) => format!(
             "no answer of {} came within the route's time; it may have run",
             line.display("upstream")
--- a/src/runtime/entry_node/announce.rs
+++ b/src/runtime/entry_node/announce.rs
@@ -27,7 +27,7 @@
             return;
         }
     };
-    let mut stopping = state.stopping.subscribe();
+    let mut stop_phases = state.stop_phase.subscribe();
     loop {
         state.pool.borrow_mut().close_expired();
         state.peer_pool.borrow_mut().close_expired();
@@ -49,7 +49,7 @@
         }
         tokio::select! {
             () = tokio::time::sleep(ANNOUNCE_INTERVAL) => {}
-            changed = stopping.changed() => if changed.is_err() { return },
+            changed = stop_phases.changed() => if changed.is_err() { return },
         }
     }
 }
--- a/src/runtime/entry_node/callers.rs
+++ b/src/runtime/entry_node/callers.rs
@@ -15,12 +15,13 @@
 use super::{
     exchange,
     ready_response::{OpenRequest, ReadyResponse, Sender},
+    refusal::refuse_for_stop,
     request::Request,
     response::Response,
     state::EntryState,
 };
 use crate::{
-    core::routing::CallerLimits,
+    core::{StopPhase, routing::CallerLimits},
     net::{
         http1::{BodyError, BodyReader, Framing, HeadError, RequestHead, parse_request_head},
         mesh::configure_stream,
@@ -110,9 +111,10 @@
     }
 
     async fn serve(&mut self) -> io::Result<()> {
-        let mut stopping = self.state.stopping.subscribe();
+        let mut stop_phases = self.state.stop_phase.subscribe();
         loop {
             self.parse_requests().await?;
+            self.refuse_partial_request();
             if self.is_finished() && self.pending.is_empty() {
                 return Ok(());
             }
@@ -120,7 +122,7 @@
             let deadline = self.read_deadline();
             tokio::select! {
                 biased;
-                _ = stopping.changed() => {}
+                _ = stop_phases.changed() => {}
                 Some(response) = self.pending.next() => {
                     self.write_response(response).await?;
                 }
@@ -198,6 +200,11 @@
             self.push_last_response(response, Some(head));
             return Ok(());
         }
+        if self.state.stop_phase() >= StopPhase::Refusing {
+            let response = refuse_for_stop(&self.state, &head);
+            self.push_last_response(response, Some(head));
+            return Ok(());
+        }
         if head
             .headers
             .get_str("expect")
@@ -256,6 +263,22 @@
         }));
     }
 
+    /// Refuses a request whose body is still arriving, if the process is about to exit.
+    fn refuse_partial_request(&mut self) {
+        let is_refusing = self.state.stop_phase() >= StopPhase::Refusing;
+        if !is_refusing || !self.pending.is_empty() {
+            return;
+        }
+        let read_state = std::mem::replace(&mut self.read_state, ReadState::Head);
+        match read_state {
+            ReadState::Body { head, .. } => {
+                let response = refuse_for_stop(&self.state, &head);
+                self.push_last_response(response, Some(*head));
+            }
+            read_state => self.read_state = read_state,
+        }
+    }
+
     /// Responds with an error and stops reading from the connection.
     fn reject(&mut self, status: u16, error: &str) {
         self.push_last_response(Response::local(status, error).with_connection_close(), None);
@@ -270,7 +293,7 @@
     }
 
     async fn write_response(&mut self, ready: ReadyResponse) -> io::Result<()> {
-        let is_stopping = *self.state.stopping.borrow();
+        let is_stopping = self.state.stop_phase() > StopPhase::Serving;
         // Requests behind this one that were sent on are answered before the connection closes.
         let is_last = is_stopping && self.pending.is_empty();
         let ready = if is_last { ready.with_connection_close() } else { ready };
@@ -312,7 +335,7 @@
     /// Returns how many requests may be in progress. While the instance stops, the connection
     /// is closed after the response to the last one.
     fn pipelined_max(&self) -> usize {
-        if *self.state.stopping.borrow() { 1 } else { PIPELINED_MAX }
+        if self.state.stop_phase() > StopPhase::Serving { 1 } else { PIPELINED_MAX }
     }
 
     fn is_finished(&self) -> bool {
@@ -339,7 +362,9 @@
         if !self.is_idle() {
             return self.last_active_at + self.limits.idle_timeout.max(self.limits.header_timeout);
         }
-        if *self.state.stopping.borrow() {
+        // Peers notice a closed connection only when they use it, and no longer choose this
+        // instance by the time that it exits.
+        if self.state.stop_phase() > StopPhase::Serving && self.sender == Sender::Caller {
             return (self.last_active_at + self.limits.idle_timeout)
                 .min(Instant::now() + STOP_IDLE_TIMEOUT);
         }
--- a/src/runtime/entry_node/exchange.rs
+++ b/src/runtime/entry_node/exchange.rs
@@ -9,6 +9,7 @@
     hand_over::{HandOverOutcome, hand_over},
     links::record_unreachable,
     metrics::RequestOutcome,
+    refusal::{RETRY_AFTER_DEFAULT, RETRY_AFTER_STOPPING, refuse, reject_unrouted},
     request::Request,
     response::Response,
     state::EntryState,
@@ -26,13 +27,6 @@
     runtime::logs::REQUEST_TARGET,
 };
 
-/// The timeout of requests that do not specify one.
-const TIMEOUT_DEFAULT: Duration = Duration::from_secs(30);
-/// The `Retry-After` of refused requests if no expected wait is known.
-const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(300);
-/// The `Retry-After` of requests that are refused while the instance stops. It is
-/// short since the caller should send the request to another instance.
-const RETRY_AFTER_STOPPING: Duration = Duration::from_millis(20);
 /// A request is refused if its expected wait exceeds this fraction of its
 /// route's latency objective.
 const WAIT_FRACTION_MAX: f64 = 0.6;
@@ -43,9 +37,6 @@
 /// produced.
 pub(super) async fn handle_request(state: &Rc<EntryState>, request: &Request) -> Response {
     let id = headers::request_id(&request.head.headers).unwrap_or_default();
-    if state.refuses_requests() {
-        return refuse(state, id, "stopping", RETRY_AFTER_STOPPING);
-    }
     if !state.has_configuration() {
         return refuse(state, id, "no_configuration", RETRY_AFTER_DEFAULT);
     }
@@ -54,16 +45,7 @@
     }
     let routes = state.routes.borrow().clone();
     let Some((name, route)) = routes.find(request.host(), request.path()) else {
-        let (host, path) = (request.host(), request.path());
-        info!(
-            target: REQUEST_TARGET,
-            request = id,
-            host,
-            path,
-            config = state.config_version(),
-            "no route"
-        );
-        return Response::local(404, "no_route");
+        return reject_unrouted(state, request);
     };
     let Some(service) = route.destination.pick(rand::random()) else {
         return refuse(state, id, "no_service", RETRY_AFTER_DEFAULT);
@@ -75,8 +57,6 @@
     }
     let attempts_max = request.relay_terms.map_or(u32::MAX, |terms| terms.attempts_max);
     let key = headers::affinity_key(&request.head.headers).unwrap_or(id);
-    let caller_timeout = headers::timeout(&request.head.headers).unwrap_or(TIMEOUT_DEFAULT);
-    let timeout = caller_timeout.min(route.timeout);
     let mut exchange = Exchange {
         state,
         request,
@@ -86,7 +66,7 @@
         service,
         key,
         object: object_id(name, key),
-        deadline: request.arrived_at + timeout,
+        deadline: request.arrived_at + request.timeout().min(route.timeout),
         attempts_max: attempts_max.min(route.attempts_max),
         tried: Vec::new(),
         attempts: 0,
@@ -131,25 +111,28 @@
 
 impl Exchange<'_> {
     async fn run(&mut self) -> Response {
-        let time_left = self.deadline.saturating_sub(self.state.clock.now());
-        let response = match tokio::time::timeout(time_left, self.try_upstreams()).await {
-            Ok(response) => response,
-            Err(_) if self.is_sent || self.may_have_run => Response::local(504, "timeout"),
-            Err(_) => self.refuse("timeout", RETRY_AFTER_DEFAULT),
+        let state = self.state;
+        let time_left = self.deadline.saturating_sub(state.clock.now());
+        let response = tokio::select! {
+            biased;
+            result = tokio::time::timeout(time_left, self.try_upstreams()) => match result {
+                Ok(response) => response,
+                Err(_) if self.is_sent || self.may_have_run => Response::local(504, "timeout"),
+                Err(_) => self.refuse("timeout", RETRY_AFTER_DEFAULT),
+            },
+            () = state.stop_ends() => self.end_for_stop(),
         };
         self.is_done = true;
         self.record_outcome(RequestOutcome::new(response.status, response.is_local()));
-        let (status, upstream, attempts) = (response.status, self.tried.last(), self.attempts);
-        let took_ms = self.elapsed_ms();
         let source = if response.is_local() { "instance" } else { "upstream" };
         info!(
             target: REQUEST_TARGET,
             request = self.id,
-            status,
+            status = response.status,
             source,
-            upstream,
-            attempts,
-            took_ms,
+            upstream = self.tried.last(),
+            attempts = self.attempts,
+            took_ms = self.elapsed_ms(),
             "answered"
         );
         response
@@ -157,6 +140,9 @@
 
     async fn try_upstreams(&mut self) -> Response {
         loop {
+            if !self.state.can_complete(self.expected_end()) {
+                return self.end_for_stop();
+            }
             if self.state.links.are_lost(self.service) && !self.has_asked_peers {
                 if self.request.relay_terms.is_some() {
                     return self.refuse("unreachable", RETRY_AFTER_DEFAULT);
@@ -207,9 +193,8 @@
         let terms =
             RelayTerms { attempts_max: attempts_left, config_version: self.state.config_version() };
         let (state, request) = (self.state, self.request);
-        let homes = &self.route.home_regions;
         self.is_sent = true;
-        match hand_over(state, request, terms, homes, self.deadline).await {
+        match hand_over(state, request, terms, &self.route.home_regions, self.deadline).await {
             HandOverOutcome::Responded(response) => Some(response),
             HandOverOutcome::Refused { retry_after } => {
                 Some(self.refuse("peer_refused", retry_after))
@@ -362,6 +347,24 @@
         info!(target: REQUEST_TARGET, request = self.id, upstream = choice.id, %error, "{message}");
     }
 
+    /// Returns when the request will probably have ended if it is sent now, or certainly if it
+    /// can't be repeated.
+    fn expected_end(&self) -> Duration {
+        if !self.route.execution.is_repeatable() {
+            return self.deadline;
+        }
+        self.deadline.min(self.state.clock.now() + self.route.objective)
+    }
+
+    /// Ends the request because the process is about to exit.
+    fn end_for_stop(&self) -> Response {
+        if self.is_sent || self.may_have_run {
+            info!(target: REQUEST_TARGET, request = self.id, "ended by the stop");
+            return Response::local(504, "stopping");
+        }
+        self.refuse("stopping", RETRY_AFTER_STOPPING)
+    }
+
     /// Ends the request without a further attempt. It is refused, unless an earlier attempt may
     /// have run it.
     fn refuse(&self, reason: &'static str, retry_after: Duration) -> Response {
@@ -394,19 +397,3 @@
         }
     }
 }
-
-/// Counts and logs a refused request, and returns its 503 response. The request has
-/// not run.
-fn refuse(state: &EntryState, id: &str, reason: &'static str, retry_after: Duration) -> Response {
-    state.metrics.record_refused(reason);
-    info!(
-        target: REQUEST_TARGET,
-        request = id,
-        reason,
-        retry_after_ms = retry_after.as_millis() as u64,
-        config = state.config_version(),
-        list_age_ms = state.list_age_ms(),
-        "refused"
-    );
-    Response::local(503, reason).with_retry_after(retry_after)
-}
--- a/src/runtime/entry_node/mod.rs
+++ b/src/runtime/entry_node/mod.rs
@@ -18,6 +18,7 @@
 mod pool;
 mod readiness;
 mod ready_response;
+mod refusal;
 mod request;
 mod response;
 mod state;
@@ -32,7 +33,7 @@
     metrics_server::{MetricsConfig, TextFuture, serve_metrics},
     node_error::NodeError,
 };
-use crate::settings::NodeSettings;
+use crate::{core::StopPhase, settings::NodeSettings};
 
 /// A running entry instance. All of its tasks run on one thread, inside a
 /// `LocalSet`.
@@ -42,9 +43,6 @@
 
 /// How often [`EntryNode::stop`] checks whether all requests have ended.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// How long before the end of the stop grace period [`EntryNode::stop`] returns, even
-/// if requests are still open.
-const STOP_MARGIN: Duration = Duration::from_millis(350);
 
 impl EntryNode {
     /// Starts the entry instance that the settings describe. Must be called
@@ -97,24 +95,37 @@
     }
 
     /// Withdraws the instance from the directory, lets requests in flight
-    /// finish, and returns when they have or when the stop grace period has
-    /// almost elapsed.
+    /// finish, and returns when they have. Shortly before the end of the stop grace
+    /// period, those that are left are answered with errors.
     pub async fn stop(&self) {
-        info!(instance = self.state.settings.instance, "entry stops");
-        self.state.begin_stop();
-        let limit = self.state.settings.bounds.stop_grace.saturating_sub(STOP_MARGIN);
-        let deadline = tokio::time::Instant::now() + limit;
-        tokio::time::sleep(STOP_SERVE_MIN.min(limit)).await;
-        while self.state.open_requests.get() > 0 && tokio::time::Instant::now() < deadline {
-            tokio::time::sleep(STOP_POLL_INTERVAL).await;
+        let plan = self.state.begin_stop();
+        let open_requests = || self.state.open_requests.get();
+        info!(instance = self.state.settings.instance, open = open_requests(), "entry stops");
+        // Callers may use an address that the directory returned earlier, even if none does now.
+        tokio::time::sleep(plan.refuse_at.saturating_sub(self.state.clock.now())).await;
+        self.state.stop_phase.send_replace(StopPhase::Refusing);
+        self.wait_idle_until(plan.answer_by).await;
+        let unfinished = open_requests();
+        self.state.stop_phase.send_replace(StopPhase::Ending);
+        self.wait_idle_until(plan.exit_at).await;
+        info!(unfinished, open = open_requests(), "entry stopped");
+    }
+
+    /// Waits until no request is open, or until `deadline`, by the instance's clock.
+    async fn wait_idle_until(&self, deadline: Duration) {
+        loop {
+            let time_left = deadline.saturating_sub(self.state.clock.now());
+            if time_left.is_zero() {
+                return;
+            }
+            // Connections first act on the new phase, which may open refused requests.
+            tokio::time::sleep(STOP_POLL_INTERVAL.min(time_left)).await;
+            if self.state.open_requests.get() == 0 {
+                return;
+            }
         }
-        info!(open = self.state.open_requests.get(), "entry stopped");
     }
 }
 
-/// How long the instance keeps serving after a stop has begun, even if it is idle.
-/// Callers may still use an address that the directory returned earlier.
-const STOP_SERVE_MIN: Duration = Duration::from_millis(2500);
-
 /// A boolean that is shared between threads.
 type Flag = Arc<std::sync::atomic::AtomicBool>;
--- a/src/runtime/entry_node/request.rs
+++ b/src/runtime/entry_node/request.rs
@@ -1,5 +1,7 @@
 //! Represents the requests that callers send.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 
 use crate::{
@@ -16,12 +18,20 @@
     pub(super) head: RequestHead,
     pub(super) body: Bytes,
     /// When the head had fully arrived, by the instance's clock.
-    pub(super) arrived_at: std::time::Duration,
+    pub(super) arrived_at: Duration,
     /// The terms on which it is taken over from a peer; `None` if a caller sent it.
     pub(super) relay_terms: Option<RelayTerms>,
 }
 
+/// The timeout of requests that do not specify one.
+const TIMEOUT_DEFAULT: Duration = Duration::from_secs(30);
+
 impl Request {
+    /// Returns how long after its arrival the caller waits for the response.
+    pub(super) fn timeout(&self) -> Duration {
+        headers::timeout(&self.head.headers).unwrap_or(TIMEOUT_DEFAULT)
+    }
+
     /// Returns the request's id, if it has one.
     pub(super) fn id(&self) -> Option<&str> {
         headers::request_id(&self.head.headers)
--- a/src/runtime/entry_node/state.rs
+++ b/src/runtime/entry_node/state.rs
@@ -16,7 +16,7 @@
 };
 use crate::{
     core::{
-        RecentMax,
+        RecentMax, StopPhase, StopPlan,
         admission::RetryBudget,
         balance::{Balancer, ColdLimit, Locality},
         control::{InstanceName, Policy, ServiceName, ZoneName},
@@ -60,8 +60,9 @@
     /// When the current list of upstreams was read from the platform.
     pub(super) list_read_at: Cell<Option<Duration>>,
     pub(super) is_ready: Flag,
-    pub(super) stopping: watch::Sender<bool>,
-    stop_started_at: Cell<Option<Duration>>,
+    pub(super) stop_phase: watch::Sender<StopPhase>,
+    /// The times of the stop, once one has begun.
+    stop_plan: Cell<Option<StopPlan>>,
     pub(super) open_requests: Cell<usize>,
     pub(super) metrics: EntryMetrics,
     dropped_lines: DroppedLines,
@@ -80,9 +81,6 @@
 const PEERS_INTERVAL: Duration = Duration::from_secs(5);
 /// The minimum time between two demand reports.
 const DEMAND_REPORT_INTERVAL: Duration = Duration::from_millis(1500);
-/// How long new requests are still accepted after a stop has begun. Later requests
-/// might not finish before the process has to exit.
-const STOP_ACCEPT_WINDOW: Duration = Duration::from_millis(2500);
 
 impl EntryState {
     /// Creates the state of an instance that has not reached a control replica yet.
@@ -123,8 +121,8 @@
             pool: RefCell::default(),
             list_read_at: Cell::new(None),
             is_ready: Flag::default(),
-            stopping: watch::Sender::new(false),
-            stop_started_at: Cell::new(None),
+            stop_phase: watch::Sender::default(),
+            stop_plan: Cell::new(None),
             open_requests: Cell::new(0),
             metrics,
             dropped_lines,
@@ -261,26 +259,39 @@
         self.policy.borrow().routing.version > 0
     }
 
-    /// Returns whether new requests are refused because the process is about to
-    /// exit.
-    pub(super) fn refuses_requests(&self) -> bool {
-        let started_at = self.stop_started_at.get();
-        started_at.is_some_and(|started_at| self.clock.now() > started_at + STOP_ACCEPT_WINDOW)
+    /// Returns whether a request that ends at `end` is answered before the process exits.
+    pub(super) fn can_complete(&self, end: Duration) -> bool {
+        self.stop_plan.get().is_none_or(|plan| end <= plan.answer_by)
+    }
+
+    /// Returns how far the stop has come.
+    pub(super) fn stop_phase(&self) -> StopPhase {
+        *self.stop_phase.borrow()
+    }
+
+    /// Completes when all requests in progress have to be answered because the process is
+    /// about to exit.
+    pub(super) async fn stop_ends(&self) {
+        let mut phases = self.stop_phase.subscribe();
+        // The sender lives as long as `self`.
+        phases.wait_for(|phase| *phase == StopPhase::Ending).await.ok();
     }
 
     /// Recomputes whether the instance is ready for callers.
     pub(super) fn update_readiness(&self) {
         let ready = self.has_configuration()
             && !self.balancer.borrow().is_empty()
-            && !*self.stopping.borrow();
+            && self.stop_phase() == StopPhase::Serving;
         self.is_ready.store(ready, Ordering::Relaxed);
     }
 
-    /// Begins a stop: marks the instance as not ready, so that the directory stops
-    /// naming it to callers.
-    pub(super) fn begin_stop(&self) {
-        self.stop_started_at.set(Some(self.clock.now()));
-        self.stopping.send_replace(true);
+    /// Begins a stop and returns its times. Marks the instance as not ready, so that the
+    /// directory stops naming it to callers.
+    pub(super) fn begin_stop(&self) -> StopPlan {
+        let plan = StopPlan::new(self.clock.now(), self.settings.bounds.stop_grace);
+        self.stop_plan.set(Some(plan));
+        self.stop_phase.send_replace(StopPhase::Draining);
         self.update_readiness();
+        plan
     }
 }
--- a/tests/it/explain.rs
+++ b/tests/it/explain.rs
@@ -40,3 +40,22 @@
     });
     insta::assert_snapshot!("explained_paused", explain_request("r1", lines));
 }
+
+/// A response that the stop of the instance replaced must not pass for a timeout.
+#[test]
+fn the_stop_of_the_instance_is_named_as_the_cause() {
+    let lines = [
+        r#"{"message": "sent", "upstream": "i-1", "attempt": 1}"#,
+        r#"{"message": "ended by the stop"}"#,
+        r#"{"message": "answered", "status": 504, "source": "instance", "upstream": "i-1"}"#,
+    ];
+    let lines = lines.iter().enumerate().map(|(index, line)| {
+        let fields = format!(r#"{{"request": "r1", "timestamp": "{index}", "#);
+        LogLine::parse("e1", index + 1, &line.replacen('{', &fields, 1))
+    });
+    let cause = explain_request("r1", lines).cause;
+    insta::assert_snapshot!(
+        cause,
+        @"the instance stopped before the answer of i-1 came; it may have run"
+    );
+}
--- a/tests/processes/late_requests.rs
+++ b/tests/processes/late_requests.rs
@@ -10,17 +10,19 @@
 use tokio::{
     io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
     net::{TcpListener, TcpStream},
-    sync::mpsc,
+    sync::{mpsc, watch},
     time::{sleep, timeout},
 };
 
 use super::{
     entry::{Rig, WAIT_TIMEOUT, address, listed_upstream},
-    hand_over::control,
+    hand_over::{self, control, peer, unreachable_upstreams},
 };
 
 /// How often an upstream received the request with each id.
 type Received = Arc<Mutex<BTreeMap<String, u32>>>;
+/// The status of the answer to the request with each id; `None` if it ended without one.
+type Answers = BTreeMap<String, Option<u16>>;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -91,6 +93,119 @@
     Ok((status, field(&head, "Connection") != Some("close")))
 }
 
+/// Sends requests of different lengths one after another until `stopping` is set and the
+/// instance takes no more connections.
+async fn send_until_gone(
+    rig_address: String,
+    caller: usize,
+    stopping: watch::Receiver<bool>,
+) -> Answers {
+    let keeps_connection = caller.is_multiple_of(2);
+    let route = if caller.is_multiple_of(3) { "menu" } else { "order" };
+    let mut answers = Answers::new();
+    let mut kept = None;
+    for number in 0.. {
+        let mut stream = match kept.take() {
+            Some(stream) => stream,
+            None => match TcpStream::connect(&rig_address).await {
+                Ok(stream) => BufReader::new(stream),
+                Err(_) if *stopping.borrow() => break,
+                Err(error) => panic!("the instance is gone before the stop: {error}"),
+            },
+        };
+        let work_ms = [20, 1000, 150, 3000][(caller + number) % 4];
+        let deadline_ms = [1000, 20_000][number / 2 % 2];
+        let id = format!("{route}-{caller}-{number}");
+        let sent = stream.write_all(request(route, &id, work_ms, deadline_ms).as_bytes()).await;
+        let answer = match sent {
+            Ok(()) => read_response(&mut stream).await.ok(),
+            Err(_) => None,
+        };
+        answers.insert(id, answer.map(|(status, _)| status));
+        if keeps_connection && answer.is_some_and(|(_, is_kept)| is_kept) {
+            kept = Some(stream);
+        }
+        // The instance refuses late requests at once.
+        sleep(Duration::from_millis(10)).await;
+    }
+    answers
+}
+
+/// Planned stops in calm: requests that were taken late in the grace period were cut at its end
+/// with no answer, among them requests that run at most once.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_a_stop_can_not_complete_are_refused_and_none_is_cut() {
+    let checks = [(12, 0.5), (13, 2.0), (14, 6.0)].map(|(number, grace_s)| async move {
+        let (rig, received) = start(number, grace_s).await;
+        let (stopping_sender, stopping) = watch::channel(false);
+        let callers: Vec<_> = (0..12)
+            .map(|caller| {
+                let rig_address = address(number, 8144);
+                tokio::spawn(send_until_gone(rig_address, caller, stopping.clone()))
+            })
+            .collect();
+        // Keeps the instance at work until the end of the grace period.
+        let mut longest = BufReader::new(rig.connect().await);
+        let longest_request = request("order", "longest", 15_000, 20_000);
+        longest.write_all(longest_request.as_bytes()).await.unwrap();
+        while received.lock().unwrap().len() < 24 {
+            sleep(POLL_INTERVAL).await;
+        }
+        stopping_sender.send_replace(true);
+        rig.terminate();
+        sleep(POLL_INTERVAL).await;
+        // A second signal changes nothing.
+        rig.terminate();
+        let longest_answer = read_response(&mut longest).await.ok().map(|(status, _)| status);
+        let mut answers = Answers::from([("longest".to_owned(), longest_answer)]);
+        for caller in callers {
+            answers.extend(caller.await.unwrap());
+        }
+        check_answers(&answers, &received.lock().unwrap(), grace_s);
+    });
+    futures_util::future::join_all(checks).await;
+}
+
+fn check_answers(answers: &Answers, received: &BTreeMap<String, u32>, grace_s: f64) {
+    let received_ids = |answer: Option<u16>| -> Vec<&String> {
+        let ids =
+            answers.iter().filter(|(id, given)| **given == answer && received.contains_key(*id));
+        ids.map(|(id, _)| id).collect()
+    };
+    assert_eq!(received_ids(None), Vec::<&String>::new(), "cut, grace {grace_s} s");
+    assert_eq!(received_ids(Some(503)), Vec::<&String>::new(), "refused, but sent on");
+    assert!(received.values().all(|count| *count == 1), "run twice: {received:?}");
+    let has = |status| answers.values().any(|answer| *answer == Some(status));
+    assert!(has(200) && has(503), "grace {grace_s} s: {answers:?}");
+    assert_eq!(answers["longest"], Some(504));
+}
+
+/// Planned stops that refused requests which would have been answered in good time: those that
+/// may be repeated are taken if their route's latency objective leaves them the time.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_takes_late_requests_that_may_be_repeated_and_will_probably_complete() {
+    let (rig, received) = start(15, 6.0).await;
+    // Keeps the instance from exiting.
+    let mut longest = BufReader::new(rig.connect().await);
+    longest.write_all(request("menu", "longest", 15_000, 20_000).as_bytes()).await.unwrap();
+    while received.lock().unwrap().is_empty() {
+        sleep(POLL_INTERVAL).await;
+    }
+    rig.terminate();
+    sleep(Duration::from_millis(300)).await;
+    let mut statuses = Vec::new();
+    for (route, deadline_ms) in
+        [("menu", 20_000), ("order", 20_000), ("order", 2000), ("menu", 2000)]
+    {
+        let mut caller = BufReader::new(rig.connect().await);
+        let id = format!("{route}-{deadline_ms}");
+        caller.write_all(request(route, &id, 20, deadline_ms).as_bytes()).await.unwrap();
+        statuses.push(read_response(&mut caller).await.unwrap());
+    }
+    assert_eq!(statuses, [(200, false), (503, false), (200, false), (200, false)]);
+    assert!(!received.lock().unwrap().contains_key("order-20000"));
+}
+
 /// Planned stops while a caller's requests stand one behind another: those behind the first were
 /// dropped, though they had been sent on.
 #[tokio::test(flavor = "multi_thread")]
@@ -114,3 +229,40 @@
     assert_eq!(answers, [(200, true), (200, true), (200, true), (200, false)]);
     assert!(!received.lock().unwrap().contains_key("behind"));
 }
+
+/// Planned stops while a body arrives: the connection was cut although the request could have
+/// been refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_refuses_a_request_whose_body_does_not_arrive_in_time() {
+    let (rig, received) = start(17, 6.0).await;
+    let mut caller = BufReader::new(rig.connect().await);
+    let request = request("order", "r1", 1, 20_000).replace("Length: 0", "Length: 1000");
+    caller.write_all(request.as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(300)).await;
+    rig.terminate();
+    assert_eq!(read_response(&mut caller).await.ok(), Some((503, false)));
+    assert!(received.lock().unwrap().is_empty());
+}
+
+/// Peers that hand requests over to an instance while it stops: its refusals must name the
+/// request, so that the next peer is tried instead of a failure passed on.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_handed_over_to_a_stopping_peer_are_sent_by_another_one() {
+    let (stopping, _) = start(18, 6.0).await;
+    let (_other, received) = start(19, 6.0).await;
+    let peers = vec![peer(18), peer(19)];
+    let rig = hand_over::start(20, control(unreachable_upstreams(20), peers, 1)).await;
+    assert_eq!(hand_over::send(&rig, "menu/1", "first").await.0, 200);
+    // Keeps the stopping instance from exiting.
+    let mut longest = BufReader::new(stopping.connect().await);
+    longest.write_all(request("menu", "longest", 15_000, 20_000).as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(300)).await;
+    stopping.terminate();
+    for (number, pause_ms) in [300, 100, 600, 2000, 100].into_iter().enumerate() {
+        sleep(Duration::from_millis(pause_ms)).await;
+        let id = format!("o{number}");
+        let (status, response) = hand_over::send(&rig, "order/1", &id).await;
+        assert_eq!(status, 200, "{response}");
+        assert_eq!(received.lock().unwrap().get(&id), Some(&1));
+    }
+}
