Give the instances of the stop tests addresses that no other test looks for

Seen once in a whole run of the tests: `health_checks_keep_to_the_pause_of_an_upstream` failed with status 200 instead of 502 (tests/processes/notices.rs:246).

Cause: each test instance has a second seed at its own number plus 40, where nothing listens unless a test does, and its control replica listens at its number plus 80. Instance 53 of that test found the control replica of instance 13 of the new tests at 93 and used its upstreams; its log says `control regained` with `127.22.71.93:7660`.

The numbers now differ from all others, plus or minus 40. No check was changed.

--- a/tests/processes/late_requests.rs
+++ b/tests/processes/late_requests.rs
@@ -135,7 +135,7 @@
 /// with no answer, among them requests that run at most once.
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_that_a_stop_can_not_complete_are_refused_and_none_is_cut() {
-    let checks = [(12, 0.5), (13, 2.0), (14, 6.0)].map(|(number, grace_s)| async move {
+    let checks = [(30, 0.5), (64, 2.0), (65, 6.0)].map(|(number, grace_s)| async move {
         let (rig, received) = start(number, grace_s).await;
         let (stopping_sender, stopping) = watch::channel(false);
         let callers: Vec<_> = (0..12)
@@ -184,7 +184,7 @@
 /// may be repeated are taken if their route's latency objective leaves them the time.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stop_takes_late_requests_that_may_be_repeated_and_will_probably_complete() {
-    let (rig, received) = start(15, 6.0).await;
+    let (rig, received) = start(43, 6.0).await;
     // Keeps the instance from exiting.
     let mut longest = BufReader::new(rig.connect().await);
     longest.write_all(request("menu", "longest", 15_000, 20_000).as_bytes()).await.unwrap();
@@ -210,7 +210,7 @@
 /// dropped, though they had been sent on.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stop_answers_all_pipelined_requests_that_were_sent_on() {
-    let (rig, received) = start(16, 6.0).await;
+    let (rig, received) = start(44, 6.0).await;
     let mut caller = BufReader::new(rig.connect().await);
     for number in 0..4 {
         let request = request("menu", &format!("r{number}"), 1000 + 300 * number, 20_000);
@@ -234,7 +234,7 @@
 /// been refused.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stop_refuses_a_request_whose_body_does_not_arrive_in_time() {
-    let (rig, received) = start(17, 6.0).await;
+    let (rig, received) = start(49, 6.0).await;
     let mut caller = BufReader::new(rig.connect().await);
     let request = request("order", "r1", 1, 20_000).replace("Length: 0", "Length: 1000");
     caller.write_all(request.as_bytes()).await.unwrap();
@@ -248,10 +248,10 @@
 /// request, so that the next peer is tried instead of a failure passed on.
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_handed_over_to_a_stopping_peer_are_sent_by_another_one() {
-    let (stopping, _) = start(18, 6.0).await;
-    let (_other, received) = start(19, 6.0).await;
-    let peers = vec![peer(18), peer(19)];
-    let rig = hand_over::start(20, control(unreachable_upstreams(20), peers, 1)).await;
+    let (stopping, _) = start(45, 6.0).await;
+    let (_other, received) = start(46, 6.0).await;
+    let peers = vec![peer(45), peer(46)];
+    let rig = hand_over::start(47, control(unreachable_upstreams(47), peers, 1)).await;
     assert_eq!(hand_over::send(&rig, "menu/1", "first").await.0, 200);
     // Keeps the stopping instance from exiting.
     let mut longest = BufReader::new(stopping.connect().await);
