Test that a stopping gateway answers every request that an upstream ran

Operators told of planned stops that cut requests just accepted. Callers on new and on kept connections send all through the stop of a control replica's instance and of another one; no request that stands in an upstream's record went without an answer. It passes on the code as it is: nothing was mended here.

--- a/tests/processes/stops.rs
+++ b/tests/processes/stops.rs
@@ -1,6 +1,9 @@
 //! Tests of lost regions, planned stops and draining upstreams.
 
-use std::time::Duration;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use serde_json::Value;
 
@@ -79,6 +82,66 @@
     assert_eq!(response["instances"].as_array().unwrap().len(), 1);
 }
 
+/// Planned stops that cut requests just accepted: what an upstream ran has to be answered, also on
+/// connections that were opened during the stop.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_answers_every_request_that_an_upstream_ran() {
+    let mut deployment = Deployment::start();
+    deployment.wait_all_ready();
+    for instance in ["s2", "n3"] {
+        let callers: Vec<_> = (0..8)
+            .map(|caller| {
+                let base = deployment.callers_url(instance);
+                let keeps_connections = caller % 2 == 0;
+                tokio::spawn(send_until_gone(
+                    base,
+                    format!("{instance}-{caller}"),
+                    keeps_connections,
+                ))
+            })
+            .collect();
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        deployment.signal(instance, "TERM");
+        let mut answers = BTreeMap::new();
+        for caller in callers {
+            answers.extend(caller.await.unwrap());
+        }
+        assert_eq!(deployment.wait_exit(instance), Some(0));
+        let lines = deployment.record_lines();
+        let run_paths: BTreeSet<&str> = lines
+            .iter()
+            .filter_map(|line| line.strip_prefix("run\t")?.rsplit(['\t', '/']).next())
+            .collect();
+        let has_run = |path: &String| run_paths.contains(path.as_str());
+        assert!(answers.iter().any(|(path, is_answered)| *is_answered && has_run(path)));
+        let is_cut = |(path, is_answered): &(&String, &bool)| !**is_answered && has_run(path);
+        let cut: Vec<&String> = answers.iter().filter(is_cut).map(|(path, _)| path).collect();
+        assert_eq!(cut, Vec::<&String>::new(), "{instance}");
+    }
+}
+
+/// Sends requests one after another until the instance takes no more connections. Returns whether
+/// each path got an answer.
+async fn send_until_gone(
+    base: String,
+    caller: String,
+    keeps_connections: bool,
+) -> BTreeMap<String, bool> {
+    let idle_max = if keeps_connections { 1 } else { 0 };
+    let http =
+        reqwest::Client::builder().no_proxy().pool_max_idle_per_host(idle_max).build().unwrap();
+    let mut answers = BTreeMap::new();
+    for number in 0.. {
+        let path = format!("late-{caller}-{number}");
+        let result = http.get(format!("{base}/services/orders/{path}?ms=30")).send().await;
+        if result.as_ref().is_err_and(reqwest::Error::is_connect) {
+            break;
+        }
+        answers.insert(path, result.is_ok());
+    }
+    answers
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leaving_upstream_finishes_its_requests_and_gets_no_new_ones() {
     let deployment = Deployment::start();
