--- a/src/runtime/entry_node/callers.rs
+++ b/src/runtime/entry_node/callers.rs
@@ -3,7 +3,7 @@
 
 use std::{io, rc::Rc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use futures_util::{StreamExt, future::LocalBoxFuture, stream::FuturesOrdered};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -12,15 +12,21 @@
 };
 use tracing::{info, warn};
 
-use super::{exchange, request::Request, response::Response, state::EntryState};
+use super::{
+    exchange,
+    ready_response::{OpenRequest, ReadyResponse, Sender},
+    refusal::{refuse_for_stop, refuse_without_configuration},
+    request::Request,
+    response::Response,
+    state::EntryState,
+};
 use crate::{
-    core::routing::CallerLimits,
+    core::{StopPhase, routing::CallerLimits},
     net::{
         http1::{BodyError, BodyReader, HeadError, RequestHead, parse_request_head},
         mesh::configure_stream,
         relay::RelayTerms,
     },
-    platform::headers,
 };
 
 /// The maximum number of requests in progress on one connection.
@@ -37,14 +43,6 @@
 /// The idle timeout of connections while the instance stops.
 const STOP_IDLE_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Who sends requests over a connection.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Sender {
-    Caller,
-    /// Another entry instance, which hands over requests of its callers.
-    Peer,
-}
-
 /// Accepts connections for as long as the process runs.
 pub(super) async fn accept(state: Rc<EntryState>, listener: TcpListener, sender: Sender) {
     loop {
@@ -62,17 +60,7 @@
     }
 }
 
-type PendingResponse = LocalBoxFuture<'static, EncodedResponse>;
-
-/// A response that is ready to be written.
-struct EncodedResponse {
-    bytes: Bytes,
-    closes_connection: bool,
-    /// Whether the caller may still send input, which is then discarded.
-    has_unread_input: bool,
-    /// Keeps the request open until the response is written, so that a stop waits for it.
-    open_request: Option<OpenRequest>,
-}
+type PendingResponse = LocalBoxFuture<'static, ReadyResponse>;
 
 /// The state of one caller's connection.
 struct CallerConnection {
@@ -122,9 +110,10 @@
     }
 
     async fn serve(&mut self) -> io::Result<()> {
-        let mut stopping = self.state.stopping.subscribe();
+        let mut stop_phases = self.state.stop_phase.subscribe();
         loop {
             self.parse_requests().await?;
+            self.refuse_partial_request();
             if self.is_finished() && self.pending.is_empty() {
                 return Ok(());
             }
@@ -135,6 +124,7 @@
             let deadline = self.read_deadline();
             tokio::select! {
                 biased;
+                _ = stop_phases.changed() => {}
                 Some(response) = self.pending.next() => {
                     self.write_response(response).await?;
                 }
@@ -151,17 +141,14 @@
                 }
                 () = tokio::time::sleep_until(deadline), if self.pending.is_empty() => {
                     // A new configuration may have raised the timeout meanwhile.
-                    let is_stopping = *self.state.stopping.borrow();
+                    let is_stopping = self.state.stop_phase() > StopPhase::Serving;
                     if !is_stopping && Instant::now() < self.read_deadline() {
                         continue;
                     }
                     if self.is_idle() {
                         return Ok(());
                     }
-                    self.reject(408, "slow_request");
-                }
-                changed = stopping.changed(), if !*self.state.stopping.borrow() => {
-                    changed.ok();
+                    self.reject(408, "slow_request", None);
                 }
             }
         }
@@ -169,7 +156,7 @@
 
     /// Parses the buffered input and starts each complete request.
     async fn parse_requests(&mut self) -> io::Result<()> {
-        while self.pending.len() < PIPELINED_MAX {
+        while self.pending.len() < self.pipelined_max() {
             match &mut self.read_state {
                 ReadState::Finished => return Ok(()),
                 ReadState::Head => {
@@ -180,10 +167,10 @@
                     match parse_request_head(&mut self.buffer, header_max) {
                         Ok(None) => return Ok(()),
                         Ok(Some(head)) => self.handle_head(head).await?,
-                        Err(HeadError::TooLarge) => self.reject_size(431, "head_too_large"),
+                        Err(HeadError::TooLarge) => self.reject_size(431, "head_too_large", None),
                         Err(HeadError::Malformed(what)) => {
                             info!(what, "malformed request head");
-                            self.reject(400, "malformed");
+                            self.reject(400, "malformed", None);
                         }
                     }
                 }
@@ -193,12 +180,12 @@
                         Ok(()) => reader.is_done(),
                         Err(error) => {
                             info!(%error, "malformed request body");
-                            self.reject(400, "malformed");
+                            self.reject(400, "malformed", None);
                             continue;
                         }
                     };
                     if body.len() as u64 > body_max_bytes {
-                        self.reject_size(413, "body_too_large");
+                        self.reject_size(413, "body_too_large", None);
                     } else if is_done {
                         self.start_request();
                     } else {
@@ -216,12 +203,17 @@
         let arrived_at = self.state.clock.now();
         let host_count = head.headers.get_all("host").count();
         if host_count > 1 || (head.is_http11 && host_count == 0) || !head.target.starts_with('/') {
-            self.reject(400, "malformed");
+            self.reject(400, "malformed", Some(head));
             return Ok(());
         }
         let body_max_bytes = self.limits().body_max_bytes;
         if head.framing.length().is_some_and(|length| length > body_max_bytes) {
-            self.reject_size(413, "body_too_large");
+            self.reject_size(413, "body_too_large", Some(head));
+            return Ok(());
+        }
+        if self.state.stop_phase() >= StopPhase::Refusing {
+            let response = refuse_for_stop(&self.state, &head);
+            self.push_last_response(response, Some(head));
             return Ok(());
         }
         if head
@@ -256,74 +248,77 @@
             Sender::Caller => None,
             Sender::Peer => {
                 let Some(terms) = RelayTerms::parse(&head.headers) else {
-                    return self.reject(400, "malformed");
+                    return self.reject(400, "malformed", None);
                 };
                 Some(terms)
             }
         };
         let request = Request { head: *head, body: body.freeze(), arrived_at, relay_terms };
         let state = self.state.clone();
+        let _open_request = OpenRequest::new(&state);
         self.pending.push_back(Box::pin(async move {
-            let open_request = Some(OpenRequest::new(&state));
             let response = exchange::handle_request(&state, &request).await;
-            let closes_connection = !keeps_alive || *state.stopping.borrow();
-            let response =
-                if closes_connection { response.with_connection_close() } else { response };
-            let id = headers::request_id(&request.head.headers);
-            let bytes = if request.relay_terms.is_some() {
-                response.encode_for_peer(&request.head.method, id)
-            } else {
-                response.encode(&request.head.method, id)
-            };
-            EncodedResponse {
-                bytes,
-                closes_connection: response.closes_connection,
-                has_unread_input: false,
-                open_request,
-            }
+            let response = if keeps_alive { response } else { response.with_connection_close() };
+            let head = Some(request.head);
+            ReadyResponse { response, head, has_unread_input: false, _open_request }
         }));
     }
 
+    /// Refuses a request whose body is still arriving, if the process is about to exit.
+    fn refuse_partial_request(&mut self) {
+        let is_refusing = self.state.stop_phase() >= StopPhase::Refusing;
+        if !is_refusing || !self.pending.is_empty() {
+            return;
+        }
+        let read_state = std::mem::replace(&mut self.read_state, ReadState::Head);
+        match read_state {
+            ReadState::Body { head, .. } => {
+                let response = refuse_for_stop(&self.state, &head);
+                self.push_last_response(response, Some(*head));
+            }
+            read_state => self.read_state = read_state,
+        }
+    }
+
     /// Responds with an error and stops reading from the connection.
-    fn reject(&mut self, status: u16, error: &str) {
+    fn reject(&mut self, status: u16, error: &str, head: Option<RequestHead>) {
         let (sender, config) = (self.sender, self.state.config_version());
         info!(status, error, ?sender, config, "request rejected; closing the connection");
-        self.push_last_response(Response::local(status, error).with_connection_close());
+        self.push_last_response(Response::local(status, error).with_connection_close(), head);
     }
 
     /// Rejects a request that is too large; before a configuration is known, the request is
     /// refused like any other.
-    fn reject_size(&mut self, status: u16, error: &str) {
+    fn reject_size(&mut self, status: u16, error: &str, head: Option<RequestHead>) {
         if self.state.has_configuration() {
-            self.reject(status, error);
+            self.reject(status, error, head);
         } else {
-            let response = exchange::refuse_without_configuration(&self.state, "");
-            self.push_last_response(response.with_connection_close());
+            let response = refuse_without_configuration(&self.state, "");
+            self.push_last_response(response.with_connection_close(), head);
         }
     }
 
     /// Queues the last response of the connection.
-    fn push_last_response(&mut self, response: Response) {
+    fn push_last_response(&mut self, response: Response, head: Option<RequestHead>) {
         self.read_state = ReadState::Finished;
-        let bytes = response.encode("", None);
-        let encoded = EncodedResponse {
-            bytes,
-            closes_connection: true,
-            has_unread_input: true,
-            open_request: None,
-        };
-        self.pending.push_back(Box::pin(std::future::ready(encoded)));
+        let _open_request = OpenRequest::new(&self.state);
+        let ready = ReadyResponse { response, head, has_unread_input: true, _open_request };
+        self.pending.push_back(Box::pin(std::future::ready(ready)));
     }
 
-    async fn write_response(&mut self, response: EncodedResponse) -> io::Result<()> {
-        self.state.link.write(&mut self.stream, &response.bytes).await?;
+    async fn write_response(&mut self, ready: ReadyResponse) -> io::Result<()> {
+        let is_stopping = self.state.stop_phase() > StopPhase::Serving;
+        // Requests behind this one that were sent on are answered before the connection closes.
+        let is_last = is_stopping && self.pending.is_empty();
+        let ready = if is_last { ready.with_connection_close() } else { ready };
+        self.state.link.write(&mut self.stream, &ready.encode(self.sender)).await?;
         self.last_active_at = Instant::now();
-        drop(response.open_request);
-        if response.closes_connection {
+        if ready.response.closes_connection {
             self.read_state = ReadState::Finished;
             self.pending = FuturesOrdered::new();
             self.stream.shutdown().await?;
-            if response.has_unread_input {
+            // The caller of a stopping instance doesn't expect the close, and may be sending.
+            if ready.has_unread_input || is_stopping {
                 let discarding = self.discard_input();
                 tokio::time::timeout(CLOSE_LINGER, discarding).await.unwrap_or(Ok(()))?;
             }
@@ -347,10 +342,16 @@
     /// caller disconnects. What follows the last request is discarded.
     fn wants_input(&self) -> bool {
         self.is_finished()
-            || self.pending.len() < PIPELINED_MAX
+            || self.pending.len() < self.pipelined_max()
             || self.buffer.len() < PIPELINED_MAX_BYTES
     }
 
+    /// Returns how many requests may be in progress. While the instance stops, the connection
+    /// is closed after the response to the last one.
+    fn pipelined_max(&self) -> usize {
+        if self.state.stop_phase() > StopPhase::Serving { 1 } else { PIPELINED_MAX }
+    }
+
     fn is_finished(&self) -> bool {
         matches!(self.read_state, ReadState::Finished)
     }
@@ -381,7 +382,9 @@
         if !self.is_idle() {
             return self.last_active_at + limits.idle_timeout.max(limits.header_timeout);
         }
-        if *self.state.stopping.borrow() {
+        // Peers notice a closed connection only when they use it, and no longer choose this
+        // instance by the time that it exits.
+        if self.state.stop_phase() > StopPhase::Serving && self.sender == Sender::Caller {
             return (self.last_active_at + limits.idle_timeout)
                 .min(Instant::now() + STOP_IDLE_TIMEOUT);
         }
@@ -400,21 +403,3 @@
     }
     Ok(())
 }
-
-/// Counts a request as open until dropped.
-struct OpenRequest {
-    state: Rc<EntryState>,
-}
-
-impl OpenRequest {
-    fn new(state: &Rc<EntryState>) -> Self {
-        state.open_requests.set(state.open_requests.get() + 1);
-        Self { state: state.clone() }
-    }
-}
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.state.open_requests.set(self.state.open_requests.get() - 1);
-    }
-}
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -18,4 +18,5 @@
 mod settings;
 mod sizes;
 mod steering;
+mod stop_plan;
 mod storage;
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -7,6 +7,7 @@
 mod follow;
 mod guide;
 mod hand_over;
+mod late_requests;
 mod limits;
 mod notices;
 mod platform;
