Don't cut connections whose receiver pauses while it reads

What callers saw: a caller that read nothing for 2 s in the middle of a long response got no more of it, and a request with a large body was answered 502 after an upstream had left the body unread for 2 s, although both connections were sound. The second may not be repeated if it is unsafe.

Cause: TCP_USER_TIMEOUT was 2 s on every connection. On Linux it ends one whose data is unacknowledged for that long, and also one whose receiver has no room for more data.

Change: on callers' connections the time is the idle timeout (15 s by default). While a message of more than 16 KiB is sent to an upstream or peer it is off, and only the request's deadline ends it. Links that are lost are still noticed by smaller messages and by new connections; a large request in flight on them ends at its deadline instead of after 2 s.

Evidence: the new tests failed before: a_caller_that_pauses_while_it_reads_gets_the_whole_response left: ("200", 127937) right: ("200", 1000000) an_upstream_may_pause_before_it_reads_a_large_body left: ("502", 22) right: ("200", 2) They pass. A third test shows that a quiet request is not cut: an upstream that works for 8 s with nothing sent either way. No connection of these roles sends keep-alive probes.

--- a/src/net/mesh.rs
+++ b/src/net/mesh.rs
@@ -71,8 +71,8 @@
 /// The maximum number of queued calls per client and of queued replies per
 /// connection.
 const QUEUE_LEN: usize = 256;
-/// How long sent data may stay unacknowledged before the connection is closed.
-const TCP_USER_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long data may stay unacknowledged by a receiver that has room for it.
+pub(crate) const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(2);
 
 /// Represents a client of one other instance. Clones share its connection.
 #[derive(Debug)]
@@ -148,7 +148,7 @@
             time::sleep(RETRY_DELAY).await;
             continue;
         };
-        configure_stream(&stream);
+        configure_stream(&stream, UNACKNOWLEDGED_MAX);
         run_connection(stream, first_call, &mut queue, &mut last_id).await;
     }
 }
@@ -234,12 +234,20 @@
     LengthDelimitedCodec::builder().max_frame_length(FRAME_MAX_BYTES).new_codec()
 }
 
-/// Configures a connection to send small frames without delay and to fail when
-/// the peer stops acknowledging data.
-pub(crate) fn configure_stream(stream: &TcpStream) {
-    let socket = socket2::SockRef::from(stream);
-    socket.set_tcp_nodelay(true).ok();
-    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT)).ok();
+/// Configures a connection to send small frames without delay and to fail when the peer
+/// acknowledges no data for `unacknowledged_max`; see [`set_unacknowledged_max`].
+pub(crate) fn configure_stream(stream: &TcpStream, unacknowledged_max: Duration) {
+    stream.set_nodelay(true).ok();
+    set_unacknowledged_max(stream, Some(unacknowledged_max));
+}
+
+/// Sets how long sent data may stay unacknowledged before a connection fails; `None` leaves
+/// it to the operating system.
+///
+/// Data that the receiver has no room for counts as well, so a receiver that may pause while
+/// it reads a long message needs a longer time.
+pub(crate) fn set_unacknowledged_max(stream: &TcpStream, max: Option<Duration>) {
+    socket2::SockRef::from(stream).set_tcp_user_timeout(max).ok();
 }
 
 /// Handles one call: takes the request and the address of the peer, and returns
@@ -257,7 +265,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                configure_stream(&stream);
+                configure_stream(&stream, UNACKNOWLEDGED_MAX);
                 tokio::spawn(serve_peer(stream, peer, handler.clone()));
             }
             Err(error) => {
--- a/src/runtime/entry_node/attempt.rs
+++ b/src/runtime/entry_node/attempt.rs
@@ -103,6 +103,7 @@
     // Establishing the connection, or the wait for the link, may have taken most of the time in
     // which an upstream that leaves or pauses, or an evacuated zone, may still get requests.
     let takes_work = || state.balancer.borrow().takes_work(&choice.id, state.clock.now());
+    connection.prepare_write(bytes.len());
     if !state.link.write_if(&mut connection.stream, &bytes, takes_work).await? {
         return Ok(AttemptOutcome::LeftService);
     }
@@ -156,7 +157,7 @@
     let (head, body) = read_response(&mut connection, request, body_max_bytes, on_head).await?;
     if head.keeps_alive && connection.buffer.is_empty() && request.is_named_by(&head) {
         let keep_alive = keep_alive_timeout(&head);
-        pool.borrow_mut().put(address, connection.stream, keep_alive);
+        pool.borrow_mut().put(address, connection.into_idle_stream(), keep_alive);
     }
     Ok((head, body))
 }
--- a/src/runtime/entry_node/callers.rs
+++ b/src/runtime/entry_node/callers.rs
@@ -50,7 +50,8 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                configure_stream(&stream);
+                // Callers may pause while they read a response.
+                configure_stream(&stream, state.limits().idle_timeout);
                 let connection = CallerConnection::new(state.clone(), stream, sender);
                 tokio::task::spawn_local(connection.run());
             }
--- a/src/runtime/entry_node/hand_over.rs
+++ b/src/runtime/entry_node/hand_over.rs
@@ -154,6 +154,7 @@
     };
     let time_left = deadline.saturating_sub(state.clock.now());
     let bytes = encode_request(request, time_left, |head| terms.write(head));
+    connection.prepare_write(bytes.len());
     if let Err(error) = state.link.write(&mut connection.stream, &bytes).await {
         return PeerOutcome::Unknown(error);
     }
--- a/src/runtime/entry_node/pool.rs
+++ b/src/runtime/entry_node/pool.rs
@@ -8,7 +8,7 @@
     time::{Instant, timeout},
 };
 
-use crate::net::mesh::configure_stream;
+use crate::net::mesh::{UNACKNOWLEDGED_MAX, configure_stream, set_unacknowledged_max};
 
 /// Idle connections to upstreams, by address.
 #[derive(Debug, Default)]
@@ -30,14 +30,37 @@
     pub(super) buffer: BytesMut,
     /// Whether it was used for an earlier request, of which a late response may still arrive.
     pub(super) is_reused: bool,
+    /// Whether sent data may stay unacknowledged for as long as the request lasts.
+    awaits_reader: bool,
 }
 
+/// The size of a message that a receiver acknowledges before its process reads it.
+const ACKNOWLEDGED_UNREAD_MAX_BYTES: usize = 16 * 1024;
 /// The timeout for opening a connection while nothing is queued on this
 /// instance's own link.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long an idle connection is kept if the upstream states no timeout.
 const KEEP_ALIVE_DEFAULT: Duration = Duration::from_secs(4);
 
+impl UpstreamConnection {
+    /// Prepares the connection for a message of a number of bytes. The rest of a large one may
+    /// wait until the receiver reads, so only the request's deadline ends it.
+    pub(super) fn prepare_write(&mut self, length: usize) {
+        if length > ACKNOWLEDGED_UNREAD_MAX_BYTES {
+            set_unacknowledged_max(&self.stream, None);
+            self.awaits_reader = true;
+        }
+    }
+
+    /// Returns the stream, ready for any other message.
+    pub(super) fn into_idle_stream(self) -> TcpStream {
+        if self.awaits_reader {
+            set_unacknowledged_max(&self.stream, Some(UNACKNOWLEDGED_MAX));
+        }
+        self.stream
+    }
+}
+
 impl ConnectionPool {
     /// Removes and returns an idle connection that is still usable, if any.
     pub(super) fn take(&mut self, address: SocketAddr) -> Option<UpstreamConnection> {
@@ -49,6 +72,7 @@
                     stream: connection.stream,
                     buffer: BytesMut::new(),
                     is_reused: true,
+                    awaits_reader: false,
                 });
             }
         }
@@ -104,6 +128,11 @@
 ) -> io::Result<UpstreamConnection> {
     let result = timeout(CONNECT_TIMEOUT + queue_time, TcpStream::connect(address)).await;
     let stream = result.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
-    configure_stream(&stream);
-    Ok(UpstreamConnection { stream, buffer: BytesMut::new(), is_reused: false })
+    configure_stream(&stream, UNACKNOWLEDGED_MAX);
+    Ok(UpstreamConnection {
+        stream,
+        buffer: BytesMut::new(),
+        is_reused: false,
+        awaits_reader: false,
+    })
 }
--- a/src/runtime/http_client.rs
+++ b/src/runtime/http_client.rs
@@ -11,7 +11,7 @@
 
 use crate::net::{
     http1::{BodyReader, HeadWriter, parse_response_head},
-    mesh::configure_stream,
+    mesh::{UNACKNOWLEDGED_MAX, configure_stream},
 };
 
 /// Represents a client of one address with its idle connection, if any.
@@ -64,7 +64,7 @@
         return Ok(result);
     }
     let stream = TcpStream::connect(address).await?;
-    configure_stream(&stream);
+    configure_stream(&stream, UNACKNOWLEDGED_MAX);
     fetch_on(address, (stream, BytesMut::new()), target).await
 }
 
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -7,6 +7,7 @@
 mod guide;
 mod hand_over;
 mod notices;
+mod pauses;
 mod platform;
 mod requests;
 mod stops;
