Don't take timeouts for lost links while an upstream is heard

Cause: connections that wait in a queue on the instance's own link time out. In the log, from 7.9 s to 23.3 s, 27 of 33 instances outside the cut take their links for lost, 50 times; at each of the 50 an upstream of the service had responded within the last 0.83 s, the time in which connections time out. The timeouts of one round of probes end together, so a response during the round did not keep them from counting as four in a row.

Change: a timeout counts only if no upstream of the service was heard since the attempt began. Refused and reset connections count as before, since they did not wait.

Evidence: without the new condition the new test fails: `a response came in after these attempts began`. It passes, with the other tests of hand-overs.

Not mended: requests whose three connections time out on a full link are handed over as well, over that same link.

--- a/src/runtime/entry_node/exchange.rs
+++ b/src/runtime/entry_node/exchange.rs
@@ -286,7 +286,7 @@
             AttemptOutcome::Responded { response, load } => {
                 let now = self.state.clock.now();
                 let mut balancer = self.state.balancer.borrow_mut();
-                self.state.links.record_response(self.service);
+                self.state.links.record_response(self.service, now);
                 balancer.record_completed(choice, sent_at, now);
                 if let Some(load) = load {
                     balancer.record_load(&choice.id, load, now);
@@ -307,9 +307,9 @@
                 None
             }
             AttemptOutcome::NotRun { status, load } => {
-                self.state.links.record_response(self.service);
+                let now = self.state.clock.now();
+                self.state.links.record_response(self.service, now);
                 if let Some(load) = load {
-                    let now = self.state.clock.now();
                     self.state.balancer.borrow_mut().record_load(&choice.id, load, now);
                 }
                 let (upstream, load) = (&choice.id, load.map(|load| load.to_string()));
@@ -322,7 +322,7 @@
                 self.may_have_run = true;
                 self.record_failure(choice, &error, "broken off");
                 if error.kind() == io::ErrorKind::TimedOut {
-                    record_unreachable(self.state, choice);
+                    record_unreachable(self.state, choice, &error, sent_at);
                 }
                 let may_repeat =
                     self.route.execution.is_repeatable() && self.attempts < self.attempts_max;
--- a/src/runtime/entry_node/links.rs
+++ b/src/runtime/entry_node/links.rs
@@ -18,7 +18,7 @@
     state::EntryState,
 };
 use crate::core::{
-    balance::{Choice, UpstreamLinks},
+    balance::{Choice, ReachFailure, UpstreamLinks},
     control::ServiceName,
     upstreams::UpstreamId,
 };
@@ -60,8 +60,8 @@
     }
 
     /// Records that a new connection to an upstream of a service was opened.
-    pub(super) fn record_reached(&self, service: &ServiceName) {
-        self.links.borrow_mut().record_reached(service);
+    pub(super) fn record_reached(&self, service: &ServiceName, now: Duration) {
+        self.links.borrow_mut().record_reached(service, now);
         if self.lost.borrow_mut().remove(service) {
             if self.lost.borrow().is_empty() {
                 self.lost_since.set(None);
@@ -72,9 +72,9 @@
 
     /// Records a response of an upstream of a service. It may have come over a connection from
     /// before the links were lost, so it does not show that they are back.
-    pub(super) fn record_response(&self, service: &ServiceName) {
+    pub(super) fn record_response(&self, service: &ServiceName, now: Duration) {
         if !self.are_lost(service) {
-            self.links.borrow_mut().record_reached(service);
+            self.links.borrow_mut().record_reached(service, now);
         }
     }
 
@@ -87,10 +87,18 @@
     }
 }
 
-/// Records that an upstream could not be reached, or left a request unacknowledged.
-pub(super) fn record_unreachable(state: &EntryState, choice: &Choice) {
+/// Records that an upstream could not be reached, or left a request unacknowledged, in an
+/// attempt that began at `began_at`.
+pub(super) fn record_unreachable(
+    state: &EntryState,
+    choice: &Choice,
+    error: &io::Error,
+    began_at: Duration,
+) {
     let links = &state.links;
-    if links.links.borrow_mut().record_unreachable(&choice.service, &choice.id) {
+    let is_timeout = error.kind() == io::ErrorKind::TimedOut;
+    let failure = ReachFailure { began_at, is_timeout };
+    if links.links.borrow_mut().record_unreachable(&choice.service, &choice.id, failure) {
         links.suspected.notify_one();
     }
 }
@@ -116,10 +124,11 @@
     state: &EntryState,
     choice: &Choice,
 ) -> io::Result<UpstreamConnection> {
+    let began_at = state.clock.now();
     let result = connect(choice.address, state.settings.link_queue_time()).await;
-    match result {
-        Ok(_) => state.links.record_reached(&choice.service),
-        Err(_) => record_unreachable(state, choice),
+    match &result {
+        Ok(_) => state.links.record_reached(&choice.service, state.clock.now()),
+        Err(error) => record_unreachable(state, choice, error, began_at),
     }
     result
 }
@@ -154,7 +163,7 @@
         .collect();
     if targets.is_empty() {
         // Without upstreams that take work there are no links that could be lost.
-        state.links.record_reached(service);
+        state.links.record_reached(service, now);
         return;
     }
     join_all(targets.into_values().map(|choice| probe(state, choice))).await;
--- a/tests/it/hand_over.rs
+++ b/tests/it/hand_over.rs
@@ -4,7 +4,7 @@
 
 use bulrushspan::{
     core::{
-        balance::UpstreamLinks,
+        balance::{ReachFailure, UpstreamLinks},
         peers::{Peer, Peers},
         roster::{AnnouncedInstance, Roster},
     },
@@ -33,24 +33,51 @@
     peers.choose(&homes, &tried, now).map(|peer| peer.instance.clone())
 }
 
+const REFUSED: ReachFailure = ReachFailure { began_at: NOW, is_timeout: false };
+const TIMED_OUT: ReachFailure = ReachFailure { began_at: NOW, is_timeout: true };
+
 /// Links that hang or are refused for all upstreams must not be taken for a few crashed ones,
 /// nor the other way round.
 #[test]
 fn links_are_lost_once_several_upstreams_in_a_row_are_out_of_reach() {
+    for failure in [REFUSED, TIMED_OUT] {
+        let (orders, files) = ("orders".to_owned(), "files".to_owned());
+        let mut links = UpstreamLinks::default();
+        for id in ["u1", "u2", "u2", "u1"] {
+            assert!(!links.record_unreachable(&orders, &id.to_owned(), failure));
+        }
+        assert!(links.has_unreachable(&orders) && !links.are_lost(&orders));
+        assert!(!links.record_reached(&orders, NOW));
+        assert!(!links.has_unreachable(&orders));
+        let lost: Vec<bool> = ["u1", "u2", "u3", "u4"]
+            .map(|id| links.record_unreachable(&orders, &id.to_owned(), failure))
+            .into();
+        assert_eq!(lost, [false, false, true, false], "the loss is reported once");
+        assert!(links.are_lost(&orders) && !links.are_lost(&files));
+        assert!(links.record_reached(&orders, NOW), "one success shows that the links are back");
+        assert!(!links.are_lost(&orders));
+    }
+}
+
+/// A queue on the own link, or several crashed upstreams: attempts that time out together were
+/// taken for lost links although other upstreams responded while they waited.
+#[test]
+fn timeouts_do_not_count_if_an_upstream_was_heard_meanwhile() {
     let (orders, files) = ("orders".to_owned(), "files".to_owned());
+    let ids = ["u1", "u2", "u3"].map(str::to_owned);
+    let heard_at = NOW + Duration::from_millis(200);
     let mut links = UpstreamLinks::default();
-    for id in ["u1", "u2", "u2", "u1"] {
-        assert!(!links.record_unreachable(&orders, &id.to_owned()));
-    }
-    assert!(links.has_unreachable(&orders) && !links.are_lost(&orders));
-    assert!(!links.record_reached(&orders));
-    assert!(!links.has_unreachable(&orders));
-    let lost: Vec<bool> =
-        ["u1", "u2", "u3", "u4"].map(|id| links.record_unreachable(&orders, &id.to_owned())).into();
-    assert_eq!(lost, [false, false, true, false], "the loss is reported once");
-    assert!(links.are_lost(&orders) && !links.are_lost(&files));
-    assert!(links.record_reached(&orders), "one success shows that the links are back");
-    assert!(!links.are_lost(&orders));
+    links.record_reached(&orders, heard_at);
+    ids.iter().for_each(|id| _ = links.record_unreachable(&orders, id, TIMED_OUT));
+    assert!(!links.are_lost(&orders), "a response came in after these attempts began");
+    ids.iter().for_each(|id| _ = links.record_unreachable(&orders, id, REFUSED));
+    assert!(links.are_lost(&orders), "a refusal did not wait for the own link");
+    ids.iter().for_each(|id| _ = links.record_unreachable(&files, id, TIMED_OUT));
+    assert!(links.are_lost(&files), "the response was not from an upstream of this service");
+    links.record_reached(&orders, heard_at);
+    let later = ReachFailure { began_at: heard_at, is_timeout: true };
+    ids.iter().for_each(|id| _ = links.record_unreachable(&orders, id, later));
+    assert!(links.are_lost(&orders), "nothing was heard since these attempts began");
 }
 
 #[test]
