Test that hand-overs follow the load of peers, and avoid peers without links

Two property tests: a request goes to the peer of the own region with the fewest of the instance's requests in progress, so a slow one gets fewer; and of peers that lost their links too, each is asked twice a second at most, while every request reaches one that has its links. Both pass on the code as it is.

--- a/tests/it/hand_over.rs
+++ b/tests/it/hand_over.rs
@@ -215,4 +215,61 @@
             regions.iter().enumerate().filter(|(index, region)| is_due(*index, region)).count();
         prop_assert_eq!(tried.len(), expected);
     }
+
+    /// A peer that is slow, since many hand requests over to it, must not get as many more as
+    /// one that responds at once.
+    #[test]
+    fn a_request_goes_to_the_peer_of_the_region_with_the_fewest_in_progress(
+        response_ticks in proptest::collection::vec(1..40_u32, 2..6),
+        requests in 1..200_u32,
+    ) {
+        let mut peers = Peers::new("north".to_owned());
+        let name = |index: usize| format!("p{}", index + 1);
+        peers.set((0..response_ticks.len()).map(|index| peer(&name(index), "north")).collect());
+        let mut ends: Vec<Vec<u32>> = vec![Vec::new(); response_ticks.len()];
+        for tick in 0..requests {
+            for (index, ends) in ends.iter_mut().enumerate() {
+                let ended = ends.extract_if(.., |end| *end <= tick);
+                ended.for_each(|_| peers.record_end(address(&name(index))));
+            }
+            let chosen = chosen(&peers, &[], &[], NOW).unwrap();
+            let index = chosen[1..].parse::<usize>().unwrap() - 1;
+            let fewest = ends.iter().map(Vec::len).min();
+            prop_assert_eq!(Some(ends[index].len()), fewest);
+            peers.record_start(address(&chosen));
+            ends[index].push(tick + response_ticks[index]);
+        }
+    }
+
+    /// Peers that lost their links as well, as in a cut of most instances: each is asked twice a
+    /// second at most, and requests go to those that have theirs.
+    #[test]
+    fn peers_without_links_are_asked_twice_a_second_at_most(
+        has_links in proptest::collection::vec(any::<bool>(), 1..6),
+        gaps_ms in proptest::collection::vec(0..300_u64, 1..200),
+    ) {
+        let mut peers = Peers::new("north".to_owned());
+        let name = |index: usize| format!("p{}", index + 1);
+        peers.set((0..has_links.len()).map(|index| peer(&name(index), "north")).collect());
+        let mut asked: BTreeMap<String, u64> = BTreeMap::new();
+        let mut now = NOW;
+        for gap_ms in gaps_ms {
+            now += Duration::from_millis(gap_ms);
+            let mut tried = Vec::new();
+            while let Some(peer) = peers.choose(&[], &tried, now).cloned() {
+                tried.push(peer.address);
+                if has_links[peer.instance[1..].parse::<usize>().unwrap() - 1] {
+                    break;
+                }
+                *asked.entry(peer.instance).or_default() += 1;
+                peers.record_failure(peer.address, now);
+            }
+            let is_taken_over = tried.last().is_some_and(|last| {
+                (0..has_links.len()).any(|index| has_links[index] && address(&name(index)) == *last)
+            });
+            prop_assert_eq!(is_taken_over, has_links.contains(&true));
+        }
+        let asked_max = 2 * (now - NOW).as_secs() + 2;
+        prop_assert!(asked.values().all(|asked| *asked <= asked_max), "{:?}", asked);
+    }
 }
