Take votes from control replicas that were replaced at other addresses

Cause: a replica that joins takes the place of an earlier one only at the same address. One that was replaced at another address kept its vote for good. With five replicas, four replacements leave eight voters for five processes; with three, two replacements leave no quorum.

The leader now removes a member that has not replied for 2 s, of the voters only while their number is even: a quorum of one fewer survives as many failures, so a removal by mistake costs nothing. Those that reply must make a quorum of the rest. A removed replica is not told; it knows no leader then, and asks for its vote again. Only replicas of the platform's role do so. A gauge counts the votes.

--- a/src/core/replication/members.rs
+++ b/src/core/replication/members.rs
@@ -1,6 +1,10 @@
 //! The replicas of the log and their votes.
 
-use std::{collections::BTreeMap, error::Error, fmt};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    error::Error,
+    fmt,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -51,6 +55,19 @@
         self
     }
 
+    /// Returns the list without one of the replicas that don't reply, or `None` if it should
+    /// stay as it is.
+    ///
+    /// A voter is removed only from an even number of voters, since a quorum then survives
+    /// as many failures without it as with it, and only if those that reply make a quorum.
+    pub fn without_silent(&self, silent: &BTreeSet<ReplicaId>) -> Option<Self> {
+        let is_even = self.voters().count().is_multiple_of(2);
+        let is_removable = |member: &Member| is_even || !member.voter;
+        let (id, _) =
+            self.iter().find(|(id, member)| silent.contains(id) && is_removable(member))?;
+        Some(self.clone().without(id)).filter(|next| next.has_quorum(|id| !silent.contains(&id)))
+    }
+
     /// Iterates over all replicas in the order of their ids.
     pub fn iter(&self) -> impl Iterator<Item = (ReplicaId, &Member)> {
         self.replicas.iter().map(|(id, member)| (*id, member))
--- a/src/core/replication/mod.rs
+++ b/src/core/replication/mod.rs
@@ -10,6 +10,7 @@
 mod members;
 mod message;
 mod node;
+mod reply_times;
 mod snapshot;
 mod timers;
 mod vote;
@@ -20,6 +21,7 @@
     members::{Member, Members, MembersError},
     message::{Envelope, Message},
     node::{Input, MessageLimits, Outputs, ProposalError, RaftNode, Role},
+    reply_times::ReplyTimes,
     timers::{Timers, TimersConfig},
 };
 
--- a/src/runtime/control_node/calls.rs
+++ b/src/runtime/control_node/calls.rs
@@ -23,7 +23,7 @@
         },
     },
     runtime::replica::{
-        CurrentPolicy, Deliver, GetPolicyUpdate, PolicyUpdateReply, Query, Submit, Subscribe,
+        CurrentPolicy, Deliver, GetPolicyUpdate, PolicyUpdateReply, Probe, Query, Submit, Subscribe,
     },
 };
 
@@ -265,3 +265,9 @@
 pub(super) async fn current_policy(state: &ControlNodeState) -> Option<Policy> {
     state.replica()?.send(CurrentPolicy).await.ok()
 }
+
+/// Returns the number of replicas that have a vote, as far as this one knows.
+pub(super) async fn voter_count(state: &ControlNodeState) -> Option<usize> {
+    let reply = state.replica()?.send(Probe).await.ok()?;
+    reply.members.map(|members| members.voters().count())
+}
--- a/src/runtime/control_node/membership.rs
+++ b/src/runtime/control_node/membership.rs
@@ -6,7 +6,10 @@
 use sha2::{Digest, Sha256};
 use tracing::info;
 
-use super::{ControlNodeState, calls::submit};
+use super::{
+    ControlNodeState,
+    calls::{leader, submit},
+};
 use crate::{
     core::{
         control::Command,
@@ -18,6 +21,8 @@
 
 const JOIN_RETRY_DELAY: Duration = Duration::from_millis(150);
 const JOIN_TIMEOUT: Duration = Duration::from_millis(1500);
+/// The interval at which a voter checks whether it still knows a leader.
+const VOTE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Returns the id of a replica on an empty disk.
 ///
@@ -55,18 +60,33 @@
     ReplicaId::from_le_bytes(id)
 }
 
-/// Repeats the request to join the log until the replica is a voter or no longer runs.
+/// Requests a vote for the replica until it has one, and again whenever it may have lost it,
+/// for as long as the replica runs.
 ///
-/// A replica that is a voter already learns so from the first reply.
-pub(super) async fn join_until_voter(state: Arc<ControlNodeState>, replica: ReplicaId) {
+/// A leader removes members that don't reply, and does not tell them. A removed replica
+/// hears from no leader, so one that knows none asks as well.
+pub(super) async fn keep_vote(state: Arc<ControlNodeState>, replica: ReplicaId) {
     let instance = state.settings.cluster_address().to_string();
+    let mut has_vote = false;
     while state.is_running(replica).await {
+        if has_vote && leader(&state).await.is_some() {
+            tokio::time::sleep(VOTE_CHECK_INTERVAL).await;
+            continue;
+        }
         let request = SubmitRequest::Join { instance: instance.clone(), replica };
-        let reply = submit(&state, request, JOIN_TIMEOUT).await;
-        if matches!(reply, Some(SubmitReply::Joined)) {
-            info!(replica, "replica is now a voter of the log");
-            return;
+        match submit(&state, request, JOIN_TIMEOUT).await {
+            Some(SubmitReply::Joined) => {
+                if !has_vote {
+                    info!(replica, "replica is now a voter of the log");
+                }
+                has_vote = true;
+                tokio::time::sleep(VOTE_CHECK_INTERVAL).await;
+            }
+            Some(SubmitReply::Joining) => {
+                has_vote = false;
+                tokio::time::sleep(JOIN_RETRY_DELAY).await;
+            }
+            _ => tokio::time::sleep(JOIN_RETRY_DELAY).await,
         }
-        tokio::time::sleep(JOIN_RETRY_DELAY).await;
     }
 }
--- a/src/runtime/control_node/metrics.rs
+++ b/src/runtime/control_node/metrics.rs
@@ -4,7 +4,11 @@
 
 use prometheus::{IntGauge, IntGaugeVec, Registry};
 
-use super::{ControlNodeState, calls::current_policy, lock};
+use super::{
+    ControlNodeState,
+    calls::{current_policy, voter_count},
+    lock,
+};
 use crate::runtime::{
     logs::DroppedLines,
     metrics::{encode_registry, opts, register_metric},
@@ -20,6 +24,7 @@
     list_age_ms: IntGauge,
     listed_upstreams: IntGauge,
     entry_instances: IntGauge,
+    voters: IntGauge,
     dropped_lines: IntGaugeVec,
 }
 
@@ -45,6 +50,7 @@
             )?,
             listed_upstreams: gauge("listed_upstreams", "Upstreams that are listed.")?,
             entry_instances: gauge("entry_instances", "Entry instances that are up.")?,
+            voters: gauge("voters", "Control replicas that have a vote.")?,
             dropped_lines: register_metric(&registry, dropped_lines)?,
             registry,
         })
@@ -61,6 +67,9 @@
             self.config_version.set(policy.routing.version as i64);
             self.evacuated_zones.set(policy.evacuated.len() as i64);
         }
+        if let Some(count) = voter_count(state).await {
+            self.voters.set(count as i64);
+        }
         let now = state.clock.now();
         let read_at = lock(&state.list).read_at();
         let age_ms = read_at.map_or(-1, |read_at| now.saturating_sub(read_at).as_millis() as i64);
--- a/src/runtime/control_node/mod.rs
+++ b/src/runtime/control_node/mod.rs
@@ -215,14 +215,15 @@
         let id = store.identity().replica;
         let (failure_sender, failure_receiver) = oneshot::channel();
         let peers = peers::peers(self.clone());
-        let setup = ReplicaSetup::with_timing(TIMING);
+        let setup =
+            ReplicaSetup::with_timing(TIMING).with_silent_member_timeout(SILENT_MEMBER_TIMEOUT);
         let (clock, metrics) = (self.clock, self.metrics.clone());
         let replica = Replica::new(setup, clock, metrics, store, durable, peers, failure_sender)
             .map_err(NodeError::State)?;
         let address = xtra::spawn_tokio(replica, Mailbox::unbounded());
         tokio::spawn(tick(address.clone(), TICK_INTERVAL, || Tick));
         lock(&self.replica).replace(address);
-        tokio::spawn(membership::join_until_voter(self, id));
+        tokio::spawn(membership::keep_vote(self, id));
         Ok(failure_receiver)
     }
 
@@ -266,6 +267,9 @@
     }
 }
 
+/// How long a control replica may not reply before its vote may be removed. A restart takes
+/// about as long, and a replica that returns later gets its vote back.
+const SILENT_MEMBER_TIMEOUT: Duration = Duration::from_secs(2);
 /// The pause before a data folder that failed is reopened.
 const REOPEN_DELAY: Duration = Duration::from_millis(300);
 
--- a/src/runtime/replica/handlers.rs
+++ b/src/runtime/replica/handlers.rs
@@ -199,6 +199,7 @@
                 self.queue(Input::RecordCommit, None, ctx);
             }
         }
+        self.remove_silent_member(ctx);
         self.plan(ctx);
         self.reply_to_pending();
         let version = self.state.policy().version;
--- a/src/runtime/replica/join.rs
+++ b/src/runtime/replica/join.rs
@@ -1,4 +1,4 @@
-//! Adds a replica to the members, changing one vote at a time.
+//! Adds replicas to the members and removes those that are gone, changing one vote at a time.
 
 use tracing::info;
 use xtra::Context;
@@ -7,7 +7,7 @@
 use crate::{
     core::{
         control::InstanceName,
-        replication::{Input, Members, ReplicaId, Role},
+        replication::{Input, Members, ReplicaId, ReplyTimes, Role},
     },
     net::wire::SubmitReply,
 };
@@ -37,6 +37,28 @@
         }
         SubmitReply::Joining
     }
+
+    /// Proposes, on the leader, to remove a member that has not replied for long, if the setup
+    /// has a timeout for that. A replica that was replaced at another address never replies
+    /// again, and its vote only makes a quorum harder to reach.
+    pub(super) fn remove_silent_member(&mut self, ctx: &Context<Self>) {
+        let Some(timeout) = self.setup.silent_member_timeout.filter(|_| self.is_current()) else {
+            return;
+        };
+        let now = self.clock.now();
+        let Some(leadership) = &mut self.leadership else { return };
+        leadership.reply_times.update(&self.node, now);
+        let silent = leadership.reply_times.silent(now, timeout);
+        let (members_index, members) = self.node.durable().members();
+        if members_index > self.node.commit_index() {
+            return;
+        }
+        let Some(next) = members.without_silent(&silent) else { return };
+        // The next removal waits for the timeout again, which leaves time to commit this one.
+        leadership.reply_times = ReplyTimes::default();
+        info!(?silent, "proposing to remove a member that does not reply");
+        self.queue(Input::ProposeMembers(next), None, ctx);
+    }
 }
 
 /// The largest number of missing entries with which a replica counts as caught up.
--- a/src/runtime/replica/mod.rs
+++ b/src/runtime/replica/mod.rs
@@ -30,8 +30,8 @@
             Sessions, SessionsConfig, Topology, Version, plan,
         },
         replication::{
-            DurableState, Entry, Envelope, Input, LogIndex, Outputs, Payload, RaftNode, Round,
-            Snapshot, Term, Timers, TimersConfig,
+            DurableState, Entry, Envelope, Input, LogIndex, Outputs, Payload, RaftNode, ReplyTimes,
+            Round, Snapshot, Term, Timers, TimersConfig,
         },
     },
     net::wire::{QueryReply, QueryRequest, SubmitReply, WatchReply, WatchRequest, decode, encode},
@@ -80,6 +80,9 @@
     pub(super) topology: Arc<Topology>,
     /// The policy of a new deployment, if the settings have one.
     pub(super) initial_policy: Option<InitialPolicy>,
+    /// How long a member may not reply before the leader may remove it; `None` if replicas
+    /// don't ask to join again.
+    pub(super) silent_member_timeout: Option<Duration>,
 }
 
 impl ReplicaSetup {
@@ -89,13 +92,21 @@
             timing: settings.timing,
             topology: Arc::new(settings.topology.clone()),
             initial_policy: Some(settings.initial_policy()),
+            silent_member_timeout: None,
         }
     }
 
     /// Creates a setup without a topology or an initial policy, for instances whose settings don't
     /// describe the other instances.
     pub(super) fn with_timing(timing: Timing) -> Self {
-        Self { timing, topology: Arc::default(), initial_policy: None }
+        Self { timing, topology: Arc::default(), initial_policy: None, silent_member_timeout: None }
+    }
+
+    /// Returns the setup with a timeout after which the leader may remove a member that does
+    /// not reply. A replica that is removed has to ask to join again.
+    pub(super) fn with_silent_member_timeout(mut self, timeout: Duration) -> Self {
+        self.silent_member_timeout = Some(timeout);
+        self
     }
 }
 
@@ -112,6 +123,7 @@
     /// The index that must be committed before the next plan: that of the last planned command, or
     /// the end of the log when the leadership began.
     planned_through: LogIndex,
+    reply_times: ReplyTimes,
 }
 
 struct PendingWatch {
@@ -359,6 +371,7 @@
                 confirmed: None,
                 last_shift_at: now,
                 planned_through: self.node.durable().last_index(),
+                reply_times: ReplyTimes::default(),
             });
             self.metrics.elections.inc();
         } else {
--- a/tests/it/replication.rs
+++ b/tests/it/replication.rs
@@ -1,10 +1,10 @@
 //! Tests of the replicated log across restarts, and of the first election.
 
 use bulrushspan::core::replication::{
-    DurableState, Entry, Envelope, Input, Members, Message, Payload, RaftNode, Role, Timers,
-    TimersConfig,
+    DurableState, Entry, Envelope, Input, Members, Message, Payload, RaftNode, ReplicaId,
+    ReplyTimes, Role, Timers, TimersConfig,
 };
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 /// Returns a replica that is the only member.
 fn single_node(id: u64) -> RaftNode<u8> {
@@ -71,3 +71,48 @@
     assert!(!is_current(4, 2, &[entry(5, 2)], 5), "the entries 4 and 5 are missing");
     assert!(is_current(3, 2, &[entry(4, 2), entry(5, 2)], 5));
 }
+
+/// A replica that was replaced at another address kept its vote, until those that were gone
+/// outnumbered a quorum of those that ran.
+#[test]
+fn a_silent_voter_is_removed_where_a_quorum_survives_as_many_failures_without_it() {
+    let with_voters = |count: u64| Members::new((1..=count).map(|id| (id, format!("i{id}"))));
+    let remaining = |members: &Members, silent: &[ReplicaId]| {
+        let next = members.without_silent(&BTreeSet::from_iter(silent.iter().copied()));
+        next.map(|next| next.iter().map(|(id, _)| id).collect::<Vec<ReplicaId>>())
+    };
+    assert_eq!(remaining(&with_voters(3), &[2]), None);
+    assert_eq!(remaining(&with_voters(4), &[2]), Some(vec![1, 3, 4]));
+    assert_eq!(remaining(&with_voters(6), &[2, 5]), Some(vec![1, 3, 4, 5, 6]));
+    assert_eq!(remaining(&with_voters(4), &[]), None);
+    // Those that reply could not commit the change.
+    assert_eq!(remaining(&with_voters(4), &[2, 3, 4]), None);
+    assert_eq!(remaining(&with_voters(2), &[2]), Some(vec![1]));
+    // A replica without a vote is in no quorum.
+    let with_learner = with_voters(3).with_learner(9, "i9".to_owned());
+    assert_eq!(remaining(&with_learner, &[9]), Some(vec![1, 2, 3]));
+}
+
+#[test]
+fn a_member_is_silent_once_it_has_not_replied_for_the_timeout() {
+    let members = Members::new([(1, "a".to_owned()), (2, "b".to_owned()), (3, "c".to_owned())]);
+    let mut node = RaftNode::<u8>::new(1, DurableState::new(members));
+    let receive = |node: &mut RaftNode<u8>, from, term, message| {
+        node.step(Input::Receive(Envelope { from, to: 1, term, message }));
+    };
+    node.step(Input::ElectionTimeout);
+    receive(&mut node, 2, 1, Message::PreVoteReply { granted: true });
+    receive(&mut node, 2, 1, Message::VoteReply { granted: true });
+    assert!(node.is_leader());
+
+    let timeout = Duration::from_secs(2);
+    let mut reply_times = ReplyTimes::default();
+    reply_times.update(&node, Duration::from_secs(10));
+    node.step(Input::HeartbeatTimeout);
+    receive(&mut node, 3, 1, Message::AppendReply { matched: 0, round: 1 });
+    reply_times.update(&node, Duration::from_secs(11));
+    let silent_at = |seconds| reply_times.silent(Duration::from_secs(seconds), timeout);
+    assert_eq!(silent_at(11), BTreeSet::new());
+    assert_eq!(silent_at(12), BTreeSet::from([2]));
+    assert_eq!(silent_at(13), BTreeSet::from([2, 3]));
+}
--- a/tests/processes/platform.rs
+++ b/tests/processes/platform.rs
@@ -25,6 +25,8 @@
     /// The first three octets of every address.
     ip_prefix: String,
     processes: BTreeMap<String, Child>,
+    /// The control replicas that settings name as seeds.
+    seeds: [&'static str; 3],
     http: reqwest::Client,
     /// How often the upstreams ran each request, by request id.
     runs: Runs,
@@ -36,15 +38,17 @@
 type Runs = Arc<Mutex<BTreeMap<String, u32>>>;
 
 impl Fleet {
-    async fn start() -> Self {
+    /// Starts the fleet of the test with this number, which no other test may have.
+    async fn start(number: u32) -> Self {
         let pid = std::process::id();
-        let ip_prefix = format!("127.{}.{}", 100 + pid % 100, pid / 100 % 250);
-        let folder = std::env::temp_dir().join(format!("bulrushspan-fleet-{pid}"));
+        let ip_prefix = format!("127.{}.{}", 100 + pid % 100, (pid / 100 % 125) + 125 * number);
+        let folder = std::env::temp_dir().join(format!("bulrushspan-fleet-{pid}-{number}"));
         fs::create_dir_all(&folder).unwrap();
         let mut fleet = Self {
             folder,
             ip_prefix,
             processes: BTreeMap::new(),
+            seeds: ["c1", "c2", "c3"],
             http: reqwest::Client::builder().no_proxy().build().unwrap(),
             runs: Runs::default(),
             list_queries: ListQueries::default(),
@@ -92,7 +96,7 @@
         let ip = self.ip(name);
         let role = if name.starts_with('c') { "control" } else { "entry" };
         let seeds: Vec<String> =
-            ["c1", "c2", "c3"].iter().map(|seed| format!("{}:8146", self.ip(seed))).collect();
+            self.seeds.iter().map(|seed| format!("{}:8146", self.ip(seed))).collect();
         let listen = match role {
             "control" => {
                 json!({"control": format!("{ip}:8146"), "directory": format!("{ip}:8147")})
@@ -132,8 +136,7 @@
     async fn configure(&self, version: &str, prefix: &str) {
         let started_at = Instant::now();
         for attempt in 0.. {
-            let url =
-                format!("http://{}:8146/api/config", self.ip(["c1", "c2", "c3"][attempt % 3]));
+            let url = format!("http://{}:8146/api/config", self.ip(self.seeds[attempt % 3]));
             let body = configuration(version, prefix);
             let result = self.http.put(url).body(body).timeout(Duration::from_secs(3)).send().await;
             if result.is_ok_and(|response| response.status().is_success()) {
@@ -175,6 +178,35 @@
         Some(status)
     }
 
+    fn kill(&mut self, name: &str) {
+        let mut process = self.processes.remove(name).unwrap();
+        process.kill().unwrap();
+        process.wait().unwrap();
+    }
+
+    /// Waits until leaders have proposed this many times to remove a member.
+    async fn wait_for_removals(&self, count: usize) {
+        let started_at = Instant::now();
+        loop {
+            let logs = (1..=9).filter_map(|number| {
+                fs::read_to_string(self.folder.join(format!("c{number}.log"))).ok()
+            });
+            let removals: usize =
+                logs.map(|log| log.matches("remove a member that does not reply").count()).sum();
+            if removals >= count {
+                return;
+            }
+            assert!(started_at.elapsed() < WAIT_TIMEOUT, "{removals} of {count} removals");
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    /// Waits until a control replica counts this many voters.
+    async fn wait_for_voters(&self, control: &str, count: usize) {
+        let url = format!("http://{}:9464/metrics", self.ip(control));
+        self.wait_for(&url, 200, &format!("\nbulrushspan_voters {count}\n")).await;
+    }
+
     fn signal(&self, name: &str, signal: &str) {
         let pid = self.processes[name].id().to_string();
         assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
@@ -243,7 +275,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn bookings_run_once_while_instances_stop_and_replicas_are_killed() {
-    let mut fleet = Fleet::start().await;
+    let mut fleet = Fleet::start(0).await;
     fleet.configure("r2", "/book/").await;
     for entry in ["e1", "e2"] {
         fleet.wait_for(&format!("http://{}:8140/api/readyz", fleet.ip(entry)), 200, "").await;
@@ -266,8 +298,7 @@
 
     // While a replica is down, a new configuration is accepted and reaches the instances; the
     // restarted replica catches up.
-    fleet.processes.get_mut("c1").unwrap().kill().unwrap();
-    fleet.processes.get_mut("c1").unwrap().wait().unwrap();
+    fleet.kill("c1");
     fleet.configure("r3", "/order/").await;
     let started_at = Instant::now();
     for number in 0.. {
@@ -299,3 +330,30 @@
         assert!(*status != Some(503) || !runs.contains_key(id), "{id} was refused, but ran");
     }
 }
+
+/// Replicas that were replaced at other addresses kept their votes, so after two replacements
+/// of three no quorum was left, and configurations were never acknowledged.
+#[tokio::test(flavor = "multi_thread")]
+async fn configurations_are_acknowledged_after_all_replicas_were_replaced_at_other_addresses() {
+    let mut fleet = Fleet::start(1).await;
+    fleet.configure("r2", "/book/").await;
+    let replacements = [("c1", "c4"), ("c2", "c5"), ("c3", "c6")];
+    for (index, (replaced, replacement)) in replacements.into_iter().enumerate() {
+        fleet.kill(replaced);
+        fleet.seeds[index] = replacement;
+        fleet.start_process(replacement, false);
+        fleet.configure(&format!("r{}", index + 3), "/book/").await;
+        // The replacement has its vote before the one of the replaced replica is removed.
+        fleet.wait_for_removals(index + 1).await;
+        fleet.wait_for_voters(replacement, 3).await;
+    }
+
+    // A replica that lost its vote while it was suspended gets it back.
+    fleet.start_process("c7", false);
+    fleet.wait_for_voters("c4", 4).await;
+    fleet.signal("c7", "-STOP");
+    fleet.wait_for_voters("c4", 3).await;
+    fleet.signal("c7", "-CONT");
+    fleet.wait_for_voters("c4", 4).await;
+    fleet.configure("r6", "/book/").await;
+}
