Keep the vote of a silent replica where only one other would be left

Between the two steps of a replacement at the same address three replicas have two votes. If another did not reply for 2 s then, the leader would take its vote as well, and go on alone: what it acknowledged would be on one disk only, and lost with that disk. Now of two voters none loses its vote.

The test asserted the removal; it now asserts that there is none, which is the stricter bound. it::replication: 6 passed.

--- a/src/core/replication/members.rs
+++ b/src/core/replication/members.rs
@@ -60,9 +60,11 @@
     ///
     /// A voter is removed only from an even number of voters, since a quorum then survives
     /// as many failures without it as with it, and only if those that reply make a quorum.
+    /// Of two voters none is removed: the other would hold the only copy of the log.
     pub fn without_silent(&self, silent: &BTreeSet<ReplicaId>) -> Option<Self> {
-        let is_even = self.voters().count().is_multiple_of(2);
-        let is_removable = |member: &Member| is_even || !member.voter;
+        let voter_count = self.voters().count();
+        let has_spare_vote = voter_count.is_multiple_of(2) && voter_count > 2;
+        let is_removable = |member: &Member| has_spare_vote || !member.voter;
         let (id, _) =
             self.iter().find(|(id, member)| silent.contains(id) && is_removable(member))?;
         Some(self.clone().without(id)).filter(|next| next.has_quorum(|id| !silent.contains(&id)))
--- a/tests/it/replication.rs
+++ b/tests/it/replication.rs
@@ -87,7 +87,8 @@
     assert_eq!(remaining(&with_voters(4), &[]), None);
     // Those that reply could not commit the change.
     assert_eq!(remaining(&with_voters(4), &[2, 3, 4]), None);
-    assert_eq!(remaining(&with_voters(2), &[2]), Some(vec![1]));
+    // The one that is left would hold the only copy.
+    assert_eq!(remaining(&with_voters(2), &[2]), None);
     // A replica without a vote is in no quorum.
     let with_learner = with_voters(3).with_learner(9, "i9".to_owned());
     assert_eq!(remaining(&with_learner, &[9]), Some(vec![1, 2, 3]));
