--- a/src/core/replication/mod.rs
+++ b/src/core/replication/mod.rs
@@ -10,6 +10,7 @@
 mod members;
 mod message;
 mod node;
+mod reply_times;
 mod round_times;
 mod snapshot;
 mod timers;
@@ -21,6 +22,7 @@
     members::{Member, Members, MembersError},
     message::{Envelope, Message},
     node::{Input, MessageLimits, Outputs, ProposalError, RaftNode, Role},
+    reply_times::ReplyTimes,
     round_times::RoundTimes,
     timers::{Timers, TimersConfig},
 };
