Keep the loopback addresses of the process tests apart

What was seen: an_upstream_may_pause_before_it_reads_a_large_body failed once in the first whole run of the merged tests: `Address already in use` while another test used the same instance number; before, a test found another's control replica at its silent seed.

Cause: an instance, its control replica, its upstreams and its silent seed shared the 254 addresses of one block, 40 numbers apart, and two files had taken the same numbers.

Now each of these has a block of its own for 250 instance numbers, and the tests of pauses have numbers that no other file uses.

--- a/tests/processes/entry.rs
+++ b/tests/processes/entry.rs
@@ -71,7 +71,7 @@
 
     async fn start_on_link(number: u32, behaviour: Behaviour, link_mbps: f64) -> Self {
         let (event_sender, events) = mpsc::unbounded_channel();
-        let listener = TcpListener::bind(address(number + 160, 8080)).await.unwrap();
+        let listener = TcpListener::bind(address(upstream_number(number), 8080)).await.unwrap();
         let upstream = listed_upstream(listener.local_addr().unwrap());
         tokio::spawn(serve_upstream(listener, behaviour, event_sender));
         let rig = Self::launch(number, control_replica(upstream), events, link_mbps).await;
@@ -110,9 +110,10 @@
         let folder =
             std::env::temp_dir().join(format!("bulrushspan-entry-{}-{number}", std::process::id()));
         fs::create_dir_all(&folder).unwrap();
-        let listener = TcpListener::bind(address(number + 80, 7660)).await.unwrap();
+        let listener = TcpListener::bind(address(control_number(number), 7660)).await.unwrap();
         tokio::spawn(serve_mesh(listener, control));
-        let seeds = [address(number + 80, 8146), format!("{}:8146", silent_seed(number))];
+        let seeds =
+            [address(control_number(number), 8146), format!("{}:8146", silent_seed(number))];
         let settings = json!({
             "node": "e1", "ip": ip, "zone": "a", "region": "north", "zones": {"a": "north"},
             "listen": {"front": format!("{ip}:8144"), "ready": format!("{ip}:8140")},
@@ -188,10 +189,25 @@
     }
 }
 
-/// Returns an address on loopback that only this process uses.
+/// How many instances the tests may start.
+const INSTANCES_MAX: u32 = 250;
+
+/// Returns an address on loopback that only this process uses. Each test has instance numbers of
+/// its own.
 pub(super) fn ip(number: u32) -> String {
     let pid = std::process::id();
-    format!("127.{}.{}.{number}", 20 + pid % 80, pid / 80 % 250)
+    let (block, host) = (number / INSTANCES_MAX, 1 + number % INSTANCES_MAX);
+    format!("127.{}.{}.{host}", 20 + pid % 80, pid / 80 % 60 * 4 + block)
+}
+
+/// Returns the number that stands for the control replica of an instance.
+pub(super) fn control_number(instance: u32) -> u32 {
+    instance + INSTANCES_MAX
+}
+
+/// Returns the number that stands for the upstreams of an instance.
+pub(super) fn upstream_number(instance: u32) -> u32 {
+    instance + 2 * INSTANCES_MAX
 }
 
 pub(super) fn address(number: u32, port: u16) -> String {
@@ -200,7 +216,7 @@
 
 /// Returns the address of a seed at which nothing listens unless a test does.
 fn silent_seed(number: u32) -> String {
-    ip(number + 40)
+    ip(number + 3 * INSTANCES_MAX)
 }
 
 fn request(id: &str, connection: &str) -> String {
--- a/tests/processes/faulty_upstreams.rs
+++ b/tests/processes/faulty_upstreams.rs
@@ -15,7 +15,7 @@
 };
 
 use super::{
-    entry::{Rig, WAIT_TIMEOUT, address, listed_upstream},
+    entry::{Rig, WAIT_TIMEOUT, address, listed_upstream, upstream_number},
     hand_over::{control, peer, send, start, unreachable_upstreams},
 };
 
@@ -167,7 +167,8 @@
 
 /// Starts an instance with two upstreams, which share their records.
 async fn start_with_two_upstreams(number: u32) -> (Rig, Shared) {
-    let addresses = [address(number + 160, 8080), address(number + 160, 8081)];
+    let addresses =
+        [address(upstream_number(number), 8080), address(upstream_number(number), 8081)];
     let received = serve(&addresses).await;
     let upstreams = addresses.iter().map(|address| ListedUpstream {
         id: address.clone(),
--- a/tests/processes/follow.rs
+++ b/tests/processes/follow.rs
@@ -19,7 +19,9 @@
 use tokio::{net::TcpListener, sync::mpsc, time::sleep};
 
 use super::{
-    entry::{LINK_MBPS, Rig, WAIT_TIMEOUT, address, follow_reply, listed_upstream},
+    entry::{
+        LINK_MBPS, Rig, WAIT_TIMEOUT, address, follow_reply, listed_upstream, upstream_number,
+    },
     hand_over::{policy, send, serve},
 };
 
@@ -38,14 +40,14 @@
 
 /// Starts an instance whose control replica replies as `mode` says, and an upstream.
 async fn start(number: u32, mode: Arc<Mutex<Mode>>) -> Rig {
-    serve(address(number + 160, 8080), false).await;
+    serve(address(upstream_number(number), 8080), false).await;
     let policy = policy(1);
     let control: MeshHandler<NodeRequest, NodeReply> = Arc::new(move |call, _peer| {
         let (policy, mode) = (policy.clone(), mode.clone());
         Box::pin(async move {
             let NodeRequest::Follow(request) = call else { return None };
             sleep(Duration::from_millis(request.hold_ms.min(200))).await;
-            let listed = listed_upstream(address(number + 160, 8080).parse().unwrap());
+            let listed = listed_upstream(address(upstream_number(number), 8080).parse().unwrap());
             let mut reply = follow_reply(&request, &policy, listed);
             match *mode.lock().unwrap() {
                 Mode::UpToDate => {}
@@ -97,7 +99,7 @@
             }
             let is_probe = request.version.is_none();
             sleep(if is_probe { probe_delay } else { state_delay }).await;
-            let listed = listed_upstream(address(number + 160, 8080).parse().unwrap());
+            let listed = listed_upstream(address(upstream_number(number), 8080).parse().unwrap());
             Some(NodeReply::Follow(Box::new(follow_reply(&request, &policy, listed))))
         })
     });
--- a/tests/processes/hand_over.rs
+++ b/tests/processes/hand_over.rs
@@ -26,7 +26,9 @@
     time::{sleep, timeout},
 };
 
-use super::entry::{LINK_MBPS, Rig, SERVICE, WAIT_TIMEOUT, address, follow_reply, listed_upstream};
+use super::entry::{
+    LINK_MBPS, Rig, SERVICE, WAIT_TIMEOUT, address, follow_reply, listed_upstream, upstream_number,
+};
 
 /// The ids of the requests that an upstream or a peer received.
 type Received = Arc<Mutex<Vec<String>>>;
@@ -47,7 +49,7 @@
     ListedUpstream {
         id: id.to_owned(),
         service: service.to_owned(),
-        ..listed_upstream(address(number + 160, port).parse().unwrap())
+        ..listed_upstream(address(upstream_number(number), port).parse().unwrap())
     }
 }
 
--- a/tests/processes/late_requests.rs
+++ b/tests/processes/late_requests.rs
@@ -15,7 +15,7 @@
 };
 
 use super::{
-    entry::{Rig, WAIT_TIMEOUT, address, listed_upstream},
+    entry::{Rig, WAIT_TIMEOUT, address, listed_upstream, upstream_number},
     hand_over::{self, control, peer, unreachable_upstreams},
 };
 
@@ -30,7 +30,7 @@
 /// the request's target says.
 async fn start(number: u32, grace_s: f64) -> (Rig, Received) {
     let received = Received::default();
-    let listener = TcpListener::bind(address(number + 160, 8080)).await.unwrap();
+    let listener = TcpListener::bind(address(upstream_number(number), 8080)).await.unwrap();
     let upstream = listed_upstream(listener.local_addr().unwrap());
     tokio::spawn(serve_upstream(listener, received.clone()));
     let (_, events) = mpsc::unbounded_channel();
--- a/tests/processes/limits.rs
+++ b/tests/processes/limits.rs
@@ -24,7 +24,10 @@
 };
 
 use super::{
-    entry::{POLL_INTERVAL, Rig, SERVICE, WAIT_TIMEOUT, address, follow_reply, listed_upstream},
+    entry::{
+        POLL_INTERVAL, Rig, SERVICE, WAIT_TIMEOUT, address, follow_reply, listed_upstream,
+        upstream_number,
+    },
     hand_over::{peer, start},
 };
 
@@ -83,7 +86,7 @@
 
 /// Listens as the upstream of an instance, and responds with the head of each request.
 async fn serve(number: u32) -> ListedUpstream {
-    let listener = TcpListener::bind(address(number + 160, 8080)).await.unwrap();
+    let listener = TcpListener::bind(address(upstream_number(number), 8080)).await.unwrap();
     let upstream = listed_upstream(listener.local_addr().unwrap());
     tokio::spawn(async move {
         while let Ok((mut stream, _)) = listener.accept().await {
--- a/tests/processes/pauses.rs
+++ b/tests/processes/pauses.rs
@@ -10,7 +10,7 @@
 };
 
 use super::{
-    entry::{Rig, WAIT_TIMEOUT, address, listed_upstream},
+    entry::{Rig, WAIT_TIMEOUT, address, listed_upstream, upstream_number},
     hand_over::{control, start},
 };
 
@@ -30,7 +30,7 @@
 }
 
 async fn start_with_upstream(number: u32, behaviour: Behaviour) -> Rig {
-    let listener = TcpListener::bind(address(number + 160, 8080)).await.unwrap();
+    let listener = TcpListener::bind(address(upstream_number(number), 8080)).await.unwrap();
     let upstream = listed_upstream(listener.local_addr().unwrap());
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
@@ -86,7 +86,7 @@
         work_time: Duration::ZERO,
         response_bytes: LARGE_BYTES,
     };
-    let rig = start_with_upstream(12, behaviour).await;
+    let rig = start_with_upstream(61, behaviour).await;
     assert_eq!(send(&rig, "menu/1", 0, PAUSE).await, ("200".to_owned(), LARGE_BYTES));
 }
 
@@ -96,7 +96,7 @@
 async fn an_upstream_may_pause_before_it_reads_a_large_body() {
     let behaviour =
         Behaviour { pause_before_body: PAUSE, work_time: Duration::ZERO, response_bytes: 2 };
-    let rig = start_with_upstream(13, behaviour).await;
+    let rig = start_with_upstream(62, behaviour).await;
     assert_eq!(send(&rig, "order/1", LARGE_BYTES, Duration::ZERO).await, ("200".to_owned(), 2));
 }
 
@@ -109,6 +109,6 @@
         work_time: PAUSE + PAUSE,
         response_bytes: 2,
     };
-    let rig = start_with_upstream(14, behaviour).await;
+    let rig = start_with_upstream(63, behaviour).await;
     assert_eq!(send(&rig, "order/1", 300, Duration::ZERO).await, ("200".to_owned(), 2));
 }
