--- a/tests/processes/faulty_upstreams.rs
+++ b/tests/processes/faulty_upstreams.rs
@@ -291,10 +291,10 @@
     for path in ["menu/break-refuse", "menu/break-again"] {
         expect(&rig, &received, path, (502, 2)).await;
     }
-    let received = serve(&[address(239, 8080)]).await;
+    let received = serve(&[address(upstream_number(79), 8080)]).await;
     let mut upstreams = unreachable_upstreams(79);
     upstreams.truncate(2);
-    upstreams.push(listed_upstream(address(239, 8080).parse().unwrap()));
+    upstreams.push(listed_upstream(address(upstream_number(79), 8080).parse().unwrap()));
     upstreams[2].id = "u9".to_owned();
     let rig = start(79, control(upstreams, Vec::new(), 1)).await;
     expect(&rig, &received, "menu/break-again", (502, 1)).await;
--- a/tests/processes/follow.rs
+++ b/tests/processes/follow.rs
@@ -154,7 +154,7 @@
         let (lists_sent, policy) = (lists_sent.clone(), policy.clone());
         Box::pin(async move {
             let NodeRequest::Follow(request) = call else { return None };
-            let listed = listed_upstream(address(215, 8080).parse().unwrap());
+            let listed = listed_upstream(address(upstream_number(55), 8080).parse().unwrap());
             let mut reply = follow_reply(&request, &policy, listed);
             match request.list {
                 Some(cursor) if cursor == Cursor::default() => {}
--- a/tests/processes/hand_over.rs
+++ b/tests/processes/hand_over.rs
@@ -27,7 +27,8 @@
 };
 
 use super::entry::{
-    LINK_MBPS, Rig, SERVICE, WAIT_TIMEOUT, address, follow_reply, listed_upstream, upstream_number,
+    LINK_MBPS, Rig, SERVICE, WAIT_TIMEOUT, address, control_number, follow_reply, listed_upstream,
+    upstream_number,
 };
 
 /// The ids of the requests that an upstream or a peer received.
@@ -182,9 +183,9 @@
 /// instances had theirs.
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_of_an_instance_without_links_are_served_through_a_peer() {
-    let mut upstream = listed_upstream(address(182, 8080).parse().unwrap());
+    let mut upstream = listed_upstream(address(upstream_number(22), 8080).parse().unwrap());
     upstream.id = "u9".to_owned();
-    let received = serve(address(182, 8080), false).await;
+    let received = serve(address(upstream_number(22), 8080), false).await;
     let _linked = start(22, control(vec![upstream], Vec::new(), 1)).await;
     let rig = start(21, control(unreachable_upstreams(21), vec![peer(22)], 1)).await;
     for number in 0..10 {
@@ -232,8 +233,8 @@
 /// A peer with an older configuration could handle a request by rules that no longer hold.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_peer_with_an_older_configuration_does_not_take_requests_over() {
-    let received = serve(address(189, 8080), false).await;
-    let upstream = listed_upstream(address(189, 8080).parse().unwrap());
+    let received = serve(address(upstream_number(29), 8080), false).await;
+    let upstream = listed_upstream(address(upstream_number(29), 8080).parse().unwrap());
     let _behind = start(29, control(vec![upstream], Vec::new(), 1)).await;
     let rig = start(28, control(unreachable_upstreams(28), vec![peer(29)], 2)).await;
     let (status, response) = send(&rig, "menu/1", "m1").await;
@@ -245,10 +246,10 @@
 /// a connection made an instance refuse requests that its peers could have sent.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_late_response_does_not_end_the_hand_over_while_connections_are_refused() {
-    serve(address(191, 8080), false).await;
+    serve(address(upstream_number(31), 8080), false).await;
     let peers_upstream = upstream(31, "u9", SERVICE, 8080);
     let _linked = start(31, control(vec![peers_upstream], Vec::new(), 1)).await;
-    let listener = TcpListener::bind(address(192, 8080)).await.unwrap();
+    let listener = TcpListener::bind(address(upstream_number(32), 8080)).await.unwrap();
     let (accepted, respond) = (Arc::new(Notify::new()), Arc::new(Notify::new()));
     let (accepted_by_test, respond_by_test) = (accepted.clone(), respond.clone());
     tokio::spawn(async move {
@@ -267,7 +268,7 @@
     let request = "GET /menu/1 HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\n\
                    Bulrushspan-Request-Id: late\r\n\r\n";
     late.write_all(request.as_bytes()).await.unwrap();
-    accepted_by_test.notified().await;
+    timeout(WAIT_TIMEOUT, accepted_by_test.notified()).await.unwrap();
     let (status, response) = send(&rig, "order/1", "o1").await;
     assert_eq!(status, 200, "{response}");
     // The next health check of the upstream is then half a second away or more.
@@ -283,7 +284,7 @@
 /// requests that it could send to those that are left, since no peer took them over.
 #[tokio::test(flavor = "multi_thread")]
 async fn upstreams_that_are_left_are_used_if_no_peer_takes_requests_over() {
-    let received = serve(address(193, 8080), false).await;
+    let received = serve(address(upstream_number(33), 8080), false).await;
     let crashed = |index: u16| upstream(33, &format!("u{index:02}"), SERVICE, 9000 + index);
     let mut upstreams: Vec<_> = (0..20).map(crashed).collect();
     upstreams.push(upstream(33, "u20", SERVICE, 8080));
@@ -300,7 +301,7 @@
 /// reaches no upstreams, so that callers were never led to it again.
 #[tokio::test(flavor = "multi_thread")]
 async fn links_to_a_service_without_upstreams_do_not_count_as_lost() {
-    let announcements = UdpSocket::bind(address(120, 7660)).await.unwrap();
+    let announcements = UdpSocket::bind(address(control_number(40), 7660)).await.unwrap();
     let is_emptied = Arc::<AtomicBool>::default();
     let upstreams = unreachable_upstreams(40);
     let rig = start(40, control_until(upstreams, Vec::new(), 1, is_emptied.clone())).await;
--- a/tests/processes/limits.rs
+++ b/tests/processes/limits.rs
@@ -223,7 +223,7 @@
     let upstream = serve(20).await;
     let unreachable = ListedUpstream {
         id: "u0".to_owned(),
-        address: address(179, 9000).parse().unwrap(),
+        address: address(upstream_number(19), 9000).parse().unwrap(),
         ..upstream.clone()
     };
     let peers_policy = vec![policy(1, LOW)];
