Await a large state longer also while other replicas reply to probes

An instance whose link needs more than 6.6 s for the whole state never got it if another replica replied to its probes, and had no configuration, or an old one, for as long.

Cause: the wait for the state grew only with that for the next reply, to 5.6 s. From then on the call failed first, which recorded nothing, while a second replica ended the search in which the failure would have been recorded.

Evidence: a_large_state_arrives_although_another_replica_replies_to_probes, now with 8 s instead of 3 s and with a second replica that the first one's seed list names for certain, on the code before: `the instance is not ready` after 60 s. It passes now, with all of follow.

Now a failed call of the followed replica makes the next wait longer, and the state is awaited for twice the time after which its reply counts as late.

--- a/src/runtime/entry_node/follow.rs
+++ b/src/runtime/entry_node/follow.rs
@@ -54,6 +54,7 @@
                 config_age_ms = state.config_age_ms(),
                 "control lost: the replica does not reply; looking for another"
             );
+            progress.record_failed(&call, state.clock.now());
             return Search::default();
         };
         let (up_to_date, behind_ms) = (is_up_to_date(&reply), reply.behind_ms);
--- a/src/runtime/entry_node/replica_call.rs
+++ b/src/runtime/entry_node/replica_call.rs
@@ -104,7 +104,8 @@
     /// given up before its whole state has arrived, none ever arrives.
     pub(super) fn record_late(&mut self) {
         self.reply_margin = (self.reply_margin * 2).min(STATE_TIMEOUT_MAX);
-        self.state_timeout = self.state_timeout.max(self.reply_margin);
+        // A reply that is late must not have failed already.
+        self.state_timeout = self.state_timeout.max(self.reply_margin * 2);
     }
 
     /// Records a call that failed. If a replica's state did not arrive in time, it is awaited
--- a/tests/processes/entry.rs
+++ b/tests/processes/entry.rs
@@ -215,7 +215,7 @@
 }
 
 /// Returns the address of a seed at which nothing listens unless a test does.
-fn silent_seed(number: u32) -> String {
+pub(super) fn silent_seed(number: u32) -> String {
     ip(number + 3 * INSTANCES_MAX)
 }
 
--- a/tests/processes/follow.rs
+++ b/tests/processes/follow.rs
@@ -20,7 +20,8 @@
 
 use super::{
     entry::{
-        LINK_MBPS, Rig, WAIT_TIMEOUT, address, follow_reply, listed_upstream, upstream_number,
+        LINK_MBPS, Rig, WAIT_TIMEOUT, address, follow_reply, listed_upstream, silent_seed,
+        upstream_number,
     },
     hand_over::{policy, send, serve},
 };
@@ -136,10 +137,10 @@
 /// changed from one to the other and asked for all of it again each time.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_large_state_arrives_although_another_replica_replies_to_probes() {
-    let state_delay = Duration::from_millis(3000);
+    let state_delay = Duration::from_millis(8000);
     let (control, _) = delayed(8, Duration::ZERO, state_delay);
     let (other, _) = delayed(8, Duration::ZERO, state_delay);
-    let listener = TcpListener::bind(address(48, 7660)).await.unwrap();
+    let listener = TcpListener::bind(format!("{}:7660", silent_seed(8))).await.unwrap();
     tokio::spawn(serve_mesh(listener, other));
     launch(8, control).await;
 }
