Hold a recorded response back until its deadline at most

The wait ends with the deadline now. There is no test of this bound alone; the tests of requests pass.

--- a/src/runtime/gateway/response.rs
+++ b/src/runtime/gateway/response.rs
@@ -33,7 +33,8 @@
 
 /// How many chunks are buffered for a caller that reads slowly.
 const CHUNK_BUFFER_LEN: usize = 8;
-/// The longest time that the end of a response is held back until the response is recorded.
+/// The longest time that the end of a response is held back until the response is recorded; less
+/// if the request's deadline comes first.
 const RECORD_TIMEOUT: Duration = Duration::from_secs(2);
 
 impl UpstreamResponse {
@@ -149,7 +150,8 @@
         }
         if let Some(recorder) = self.recorder.take() {
             let recording = tokio::spawn(recorder.finish(matches!(end, RelayEnd::Complete)));
-            tokio::time::timeout(RECORD_TIMEOUT, recording).await.ok();
+            let remaining = self.request.deadline.saturating_sub(self.gateway.now());
+            tokio::time::timeout(remaining.min(RECORD_TIMEOUT), recording).await.ok();
         }
         if let (RelayEnd::Complete, Some(chunk)) = (end, self.last.take()) {
             self.sender.send(Ok(chunk)).await.ok();
