Collect connection options once per message

What callers saw: nothing yet; found in review. Since heads may have any number of fields, one request within the size limit could keep its instance busy: for each field all fields were searched for `Connection`.

Evidence, many_header_fields_do_not_delay_other_requests on the code before, with 300,000 fields in 1.5 MB: another connection's request had no response within 60 s (`Elapsed`). It passes now, with the other tests of limits.

--- a/src/net/http1/head.rs
+++ b/src/net/http1/head.rs
@@ -1,6 +1,6 @@
 //! Parses the heads of requests and responses.
 
-use std::{error::Error, fmt, ops::Range};
+use std::{collections::BTreeSet, error::Error, fmt, ops::Range};
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderName, header};
@@ -110,10 +110,14 @@
             .any(|item| item.trim().eq_ignore_ascii_case(token))
     }
 
-    /// Returns whether the `Connection` header lists a field, which must then not be
-    /// forwarded.
-    pub fn is_connection_option(&self, name: &str) -> bool {
-        self.has_token(&header::CONNECTION, name)
+    /// Returns the options in the `Connection` header in lower case. Fields with these names
+    /// must not be forwarded.
+    pub fn connection_options(&self) -> BTreeSet<String> {
+        self.get_all(header::CONNECTION.as_str())
+            .filter_map(|value| std::str::from_utf8(value).ok())
+            .flat_map(|value| value.split(','))
+            .map(|option| option.trim().to_ascii_lowercase())
+            .collect()
     }
 
     fn slice(&self, range: &Range<u32>) -> &[u8] {
--- a/src/runtime/entry_node/attempt.rs
+++ b/src/runtime/entry_node/attempt.rs
@@ -175,8 +175,9 @@
         head.field("Host", authority.as_bytes());
     }
     let is_replaced = |name: &str| authority.is_some() && name.eq_ignore_ascii_case("host");
+    let connection_options = fields.connection_options();
     for (name, value) in fields.iter() {
-        let is_forwarded = !is_stripped(name, fields)
+        let is_forwarded = !is_stripped(name, &connection_options)
             && !headers::is_set_by_system(name)
             && !name.eq_ignore_ascii_case("expect")
             && !is_replaced(name);
--- a/src/runtime/entry_node/response.rs
+++ b/src/runtime/entry_node/response.rs
@@ -1,6 +1,6 @@
 //! Responses to callers.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use bytes::Bytes;
 use http::header;
@@ -45,11 +45,13 @@
 /// Returns whether a header field is removed when a message is forwarded,
 /// because it concerns one connection only, is used between instances only, or declares
 /// the length of the body, which the forwarded message does again.
-pub(super) fn is_stripped(name: &str, headers: &Headers) -> bool {
+///
+/// `connection_options` are those of the message.
+pub(super) fn is_stripped(name: &str, connection_options: &BTreeSet<String>) -> bool {
     HOP_BY_HOP.iter().any(|field| field.eq_ignore_ascii_case(name))
         || name.eq_ignore_ascii_case("content-length")
         || is_relay_field(name)
-        || headers.is_connection_option(name)
+        || connection_options.contains(&name.to_ascii_lowercase())
 }
 
 impl Response {
@@ -113,8 +115,9 @@
         write_fields(&mut head);
         match &self.source {
             Source::Upstream(headers) => {
+                let options = headers.connection_options();
                 let forwarded_fields =
-                    headers.iter().filter(|(name, _)| !is_stripped(name, headers));
+                    headers.iter().filter(|(name, _)| !is_stripped(name, &options));
                 forwarded_fields.for_each(|(name, value)| head.field(name, value));
             }
             Source::Local { retry_after, .. } => {
--- a/tests/processes/limits.rs
+++ b/tests/processes/limits.rs
@@ -275,3 +275,18 @@
         assert!(!response.contains("other.example"), "{response}");
     }
 }
+
+/// A request with as many header fields as the size limit allows kept its instance busy for
+/// minutes, so that no other request was handled.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_header_fields_do_not_delay_other_requests() {
+    let limits = Limits { header_bytes: 2_000_000, ..HIGH };
+    let policies = vec![policy(1, limits)];
+    let rig = start(36, control(policies, Arc::default(), serve(36).await, Vec::new())).await;
+    let (mut caller, mut other) = (rig.connect().await, rig.connect().await);
+    let fields = "a:b\r\n".repeat(300_000);
+    let head = request(10, 0).replace("X-Filler", &(fields + "X-Filler"));
+    caller.write_all(head.as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(500)).await;
+    assert_eq!(status(&mut other, &request(10, 0)).await, 200);
+}
