--- a/src/runtime/entry_node/callers.rs
+++ b/src/runtime/entry_node/callers.rs
@@ -23,7 +23,7 @@
 use crate::{
     core::{StopPhase, routing::CallerLimits},
     net::{
-        http1::{BodyError, BodyReader, HeadError, RequestHead, parse_request_head},
+        http1::{BodyReader, HeadError, RequestHead, parse_request_head},
         mesh::configure_stream,
         relay::RelayTerms,
     },
@@ -119,8 +119,9 @@
                 return Ok(());
             }
             let wants_input = self.wants_input();
-            // A head that arrives byte by byte must not keep the connection open for ever.
-            let is_active_on_input =
+            // Further bytes of a head don't: sent one by one, they would keep the connection open
+            // for ever.
+            let input_renews_timeout =
                 self.is_idle() || matches!(self.read_state, ReadState::Body { .. });
             let deadline = self.read_deadline();
             tokio::select! {
@@ -133,7 +134,7 @@
                     if read? == 0 {
                         return Ok(());
                     }
-                    if is_active_on_input {
+                    if input_renews_timeout {
                         self.last_active_at = Instant::now();
                     }
                     if self.is_finished() {
@@ -164,7 +165,7 @@
                     if self.buffer.is_empty() {
                         return Ok(());
                     }
-                    let header_max = self.limits().header_max_bytes as usize;
+                    let header_max = self.sender_limits().header_max_bytes as usize;
                     match parse_request_head(&mut self.buffer, header_max) {
                         Ok(None) => return Ok(()),
                         Ok(Some(head)) => self.handle_head(head).await?,
@@ -177,7 +178,7 @@
                 }
                 ReadState::Body { reader, body, body_max_bytes, .. } => {
                     let body_max_bytes = *body_max_bytes;
-                    let is_done = match append_body(reader, body, &mut self.buffer) {
+                    let is_done = match reader.read_into(body, &mut self.buffer) {
                         Ok(()) => reader.is_done(),
                         Err(error) => {
                             info!(%error, "malformed request body");
@@ -207,7 +208,7 @@
             self.reject(400, "malformed", Some(head));
             return Ok(());
         }
-        let body_max_bytes = self.limits().body_max_bytes;
+        let body_max_bytes = self.sender_limits().body_max_bytes;
         if head.framing.length().is_some_and(|length| length > body_max_bytes) {
             self.reject_size(413, "body_too_large", Some(head));
             return Ok(());
@@ -359,7 +360,7 @@
 
     /// Returns the limits on what the sender may send. What a peer hands over was within those
     /// of its own configuration.
-    fn limits(&self) -> CallerLimits {
+    fn sender_limits(&self) -> CallerLimits {
         let limits = self.state.limits();
         match self.sender {
             Sender::Caller => limits,
@@ -379,7 +380,7 @@
     /// While a request is arriving, the longer of the idle timeout and the header timeout
     /// applies: to its whole head, and to each wait for more of its body.
     fn read_deadline(&self) -> Instant {
-        let limits = self.limits();
+        let limits = self.sender_limits();
         if !self.is_idle() {
             return self.last_active_at + limits.idle_timeout.max(limits.header_timeout);
         }
@@ -392,15 +393,3 @@
         self.last_active_at + limits.idle_timeout
     }
 }
-
-/// Moves all of the body that has arrived from `buffer` to `body`.
-fn append_body(
-    reader: &mut BodyReader,
-    body: &mut BytesMut,
-    buffer: &mut BytesMut,
-) -> Result<(), BodyError> {
-    while let Some(piece) = reader.next(buffer)? {
-        body.extend_from_slice(&piece);
-    }
-    Ok(())
-}
--- a/src/runtime/entry_node/exchange.rs
+++ b/src/runtime/entry_node/exchange.rs
@@ -80,7 +80,7 @@
         unreachable_count: 0,
         is_sent: false,
         may_have_run: false,
-        has_asked_peers: false,
+        no_peer_available: false,
         is_done: false,
     };
     exchange.run().await
@@ -111,7 +111,7 @@
     /// Whether the request may have run in an attempt that ended.
     may_have_run: bool,
     /// Whether no peer took the request over.
-    has_asked_peers: bool,
+    no_peer_available: bool,
     /// Whether the request has ended; its outcome is then recorded.
     is_done: bool,
 }
@@ -150,7 +150,7 @@
             if !self.state.can_complete(self.expected_end()) {
                 return self.end_for_stop();
             }
-            if self.state.links.are_lost(self.service) && !self.has_asked_peers {
+            if self.state.links.are_lost(self.service) && !self.no_peer_available {
                 if self.request.relay_terms.is_some() {
                     return self.refuse("unreachable", RETRY_AFTER_DEFAULT);
                 }
@@ -176,7 +176,7 @@
                 return response;
             }
             // Links that no peer has either may be upstreams that crashed, of which some are left.
-            let unreachable_max = if self.has_asked_peers { 1 } else { UNREACHABLE_MAX };
+            let unreachable_max = if self.no_peer_available { 1 } else { UNREACHABLE_MAX };
             if self.unreachable_count >= unreachable_max {
                 let response = self.hand_over().await;
                 return response.unwrap_or_else(|| self.refuse("unreachable", RETRY_AFTER_DEFAULT));
@@ -191,7 +191,7 @@
         let attempts_left = self.attempts_max.saturating_sub(self.attempts);
         let may_be_reached =
             self.state.links.are_lost(self.service) || self.has_unresponsive_upstream();
-        if is_from_peer || attempts_left == 0 || !may_be_reached || self.has_asked_peers {
+        if is_from_peer || attempts_left == 0 || !may_be_reached || self.no_peer_available {
             return None;
         }
         if self.attempts > 0 && !self.try_take_retry() {
@@ -208,7 +208,7 @@
             }
             HandOverOutcome::Unknown => Some(Response::local(502, "broken_off")),
             HandOverOutcome::NoPeer => {
-                self.has_asked_peers = true;
+                self.no_peer_available = true;
                 self.is_sent = false;
                 None
             }
--- a/src/runtime/entry_node/ready_response.rs
+++ b/src/runtime/entry_node/ready_response.rs
@@ -22,7 +22,8 @@
     pub(super) head: Option<RequestHead>,
     /// Whether the caller may still send input, which is then discarded.
     pub(super) has_unread_input: bool,
-    /// Keeps the request open until the response is written, so that a stop waits for it.
+    /// Keeps the request open until the response is written and, if the connection closes, the
+    /// caller had time to read it, so that a stop waits for both.
     pub(super) _open_request: OpenRequest,
 }
 
--- a/src/runtime/replica/mod.rs
+++ b/src/runtime/replica/mod.rs
@@ -76,8 +76,8 @@
     pub(super) topology: Arc<Topology>,
     /// The policy of a new deployment, if the settings have one.
     pub(super) initial_policy: Option<InitialPolicy>,
-    /// How long a member may not reply before the leader may remove it; `None` if replicas
-    /// don't ask to join again.
+    /// How long a member may not reply before the leader may remove it; `None` to keep all
+    /// members, for replicas that don't ask to join again.
     pub(super) silent_member_timeout: Option<Duration>,
 }
 
