Refuse a request whose time is over before it is sent

What callers saw: a request whose body arrived after its deadline was sent to an upstream with no time left, and the caller was answered 504, or late, instead of being told that it had not run.

Cause: the deadline only ended a wait, and the first attempt began without one. Found in review, by reading.

Evidence: a_request_that_arrives_after_its_deadline_is_refused_as_not_run on the code before:

left: 200 right: 503

Now each attempt begins with a look at the deadline.

--- a/src/runtime/entry_node/exchange.rs
+++ b/src/runtime/entry_node/exchange.rs
@@ -122,11 +122,9 @@
         let time_left = self.deadline.saturating_sub(state.clock.now());
         let response = tokio::select! {
             biased;
-            result = tokio::time::timeout(time_left, self.try_upstreams()) => match result {
-                Ok(response) => response,
-                Err(_) if self.is_sent || self.may_have_run => Response::local(504, "timeout"),
-                Err(_) => self.refuse("timeout", RETRY_AFTER_DEFAULT),
-            },
+            result = tokio::time::timeout(time_left, self.try_upstreams()) => {
+                result.unwrap_or_else(|_| self.end_at_deadline())
+            }
             () = state.stop_ends() => self.end_for_stop(),
         };
         self.is_done = true;
@@ -147,6 +145,9 @@
 
     async fn try_upstreams(&mut self) -> Response {
         loop {
+            if self.state.clock.now() >= self.deadline {
+                return self.end_at_deadline();
+            }
             if !self.state.can_complete(self.expected_end()) {
                 return self.end_for_stop();
             }
@@ -363,6 +364,14 @@
         self.deadline.min(self.state.clock.now() + self.route.objective)
     }
 
+    /// Ends the request because its time is over.
+    fn end_at_deadline(&self) -> Response {
+        if self.is_sent || self.may_have_run {
+            return Response::local(504, "timeout");
+        }
+        self.refuse("timeout", RETRY_AFTER_DEFAULT)
+    }
+
     /// Ends the request because the process is about to exit.
     fn end_for_stop(&self) -> Response {
         if self.is_sent || self.may_have_run {
--- a/tests/processes/limits.rs
+++ b/tests/processes/limits.rs
@@ -290,3 +290,19 @@
     sleep(Duration::from_millis(500)).await;
     assert_eq!(status(&mut other, &request(10, 0)).await, 200);
 }
+
+/// A request whose time was over when its body had arrived was still sent, with no time left, and
+/// its caller was not told that it had not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_arrives_after_its_deadline_is_refused_as_not_run() {
+    let policies = vec![policy(1, HIGH)];
+    let rig = start(37, control(policies, Arc::default(), serve(37).await, Vec::new())).await;
+    let mut caller = rig.connect().await;
+    let request = request(10, 10).replace("X-Filler", "Bulrushspan-Deadline-Ms: 300\r\nX-Filler");
+    let (head, body) = request.split_at(request.len() - 10);
+    caller.write_all(head.as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(600)).await;
+    let (status, response) = send(&mut caller, body).await;
+    assert_eq!(status, 503, "{response}");
+    assert!(response.contains(r#""timeout""#), "{response}");
+}
