--- a/src/runtime/entry_node/exchange.rs
+++ b/src/runtime/entry_node/exchange/mod.rs
@@ -1,5 +1,7 @@
 //! Handles one request: routes it, chooses upstreams and decides on retries.
 
+mod records;
+
 use std::{io, rc::Rc, time::Duration};
 
 use tracing::info;
@@ -21,7 +23,7 @@
     core::{
         balance::{Choice, Requirements},
         control::ServiceName,
-        placement::{CompletedRequest, ObjectId, object_id},
+        placement::{ObjectId, object_id},
         routing::{Execution, Route},
         upstreams::UpstreamId,
     },
@@ -325,36 +327,6 @@
         }
     }
 
-    fn record_demand(&self, sent_at: Duration) {
-        self.state.demand.borrow_mut().record_request(&CompletedRequest {
-            service: self.service,
-            route: self.route_name,
-            object: self.object,
-            has_large_body: self.route.execution == Execution::OnceWithLargeBody,
-            elapsed: self.state.clock.now().saturating_sub(sent_at),
-        });
-    }
-
-    fn try_take_retry(&self) -> bool {
-        let is_taken = self.state.try_take_retry(self.service);
-        if !is_taken {
-            info!(
-                target: REQUEST_TARGET,
-                request = self.id,
-                service = self.service,
-                "retry budget spent"
-            );
-        }
-        is_taken
-    }
-
-    fn record_failure(&self, choice: &Choice, error: &io::Error, message: &'static str) {
-        let now = self.state.clock.now();
-        self.state.balancer.borrow_mut().record_failure(&choice.id, now);
-        self.state.upstream_failed.notify_one();
-        info!(target: REQUEST_TARGET, request = self.id, upstream = choice.id, %error, "{message}");
-    }
-
     /// Returns when the request will probably have ended if it is sent now, or certainly if it
     /// can't be repeated.
     fn expected_end(&self) -> Duration {
@@ -391,10 +363,6 @@
         refuse(self.state, self.id, reason, retry_after)
     }
 
-    fn record_outcome(&self, outcome: RequestOutcome) {
-        self.state.metrics.record_request(self.service, self.route, outcome, self.elapsed());
-    }
-
     fn elapsed(&self) -> Duration {
         self.state.clock.now().saturating_sub(self.request.arrived_at)
     }
--- /dev/null
+++ b/src/runtime/entry_node/exchange/records.rs
@@ -0,0 +1,52 @@
+//! Records what becomes of a request: for the choice of upstreams, the retry budget, the metrics
+//! and the log.
+
+use std::{io, time::Duration};
+
+use tracing::info;
+
+use super::{super::metrics::RequestOutcome, Exchange};
+use crate::{
+    core::{balance::Choice, placement::CompletedRequest, routing::Execution},
+    runtime::logs::REQUEST_TARGET,
+};
+
+impl Exchange<'_> {
+    /// Records the demand for the object of a request that was sent at `sent_at` and completed now.
+    pub(super) fn record_demand(&self, sent_at: Duration) {
+        self.state.demand.borrow_mut().record_request(&CompletedRequest {
+            service: self.service,
+            route: self.route_name,
+            object: self.object,
+            has_large_body: self.route.execution == Execution::OnceWithLargeBody,
+            elapsed: self.state.clock.now().saturating_sub(sent_at),
+        });
+    }
+
+    /// Takes a retry from the budget of the service. Returns whether one was left.
+    pub(super) fn try_take_retry(&self) -> bool {
+        let is_taken = self.state.try_take_retry(self.service);
+        if !is_taken {
+            info!(
+                target: REQUEST_TARGET,
+                request = self.id,
+                service = self.service,
+                "retry budget spent"
+            );
+        }
+        is_taken
+    }
+
+    /// Records that an attempt failed, so that the upstream is checked before it is used again.
+    pub(super) fn record_failure(&self, choice: &Choice, error: &io::Error, message: &'static str) {
+        let now = self.state.clock.now();
+        self.state.balancer.borrow_mut().record_failure(&choice.id, now);
+        self.state.upstream_failed.notify_one();
+        info!(target: REQUEST_TARGET, request = self.id, upstream = choice.id, %error, "{message}");
+    }
+
+    /// Records how the request ended.
+    pub(super) fn record_outcome(&self, outcome: RequestOutcome) {
+        self.state.metrics.record_request(self.service, self.route, outcome, self.elapsed());
+    }
+}
