--- a/tests/processes/hand_over.rs
+++ b/tests/processes/hand_over.rs
@@ -322,3 +322,52 @@
     is_emptied.store(true, Ordering::Relaxed);
     timeout(WAIT_TIMEOUT / 6, wait_for(true)).await.expect("the links count as lost for ever");
 }
+
+/// Links that fell silent under requests in progress: the instance noticed nothing before the
+/// requests reached their deadlines, and callers were led to it meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn links_that_fall_silent_are_noticed_while_requests_wait() {
+    let announcements = UdpSocket::bind(address(control_number(61), 7660)).await.unwrap();
+    let (accepted_sender, mut accepted) = mpsc::unbounded_channel();
+    let mut listeners = Vec::new();
+    for index in 0..UPSTREAMS as u16 {
+        let listener = TcpListener::bind(address(upstream_number(61), 9000 + index)).await.unwrap();
+        let listener = Arc::new(listener);
+        listeners.push(listener.clone());
+        let accepted_sender = accepted_sender.clone();
+        tokio::spawn(async move {
+            let mut streams = Vec::new();
+            while let Ok((stream, _)) = listener.accept().await {
+                streams.push(stream);
+                accepted_sender.send(()).ok();
+            }
+            // The connections stay open.
+            std::future::pending::<()>().await;
+        });
+    }
+    let rig = start(61, control(unreachable_upstreams(61), Vec::new(), 1)).await;
+    let mut callers = Vec::new();
+    for number in 0..16 {
+        let mut caller = rig.connect().await;
+        let request = format!(
+            "GET /menu/1 HTTP/1.1\r\nHost: shop.example\r\nBulrushspan-Request-Id: m{number}\r\n\r\n"
+        );
+        caller.write_all(request.as_bytes()).await.unwrap();
+        callers.push(caller);
+        timeout(WAIT_TIMEOUT, accepted.recv()).await.unwrap();
+    }
+    listeners
+        .iter()
+        .for_each(|listener| SockRef::from(&**listener).shutdown(Shutdown::Both).unwrap());
+    let wait_for_loss = async {
+        let mut datagram = vec![0; 2048];
+        loop {
+            let length = announcements.recv(&mut datagram).await.unwrap();
+            let announcement: Announcement = decode(&datagram[..length]).unwrap();
+            if !announcement.reaches_upstreams {
+                return;
+            }
+        }
+    };
+    timeout(WAIT_TIMEOUT / 4, wait_for_loss).await.expect("the loss is not noticed");
+}
