Check links to upstreams once they are silent

Callers of an instance that lost its links waited until their deadlines, and new ones were led to it for three to five seconds more. Loss was noticed only in single attempts that fail: a connection from before the loss fails after 2 s, a new one on a link of 2 Mbit/s after 1.4 s, and three upstreams of a service had to fail before probes began, service by service.

An instance now tries one upstream once requests to three upstreams of a service have waited for half a second and none was heard, and probes the links if that takes no connection within 250 ms. A loss counts from when an upstream was last heard, is announced at once, and has the other services probed too.

--- a/src/core/balance/links.rs
+++ b/src/core/balance/links.rs
@@ -21,6 +21,20 @@
     unreachable: BTreeMap<ServiceName, BTreeSet<UpstreamId>>,
     /// When an upstream last responded or took a connection, by service.
     heard_at: BTreeMap<ServiceName, Duration>,
+    /// The requests whose response is awaited, by service.
+    awaited: BTreeMap<ServiceName, AwaitedRequests>,
+    /// The services whose upstreams were silent and did not take a connection at once.
+    suspected: BTreeSet<ServiceName>,
+}
+
+/// The upstreams of awaited requests, each by when the request was sent and a number.
+type AwaitedRequests = BTreeMap<(Duration, u64), UpstreamId>;
+
+/// Identifies a request whose response is awaited.
+#[derive(Clone, Debug)]
+pub struct AwaitedRequest {
+    service: ServiceName,
+    key: (Duration, u64),
 }
 
 /// An attempt that did not reach an upstream.
@@ -35,13 +49,69 @@
 /// The number of different upstreams that can't be reached in a row before the links
 /// count as lost. Fewer would often be upstreams that crashed together.
 const LOST_MIN: usize = 3;
+/// How long requests to [`LOST_MIN`] upstreams of a service must have been awaited, with nothing
+/// heard from any, before the links are checked.
+const SILENCE_MIN: Duration = Duration::from_millis(500);
 
 impl UpstreamLinks {
+    /// Records that a request is sent to an upstream, whose response is then awaited.
+    pub fn record_sent(
+        &mut self,
+        service: &ServiceName,
+        id: &UpstreamId,
+        now: Duration,
+    ) -> AwaitedRequest {
+        let awaited = self.awaited.entry(service.clone()).or_default();
+        // Numbers tell requests apart that are sent at the same time.
+        let number = awaited.last_key_value().map_or(0, |((_, number), _)| number + 1);
+        let key = (now, number);
+        awaited.insert(key, id.clone());
+        AwaitedRequest { service: service.clone(), key }
+    }
+
+    /// Records that the response to a request is no longer awaited.
+    pub fn record_ended(&mut self, request: &AwaitedRequest) {
+        if let Some(awaited) = self.awaited.get_mut(&request.service) {
+            awaited.remove(&request.key);
+            if awaited.is_empty() {
+                self.awaited.remove(&request.service);
+            }
+        }
+    }
+
+    /// Returns the services whose upstreams have been silent for long although requests to
+    /// several of them are awaited, unless their links are known or suspected to be lost.
+    pub fn silent_services(&self, now: Duration) -> Vec<ServiceName> {
+        let Some(before) = now.checked_sub(SILENCE_MIN) else { return Vec::new() };
+        let is_silent = |(service, awaited): &(&ServiceName, &AwaitedRequests)| {
+            let heard_at = self.heard_at.get(*service).copied().unwrap_or_default();
+            let overdue = awaited.range(..=(before, u64::MAX)).map(|(_, id)| id);
+            heard_at <= before && overdue.collect::<BTreeSet<_>>().len() >= LOST_MIN
+        };
+        let silent = self.awaited.iter().filter(is_silent).map(|(service, _)| service);
+        silent.filter(|service| !self.are_lost(service)).cloned().collect()
+    }
+
+    /// Makes the links to the upstreams of a service count as lost until one is reached, after
+    /// one that was tried because of their silence did not take a connection at once. Returns
+    /// whether they did not count as lost before.
+    pub fn suspect(&mut self, service: &ServiceName) -> bool {
+        !self.are_lost(service) && self.suspected.insert(service.clone())
+    }
+
+    /// Returns when an upstream of a service was last heard.
+    pub fn heard_at(&self, service: &ServiceName) -> Option<Duration> {
+        self.heard_at.get(service).copied()
+    }
+
     /// Records that an upstream of a service responded or took a connection. Returns whether
     /// the links were lost until now.
     pub fn record_reached(&mut self, service: &ServiceName, now: Duration) -> bool {
+        let were_lost = self.are_lost(service);
         self.heard_at.insert(service.clone(), now);
-        self.unreachable.remove(service).is_some_and(|failed| failed.len() >= LOST_MIN)
+        self.unreachable.remove(service);
+        self.suspected.remove(service);
+        were_lost
     }
 
     /// Records that an upstream of a service could not be reached. Returns whether this
@@ -56,8 +126,9 @@
         if failure.is_timeout && heard_at.is_some_and(|heard_at| *heard_at > failure.began_at) {
             return false;
         }
-        let failed = self.unreachable.entry(service.clone()).or_default();
-        failed.insert(id.clone()) && failed.len() == LOST_MIN
+        let were_lost = self.are_lost(service);
+        self.unreachable.entry(service.clone()).or_default().insert(id.clone());
+        !were_lost && self.are_lost(service)
     }
 
     /// Returns whether any upstream of a service could not be reached since one was.
@@ -67,11 +138,13 @@
 
     /// Returns whether the links to the upstreams of a service are lost.
     pub fn are_lost(&self, service: &ServiceName) -> bool {
-        self.unreachable.get(service).is_some_and(|failed| failed.len() >= LOST_MIN)
+        self.suspected.contains(service)
+            || self.unreachable.get(service).is_some_and(|failed| failed.len() >= LOST_MIN)
     }
 
     /// Returns the services whose upstreams can't be reached.
-    pub fn lost_services(&self) -> impl Iterator<Item = &ServiceName> {
-        self.unreachable.iter().filter(|(_, failed)| failed.len() >= LOST_MIN).map(|(name, _)| name)
+    pub fn lost_services(&self) -> BTreeSet<&ServiceName> {
+        let services = self.unreachable.keys().chain(&self.suspected);
+        services.filter(|service| self.are_lost(service)).collect()
     }
 }
--- a/src/core/balance/mod.rs
+++ b/src/core/balance/mod.rs
@@ -18,6 +18,6 @@
     choice::{Choice, Locality, PassedOver, Requirements},
     cold::ColdLimit,
     health::CheckResult,
-    links::{ReachFailure, UpstreamLinks},
+    links::{AwaitedRequest, ReachFailure, UpstreamLinks},
     notices::{NoticeChange, NoticeKind, Obstacle},
 };
--- a/src/runtime/entry_node/announce.rs
+++ b/src/runtime/entry_node/announce.rs
@@ -13,7 +13,7 @@
 };
 
 /// Announces the instance every [`ANNOUNCE_INTERVAL`], and immediately when a stop
-/// begins. Also closes expired connections, logs which notices of upstreams have ended, and
+/// begins or when links are lost or back. Also closes expired connections, logs which notices of upstreams have ended, and
 /// updates the gauges each time.
 pub(super) async fn announce(state: Rc<EntryState>, callers_address: SocketAddr) {
     let socket = match UdpSocket::bind((state.settings.ip, 0)).await {
@@ -39,7 +39,7 @@
             callers: callers_address,
             relay: state.settings.cluster_address(),
             is_ready: state.is_ready.load(Ordering::Relaxed),
-            reaches_upstreams: state.links.reaches_upstreams(),
+            reaches_upstreams: state.links.reaches_upstreams(state.clock.now()),
         };
         let Ok(datagram) = encode(&announcement) else { return };
         for address in state.all_control_addresses() {
@@ -49,6 +49,7 @@
         }
         tokio::select! {
             () = tokio::time::sleep(ANNOUNCE_INTERVAL) => {}
+            () = state.links.changed.notified() => {}
             changed = stop_phases.changed() => if changed.is_err() { return },
         }
     }
--- a/src/runtime/entry_node/attempt.rs
+++ b/src/runtime/entry_node/attempt.rs
@@ -6,7 +6,7 @@
 use tokio::io::AsyncReadExt;
 
 use super::{
-    links::connect_to_upstream,
+    links::{AwaitedResponse, connect_to_upstream},
     notices::{NoticeSource, record_notice},
     pool::{ConnectionPool, UpstreamConnection},
     request::Request,
@@ -83,6 +83,7 @@
             Err(error) => return AttemptOutcome::NotSent(error),
         },
     };
+    let _awaited = AwaitedResponse::new(state, choice);
     match send(state, choice, request, deadline, connection).await {
         Ok(outcome) => outcome,
         Err(error) => AttemptOutcome::Unknown(error),
--- a/src/runtime/entry_node/links.rs
+++ b/src/runtime/entry_node/links.rs
@@ -10,7 +10,7 @@
 };
 
 use futures_util::future::join_all;
-use tokio::{sync::Notify, time::Instant};
+use tokio::{sync::Notify, time::timeout};
 use tracing::{info, warn};
 
 use super::{
@@ -18,7 +18,7 @@
     state::EntryState,
 };
 use crate::core::{
-    balance::{Choice, ReachFailure, UpstreamLinks},
+    balance::{AwaitedRequest, Choice, ReachFailure, UpstreamLinks},
     control::ServiceName,
     upstreams::UpstreamId,
 };
@@ -29,14 +29,22 @@
     links: RefCell<UpstreamLinks>,
     /// The services whose links are lost, as probes have confirmed.
     lost: RefCell<BTreeSet<ServiceName>>,
-    /// Since when the links to the upstreams of some service have been lost.
-    lost_since: Cell<Option<Instant>>,
+    /// When the upstreams of a service whose links are lost were last heard, by the instance's
+    /// clock.
+    lost_since: Cell<Option<Duration>>,
     /// Notified when links may be lost, to start probes.
     suspected: Notify,
+    /// Notified when links are lost or back, to announce it.
+    pub(super) changed: Notify,
 }
 
 /// The interval between two rounds of probes while links are or may be lost.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// The interval between two checks for silent services.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// How long an upstream of a silent service may take to accept a connection before the links to
+/// the service are probed. It is more than a round trip between regions.
+const SILENCE_PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// The number of upstreams of a service that are probed in one round.
 const PROBES_PER_ROUND: usize = 4;
 /// How long links must have been lost before callers are led elsewhere. A shorter loss is
@@ -50,8 +58,8 @@
     }
 
     /// Returns whether the upstreams of every service are reached, apart from a short loss.
-    pub(super) fn reaches_upstreams(&self) -> bool {
-        self.lost_since.get().is_none_or(|since| since.elapsed() < ANNOUNCE_DELAY)
+    pub(super) fn reaches_upstreams(&self, now: Duration) -> bool {
+        self.lost_since.get().is_none_or(|since| now < since + ANNOUNCE_DELAY)
     }
 
     /// Returns whether the links to the upstreams of any service are lost.
@@ -66,6 +74,7 @@
             if self.lost.borrow().is_empty() {
                 self.lost_since.set(None);
             }
+            self.changed.notify_one();
             info!(service, "links to upstreams regained");
         }
     }
@@ -79,7 +88,7 @@
     }
 
     fn suspected_services(&self) -> Vec<ServiceName> {
-        self.links.borrow().lost_services().cloned().collect()
+        self.links.borrow().lost_services().into_iter().cloned().collect()
     }
 
     fn is_suspected(&self, service: &ServiceName) -> bool {
@@ -87,6 +96,26 @@
     }
 }
 
+/// Counts a request as awaited until dropped.
+pub(super) struct AwaitedResponse {
+    state: Rc<EntryState>,
+    request: AwaitedRequest,
+}
+
+impl AwaitedResponse {
+    pub(super) fn new(state: &Rc<EntryState>, choice: &Choice) -> Self {
+        let now = state.clock.now();
+        let request = state.links.links.borrow_mut().record_sent(&choice.service, &choice.id, now);
+        Self { state: state.clone(), request }
+    }
+}
+
+impl Drop for AwaitedResponse {
+    fn drop(&mut self) {
+        self.state.links.links.borrow_mut().record_ended(&self.request);
+    }
+}
+
 /// Records that an upstream could not be reached, or left a request unacknowledged, in an
 /// attempt that began at `began_at`.
 pub(super) fn record_unreachable(
@@ -110,11 +139,25 @@
     }
     // A connection from before the loss may be dead without a reset.
     state.pool.borrow_mut().clear();
-    links.lost_since.set(links.lost_since.get().or(Some(Instant::now())));
+    let heard_at = links.links.borrow().heard_at(service).unwrap_or_else(|| state.clock.now());
+    links.lost_since.set(links.lost_since.get().or(Some(heard_at)));
+    links.changed.notify_one();
+    suspect_other_services(state, service);
     let peers = state.peers.borrow().len();
     warn!(service, peers, "links to upstreams lost; handing requests over to peers");
 }
 
+/// Has the links to the upstreams of all other services probed. A service with few requests would
+/// otherwise be the last to be found out of reach.
+fn suspect_other_services(state: &EntryState, lost: &ServiceName) {
+    let policy = state.policy.borrow();
+    let mut links = state.links.links.borrow_mut();
+    for service in policy.routing.services.keys().filter(|service| *service != lost) {
+        links.suspect(service);
+    }
+    state.links.suspected.notify_one();
+}
+
 /// Opens a connection to an upstream and records whether that succeeded.
 ///
 /// # Errors
@@ -152,6 +195,33 @@
     }
 }
 
+/// Tries an upstream of each service whose upstreams are silent, at regular intervals. Runs for
+/// as long as the process runs.
+pub(super) async fn check_silent_services(state: Rc<EntryState>) {
+    loop {
+        tokio::time::sleep(SILENCE_CHECK_INTERVAL).await;
+        let services = state.links.links.borrow().silent_services(state.clock.now());
+        let checks = services.iter().map(|service| check_silent_service(&state, service));
+        join_all(checks).await;
+    }
+}
+
+/// Tries one upstream of a service. Unless it takes a connection at once, the links may be lost.
+async fn check_silent_service(state: &EntryState, service: &ServiceName) {
+    let (round, now) = (usize::from(rand::random::<u16>()), state.clock.now());
+    let target = state.balancer.borrow().probe_target(service, round, now);
+    let Some(target) = target else { return };
+    if timeout(SILENCE_PROBE_TIMEOUT, probe(state, target)).await.is_ok()
+        && !state.links.links.borrow().silent_services(state.clock.now()).contains(service)
+    {
+        return;
+    }
+    if state.links.links.borrow_mut().suspect(service) {
+        info!(service, "upstreams are silent; probing the links to them");
+        state.links.suspected.notify_one();
+    }
+}
+
 /// Probes some upstreams of a service. If none can be reached, the links are lost.
 async fn probe_service(state: &EntryState, service: &ServiceName, round: usize) {
     let now = state.clock.now();
--- a/src/runtime/entry_node/mod.rs
+++ b/src/runtime/entry_node/mod.rs
@@ -82,6 +82,7 @@
         tokio::task::spawn_local(follow::follow_control(state.clone()));
         tokio::task::spawn_local(health::check_upstreams(state.clone()));
         tokio::task::spawn_local(links::probe_upstreams(state.clone()));
+        tokio::task::spawn_local(links::check_silent_services(state.clone()));
         tokio::task::spawn_local(announce::announce(state.clone(), callers_address));
         tokio::task::spawn_local(callers::accept(state.clone(), relay_listener, Sender::Peer));
         tokio::task::spawn_local(callers::accept(state.clone(), listener, Sender::Caller));
--- a/tests/it/hand_over.rs
+++ b/tests/it/hand_over.rs
@@ -1,6 +1,6 @@
 //! Tests of how an instance that lost its links hands requests over to peers: without I/O.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, slice::from_ref, time::Duration};
 
 use bulrushspan::{
     core::{
@@ -80,6 +80,29 @@
     assert!(links.are_lost(&orders), "nothing was heard since these attempts began");
 }
 
+/// Requests that wait on connections from before a loss show it only at their deadlines; silence
+/// of all upstreams shows it sooner.
+#[test]
+fn upstreams_are_silent_once_requests_to_several_wait_and_none_is_heard() {
+    let (orders, files) = ("orders".to_owned(), "files".to_owned());
+    let ids = ["u1", "u2", "u3"].map(str::to_owned);
+    let later = |ms| NOW + Duration::from_millis(ms);
+    let mut links = UpstreamLinks::default();
+    links.record_reached(&orders, NOW);
+    let sent: Vec<_> = ids.iter().map(|id| links.record_sent(&orders, id, later(1))).collect();
+    ids.iter().for_each(|_| _ = links.record_sent(&files, &ids[0], later(1)));
+    assert!(links.silent_services(later(400)).is_empty(), "responses may take that long");
+    assert_eq!(links.silent_services(later(600)), from_ref(&orders), "one upstream is not several");
+    links.record_reached(&orders, later(300));
+    assert!(links.silent_services(later(600)).is_empty(), "one was heard meanwhile");
+    assert_eq!(links.silent_services(later(900)), from_ref(&orders));
+    links.record_ended(&sent[0]);
+    assert!(links.silent_services(later(900)).is_empty(), "requests to two upstreams are left");
+    assert!(links.suspect(&orders) && !links.suspect(&orders));
+    assert!(links.are_lost(&orders) && links.lost_services().contains(&orders));
+    assert!(links.record_reached(&orders, later(950)) && !links.are_lost(&orders));
+}
+
 #[test]
 fn requests_spread_over_peers_of_the_own_region_before_others() {
     let mut peers = Peers::new("north".to_owned());
