Hand requests over only to peers that have their links now

Announcements told of a loss only after it had lasted for a second, as the directory needs it, and a cut instance asked for its peers once a second.

Announcements now also say whether links are lost at this moment; such instances are no peers. While links are lost, peers are asked for four times a second.

Test: instances_that_have_just_lost_their_links_are_no_peers (the field is new).

--- a/src/core/roster.rs
+++ b/src/core/roster.rs
@@ -30,8 +30,10 @@
     pub relay_address: SocketAddr,
     /// Whether it accepts callers.
     pub is_ready: bool,
-    /// Whether it reaches the upstreams of every service.
+    /// Whether it reaches the upstreams of every service, apart from a short loss.
     pub reaches_upstreams: bool,
+    /// Whether it has lost the links to the upstreams of a service just now.
+    pub has_lost_links: bool,
     /// When its last announcement arrived.
     pub announced_at: Duration,
 }
@@ -109,7 +111,8 @@
         let mut by_region: BTreeMap<&RegionName, Vec<(u64, Peer)>> = BTreeMap::new();
         for (other, instance) in &self.instances {
             let Some(region) = self.regions_of_zones.get(&instance.zone) else { continue };
-            if other == name || !instance.is_usable(now) || !instance.reaches_upstreams {
+            let takes_over = instance.reaches_upstreams && !instance.has_lost_links;
+            if other == name || !instance.is_usable(now) || !takes_over {
                 continue;
             }
             let peer = Peer {
--- a/src/net/wire.rs
+++ b/src/net/wire.rs
@@ -352,8 +352,12 @@
     pub relay: SocketAddr,
     /// Whether the instance accepts requests of callers.
     pub is_ready: bool,
-    /// Whether the instance reaches the upstreams of every service.
+    /// Whether the instance reaches the upstreams of every service, apart from a short loss.
     pub reaches_upstreams: bool,
+    /// Whether the instance has lost the links to the upstreams of a service just now, so that it
+    /// takes over no requests.
+    #[serde(default)]
+    pub has_lost_links: bool,
 }
 
 /// Represents the reply to a probe, which reads the state of a replica's log.
--- a/src/runtime/control_node/calls.rs
+++ b/src/runtime/control_node/calls.rs
@@ -252,6 +252,7 @@
             relay_address: announcement.relay,
             is_ready: announcement.is_ready,
             reaches_upstreams: announcement.reaches_upstreams,
+            has_lost_links: announcement.has_lost_links,
             announced_at: now,
         };
         let mut roster = lock(&state.roster);
--- a/src/runtime/entry_node/announce.rs
+++ b/src/runtime/entry_node/announce.rs
@@ -40,6 +40,7 @@
             relay: state.settings.cluster_address(),
             is_ready: state.is_ready.load(Ordering::Relaxed),
             reaches_upstreams: state.links.reaches_upstreams(state.clock.now()),
+            has_lost_links: state.links.is_any_lost(),
         };
         let Ok(datagram) = encode(&announcement) else { return };
         for address in state.all_control_addresses() {
--- a/src/runtime/entry_node/follow.rs
+++ b/src/runtime/entry_node/follow.rs
@@ -14,6 +14,8 @@
 
 /// How long a replica may hold back its reply while nothing has changed.
 const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(1000);
+/// The same while links to upstreams are lost. Which peers have theirs may change at any time.
+const PEERS_POLL_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Follows one control replica at a time, for as long as the process runs.
 pub(super) async fn follow_control(state: Rc<EntryState>) {
@@ -37,7 +39,8 @@
     let queue_time = state.settings.link_queue_time();
     loop {
         let reply_timeout = LONG_POLL_TIMEOUT + progress.reply_margin() + queue_time;
-        let mut pending = fetch_state(state, address, &client, LONG_POLL_TIMEOUT, progress);
+        let hold = if state.links.is_any_lost() { PEERS_POLL_TIMEOUT } else { LONG_POLL_TIMEOUT };
+        let mut pending = fetch_state(state, address, &client, hold, progress);
         let Ok(ReplicaReply { call, result, .. }) = timeout(reply_timeout, &mut pending).await
         else {
             warn!(
--- a/tests/it/hand_over.rs
+++ b/tests/it/hand_over.rs
@@ -134,6 +134,7 @@
         relay_address: address(name),
         is_ready: true,
         reaches_upstreams,
+        has_lost_links: false,
         announced_at: NOW,
     };
     (name.to_owned(), instance)
@@ -191,6 +192,18 @@
     assert!(roster.peers_of(&"p1".to_owned(), NOW + Duration::from_secs(5)).is_empty());
 }
 
+/// The directory learns of a loss only once it has lasted; until then hand-overs of instances
+/// that lost their links went to others that had lost theirs too, and were refused.
+#[test]
+fn instances_that_have_just_lost_their_links_are_no_peers() {
+    let mut lost = announced("p2", "a", true);
+    lost.1.has_lost_links = true;
+    let roster = roster([announced("p1", "a", true), lost, announced("p3", "a", true)]);
+    let peers = roster.peers_of(&"p1".to_owned(), NOW);
+    assert_eq!(peers.iter().map(|peer| &peer.instance).collect::<Vec<_>>(), ["p3"]);
+    assert_eq!(roster.addresses_for("north", "a", NOW).len(), 3, "it still takes callers");
+}
+
 #[test]
 fn terms_and_refusals_survive_the_wire() {
     let terms = RelayTerms { attempts_max: 2, config_version: 54 };
--- a/tests/it/roster.rs
+++ b/tests/it/roster.rs
@@ -19,6 +19,7 @@
             relay_address: format!("10.0.0.{index}:7660").parse().unwrap(),
             is_ready: *is_ready,
             reaches_upstreams: true,
+            has_lost_links: false,
             announced_at: millis(*announced_at_ms),
         };
         roster.record_announcement((*name).to_owned(), entry);
