Show that a request which crashes its upstreams is sent on and on

The test sends a request that crashes each upstream which runs it ten times; all ten crash an upstream.

--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -1,6 +1,7 @@
 //! Tests of complete deployments, each with its own processes on loopback.
 
 mod control;
+mod crashing_requests;
 mod deployment;
 mod entry;
 mod faulty_upstreams;
