Refuse requests under which three upstreams have crashed

Requests that crash the upstream which runs them were sent to one upstream after another each time that they came again: nothing about a request was kept after it had ended. On the platform's path only the product's own interface knew of crashes.

An instance now counts a crash under a request when the upstream broke it off and its first health check then finds nothing there, or another upstream; not while the links of the service may be lost, and not for broken connections of upstreams that live on. A request is known by a hash of its caller's address, host, method, target and body. Crashes are reported with the calls that follow control, again and again until they are in the policy, and reach all instances with it: with the command and the edit that knows already, so replicas and instances of both builds go on together. Instances that take requests over get the fingerprint with the terms. From the third crash on the request is refused with 503 and a Retry-After of 10 s; others at the same upstreams go on. Crashes count for ten minutes.

What it does not see: an upstream that falls silent and ends a request only at its deadline.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -17,6 +17,7 @@
 pub mod routing;
 pub mod steering;
 mod stop_plan;
+pub mod suspects;
 pub mod upstreams;
 mod versioned_map;
 
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -15,10 +15,15 @@
     /// The version of the configuration that routed the request. An instance with an older
     /// one does not take it over.
     pub config_version: u64,
+    /// Identifies the request when its caller sends it again; `None` from an instance that does
+    /// not say.
+    pub fingerprint: Option<u128>,
 }
 
 const ATTEMPTS_MAX: &str = "Relay-Attempts-Max";
 const CONFIG_VERSION: &str = "Relay-Config-Version";
+/// The fingerprint, in hexadecimal digits.
+const FINGERPRINT: &str = "Relay-Fingerprint";
 /// The reason why the instance refused the request, which has not run, and after how many
 /// milliseconds the caller may send it again.
 const REFUSED: &str = "Relay-Refused";
@@ -28,6 +33,9 @@
     pub fn write(&self, head: &mut HeadWriter) {
         head.number(ATTEMPTS_MAX, self.attempts_max.into());
         head.number(CONFIG_VERSION, self.config_version);
+        if let Some(fingerprint) = self.fingerprint {
+            head.field(FINGERPRINT, format!("{fingerprint:032x}").as_bytes());
+        }
     }
 
     /// Returns the terms in the head of a request, or `None` if one is missing or invalid.
@@ -35,6 +43,9 @@
         Some(Self {
             attempts_max: headers.get_str(ATTEMPTS_MAX)?.parse().ok()?,
             config_version: headers.get_str(CONFIG_VERSION)?.parse().ok()?,
+            fingerprint: headers
+                .get_str(FINGERPRINT)
+                .and_then(|digits| u128::from_str_radix(digits, 16).ok()),
         })
     }
 }
@@ -66,5 +77,6 @@
 
 /// Returns whether a header field is used between instances only.
 pub fn is_relay_field(name: &str) -> bool {
-    [ATTEMPTS_MAX, CONFIG_VERSION, REFUSED].iter().any(|field| field.eq_ignore_ascii_case(name))
+    let fields = [ATTEMPTS_MAX, CONFIG_VERSION, FINGERPRINT, REFUSED];
+    fields.iter().any(|field| field.eq_ignore_ascii_case(name))
 }
--- a/src/net/wire.rs
+++ b/src/net/wire.rs
@@ -20,6 +20,7 @@
     placement::DemandReport,
     replication::{Envelope, LogIndex, Members, ReplicaId, Term},
     steering::Layout,
+    suspects::CrashReport,
     upstreams::{ListedUpstream, UpstreamId},
 };
 
@@ -282,6 +283,9 @@
     /// The entry instance whose peers are requested, if any.
     #[serde(default)]
     pub peers_of: Option<InstanceName>,
+    /// The crashes that the instance has seen and does not find in the policy.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<CrashReport>,
 }
 
 /// Represents a position in the changes that one process has numbered in sequence.
--- a/src/runtime/control_node/calls.rs
+++ b/src/runtime/control_node/calls.rs
@@ -11,9 +11,10 @@
 use super::{ControlNodeState, lock, peers::address_of};
 use crate::{
     core::{
-        control::{InstanceName, Policy},
+        control::{Command, InstanceName, Policy},
         placement::DemandReport,
         roster::AnnouncedInstance,
+        suspects::{CRASH_RETENTION, CrashReport},
     },
     net::{
         mesh::MeshHandler,
@@ -33,6 +34,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// How often a held reply checks for changes to the list of upstreams.
 const LIST_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// The maximum number of suspect requests in the policy.
+const SUSPECTS_MAX: usize = 1000;
 /// The maximum size of an announcement.
 const DATAGRAM_MAX_BYTES: usize = 2048;
 
@@ -54,6 +57,9 @@
         NodeRequest::Submit(request) => submit_local(&state, request).await.map(NodeReply::Submit),
         NodeRequest::Query(request) => query_local(&state, request).await.map(NodeReply::Query),
         NodeRequest::Follow(request) => {
+            if !request.crashes.is_empty() {
+                tokio::spawn(submit_crashes(state.clone(), request.crashes.clone()));
+            }
             let reply = handle_follow(&state, request).await?;
             Some(NodeReply::Follow(Box::new(reply)))
         }
@@ -231,6 +237,38 @@
     }
 }
 
+/// Submits the crashes that an entry instance reports, unless they are known. It reports them
+/// again until they are.
+async fn submit_crashes(state: Arc<ControlNodeState>, reports: Vec<CrashReport>) {
+    for CrashReport { fingerprint, upstream } in reports {
+        let Some(policy) = current_policy(&state).await else { return };
+        let known = policy.suspects.get(&fingerprint);
+        if known.is_some_and(|suspect| suspect.crashed.contains(&upstream)) {
+            continue;
+        }
+        if policy.suspects.len() >= SUSPECTS_MAX {
+            tracing::warn!(fingerprint, upstream, "too many suspect requests; not recorded");
+            return;
+        }
+        let at_unix_ms = state.clock.unix_ms();
+        tracing::info!(fingerprint, upstream, "recording a crash under a request");
+        let command = Command::Suspect { fingerprint, upstream, at_unix_ms };
+        // Without a quorum it is reported again.
+        submit(&state, SubmitRequest::Command(command), CALL_TIMEOUT).await;
+    }
+}
+
+/// Removes the requests under which no upstream has crashed for long.
+pub(super) async fn forget_suspects(state: &ControlNodeState) {
+    let Some(policy) = current_policy(state).await else { return };
+    let now_unix_ms = state.clock.unix_ms();
+    let before_unix_ms = now_unix_ms.saturating_sub(CRASH_RETENTION.as_millis() as u64);
+    if policy.suspects.values().any(|suspect| suspect.at_unix_ms < before_unix_ms) {
+        let command = Command::ForgetSuspects { before_unix_ms };
+        submit_local(state, SubmitRequest::Command(command)).await;
+    }
+}
+
 /// Receives the announcements of entry instances for as long as the process
 /// runs.
 pub(super) async fn receive_announcements(state: Arc<ControlNodeState>, socket: UdpSocket) {
--- a/src/runtime/control_node/list_reader.rs
+++ b/src/runtime/control_node/list_reader.rs
@@ -7,7 +7,7 @@
 
 use super::{
     ControlNodeState,
-    calls::{current_policy, leader, submit_local},
+    calls::{current_policy, forget_suspects, leader, submit_local},
     list_pages::PageReader,
     lock,
     peers::address_of,
@@ -47,6 +47,7 @@
                 read_from_platform(&state, &mut reader).await;
                 if known_leader.is_some_and(|(_, is_leader)| is_leader) {
                     plan_placement(&state).await;
+                    forget_suspects(&state).await;
                 }
             }
         }
@@ -70,8 +71,14 @@
     let hold_ms = HOLD_TIME.as_millis() as u64;
     let demand: Vec<DemandReport> =
         std::mem::take(&mut *lock(&state.demand)).into_values().collect();
-    let request =
-        FollowRequest { version: None, list: Some(*cursor), demand, hold_ms, peers_of: None };
+    let request = FollowRequest {
+        version: None,
+        list: Some(*cursor),
+        demand,
+        hold_ms,
+        peers_of: None,
+        crashes: Vec::new(),
+    };
     let client = state.connections.client(address);
     let Ok(NodeReply::Follow(reply)) =
         client.call(NodeRequest::Follow(request), FOLLOW_TIMEOUT).await
--- a/src/runtime/entry_node/callers.rs
+++ b/src/runtime/entry_node/callers.rs
@@ -1,7 +1,7 @@
 //! Serves callers' connections. Pipelined requests run concurrently; their
 //! responses are written in order.
 
-use std::{io, rc::Rc, time::Duration};
+use std::{io, net::IpAddr, rc::Rc, time::Duration};
 
 use bytes::BytesMut;
 use futures_util::{StreamExt, future::LocalBoxFuture, stream::FuturesOrdered};
@@ -47,10 +47,10 @@
 pub(super) async fn accept(state: Rc<EntryState>, listener: TcpListener, sender: Sender) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, peer)) => {
                 // Callers may pause while they read a response.
                 configure_stream(&stream, state.limits().idle_timeout);
-                let connection = CallerConnection::new(state.clone(), stream, sender);
+                let connection = CallerConnection::new(state.clone(), stream, sender, peer.ip());
                 tokio::task::spawn_local(connection.run());
             }
             Err(error) => {
@@ -67,6 +67,7 @@
 struct CallerConnection {
     state: Rc<EntryState>,
     sender: Sender,
+    sender_ip: IpAddr,
     stream: TcpStream,
     buffer: BytesMut,
     read_state: ReadState,
@@ -93,10 +94,11 @@
 }
 
 impl CallerConnection {
-    fn new(state: Rc<EntryState>, stream: TcpStream, sender: Sender) -> Self {
+    fn new(state: Rc<EntryState>, stream: TcpStream, sender: Sender, sender_ip: IpAddr) -> Self {
         Self {
             state,
             sender,
+            sender_ip,
             stream,
             buffer: BytesMut::new(),
             read_state: ReadState::Head,
@@ -255,7 +257,13 @@
                 Some(terms)
             }
         };
-        let request = Request { head: *head, body: body.freeze(), arrived_at, relay_terms };
+        let request = Request {
+            head: *head,
+            body: body.freeze(),
+            arrived_at,
+            sender: self.sender_ip,
+            relay_terms,
+        };
         let state = self.state.clone();
         let _open_request = OpenRequest::new(&state);
         self.pending.push_back(Box::pin(async move {
--- a/src/runtime/entry_node/exchange/mod.rs
+++ b/src/runtime/entry_node/exchange/mod.rs
@@ -12,8 +12,8 @@
     links::record_unreachable,
     metrics::RequestOutcome,
     refusal::{
-        RETRY_AFTER_DEFAULT, RETRY_AFTER_ELSEWHERE, refuse, refuse_without_configuration,
-        reject_unrouted,
+        RETRY_AFTER_CRASHES, RETRY_AFTER_DEFAULT, RETRY_AFTER_ELSEWHERE, refuse,
+        refuse_without_configuration, reject_unrouted,
     },
     request::Request,
     response::Response,
@@ -150,6 +150,9 @@
             if self.state.clock.now() >= self.deadline {
                 return self.end_at_deadline();
             }
+            if self.state.has_crashed_upstreams(self.request) {
+                return self.refuse("crashes_upstreams", RETRY_AFTER_CRASHES);
+            }
             if !self.state.can_complete(self.expected_end()) {
                 return self.end_for_stop();
             }
@@ -200,8 +203,11 @@
         if self.attempts > 0 && !self.try_take_retry() {
             return None;
         }
-        let terms =
-            RelayTerms { attempts_max: attempts_left, config_version: self.state.config_version() };
+        let terms = RelayTerms {
+            attempts_max: attempts_left,
+            config_version: self.state.config_version(),
+            fingerprint: self.request.fingerprint(),
+        };
         let (state, request) = (self.state, self.request);
         self.is_sent = true;
         match hand_over(state, request, terms, &self.route.home_regions, self.deadline).await {
@@ -316,6 +322,7 @@
             AttemptOutcome::Unknown(error) => {
                 self.may_have_run = true;
                 self.record_failure(choice, &error, "broken off");
+                self.record_broken_off(choice);
                 if error.kind() == io::ErrorKind::TimedOut {
                     record_unreachable(self.state, choice, &error, sent_at);
                 }
--- a/src/runtime/entry_node/exchange/records.rs
+++ b/src/runtime/entry_node/exchange/records.rs
@@ -45,6 +45,13 @@
         info!(target: REQUEST_TARGET, request = self.id, upstream = choice.id, %error, "{message}");
     }
 
+    /// Records that an upstream broke the request off, and may have crashed under it.
+    pub(super) fn record_broken_off(&self, choice: &Choice) {
+        let Some(fingerprint) = self.request.fingerprint() else { return };
+        let (fingerprint, now) = (format!("{fingerprint:032x}"), self.state.clock.now());
+        self.state.suspects.borrow_mut().record_broken_off(&choice.id, fingerprint, now);
+    }
+
     /// Records how the request ended.
     pub(super) fn record_outcome(&self, outcome: RequestOutcome) {
         self.state.metrics.record_request(self.service, self.route, outcome, self.elapsed());
--- a/src/runtime/entry_node/health.rs
+++ b/src/runtime/entry_node/health.rs
@@ -55,6 +55,23 @@
     let now = state.clock.now();
     let usable = state.balancer.borrow_mut().record_check(&choice.id, result, now);
     info!(upstream = choice.id, ?result, usable, "upstream checked");
+    record_crash(&state, &choice, result);
+}
+
+/// Records whether an upstream that broke requests off has crashed, as its first check tells.
+fn record_crash(state: &EntryState, choice: &Choice, result: CheckResult) {
+    let mut suspects = state.suspects.borrow_mut();
+    let is_gone = matches!(result, CheckResult::Silent | CheckResult::Misdirected);
+    // Without links nothing is known of the upstream.
+    if !is_gone || state.links.is_suspected(&choice.service) {
+        suspects.record_not_crashed(&choice.id);
+        return;
+    }
+    let now = state.clock.now();
+    let crash = format!("{}@{}/{}", choice.id, state.settings.instance, now.as_millis());
+    for fingerprint in suspects.record_crashed(&choice.id, &crash, now) {
+        info!(upstream = choice.id, fingerprint, "upstream crashed under a request");
+    }
 }
 
 /// Sends a health check and returns the result.
--- a/src/runtime/entry_node/links.rs
+++ b/src/runtime/entry_node/links.rs
@@ -91,7 +91,8 @@
         self.links.borrow().lost_services().into_iter().cloned().collect()
     }
 
-    fn is_suspected(&self, service: &ServiceName) -> bool {
+    /// Returns whether the links to the upstreams of a service are or may be lost.
+    pub(super) fn is_suspected(&self, service: &ServiceName) -> bool {
         self.links.borrow().are_lost(service)
     }
 }
--- a/src/runtime/entry_node/refusal.rs
+++ b/src/runtime/entry_node/refusal.rs
@@ -14,6 +14,9 @@
 /// instance.
 pub(super) const RETRY_AFTER_ELSEWHERE: Duration = Duration::from_millis(20);
 
+/// The `Retry-After` of a request under which several upstreams crashed.
+pub(super) const RETRY_AFTER_CRASHES: Duration = Duration::from_secs(10);
+
 /// Refuses a request of which only the head was read, because the process is about to exit.
 pub(super) fn refuse_for_stop(state: &EntryState, head: &RequestHead) -> Response {
     let id = headers::request_id(&head.headers).unwrap_or_default();
--- a/src/runtime/entry_node/request.rs
+++ b/src/runtime/entry_node/request.rs
@@ -1,8 +1,9 @@
 //! Represents the requests that callers send.
 
-use std::time::Duration;
+use std::{net::IpAddr, time::Duration};
 
 use bytes::Bytes;
+use sha2::{Digest, Sha256};
 
 use crate::{
     net::{
@@ -19,6 +20,8 @@
     pub(super) body: Bytes,
     /// When the head had fully arrived, by the instance's clock.
     pub(super) arrived_at: Duration,
+    /// The address from which its sender connected.
+    pub(super) sender: IpAddr,
     /// The terms on which it is taken over from a peer; `None` if a caller sent it.
     pub(super) relay_terms: Option<RelayTerms>,
 }
@@ -48,6 +51,23 @@
         authority.or_else(|| self.head.headers.get_str("host")).unwrap_or_default()
     }
 
+    /// Returns a hash that identifies the request when its caller sends it again: of the caller's
+    /// address, the method, the target and the body. Returns `None` if the caller is not known.
+    pub(super) fn fingerprint(&self) -> Option<u128> {
+        if let Some(terms) = self.relay_terms {
+            return terms.fingerprint;
+        }
+        let caller = self.sender.to_string();
+        let mut digest = Sha256::new();
+        for part in [&caller, self.host(), &self.head.method, &self.head.target] {
+            digest.update((part.len() as u64).to_le_bytes());
+            digest.update(part.as_bytes());
+        }
+        digest.update(&self.body);
+        let bytes = digest.finalize();
+        bytes.first_chunk().map(|start| u128::from_be_bytes(*start))
+    }
+
     /// Returns the path without the query.
     pub(super) fn path(&self) -> &str {
         let target = self.head.target.as_str();
--- a/src/runtime/entry_node/state.rs
+++ b/src/runtime/entry_node/state.rs
@@ -13,6 +13,7 @@
 
 use super::{
     Flag, link::InstanceLink, links::LinkState, metrics::EntryMetrics, pool::ConnectionPool,
+    request::Request,
 };
 use crate::{
     core::{
@@ -23,6 +24,7 @@
         peers::Peers,
         placement::{DemandMeter, DemandReport},
         routing::{CallerLimits, RouteIndex},
+        suspects::{CrashReport, Suspects},
     },
     runtime::{clock::Clock, logs::DroppedLines},
     settings::NodeSettings,
@@ -55,6 +57,8 @@
     pub(super) control_addresses: RefCell<Vec<SocketAddr>>,
     /// The addresses of the control replicas in the settings.
     pub(super) seeds: RefCell<Vec<SocketAddr>>,
+    /// The requests under which upstreams crashed.
+    pub(super) suspects: RefCell<Suspects>,
     /// Notified when an upstream fails, to start health checks.
     pub(super) upstream_failed: Notify,
     /// The last time at which the configuration in force is known to have been the newest.
@@ -114,6 +118,7 @@
             retry_budgets: RefCell::default(),
             recent_entry_counts: RefCell::new(RecentMax::new(ENTRY_COUNT_WINDOW)),
             entry_count: Cell::new(ENTRY_COUNT_DEFAULT),
+            suspects: RefCell::default(),
             upstream_failed: Notify::new(),
             control_addresses: RefCell::new(settings.seed_cluster_addresses()),
             clock,
@@ -196,6 +201,21 @@
         Some(self.settings.instance.clone())
     }
 
+    /// Returns whether a request has crashed so many upstreams that it is refused.
+    pub(super) fn has_crashed_upstreams(&self, request: &Request) -> bool {
+        let (policy, suspects) = (self.policy.borrow(), self.suspects.borrow());
+        if policy.suspects.is_empty() && suspects.is_empty() {
+            return false;
+        }
+        let fingerprint = request.fingerprint().map(|fingerprint| format!("{fingerprint:032x}"));
+        fingerprint.is_some_and(|fingerprint| suspects.is_refused(&fingerprint, &policy.suspects))
+    }
+
+    /// Returns the crashes that control does not know yet.
+    pub(super) fn crash_reports(&self) -> Vec<CrashReport> {
+        self.suspects.borrow().unreported(&self.policy.borrow().suspects)
+    }
+
     /// Records a request in the retry budget of its service.
     pub(super) fn record_request(&self, service: &ServiceName) {
         self.with_retry_budget(service, RetryBudget::record_request);
--- a/tests/it/hand_over.rs
+++ b/tests/it/hand_over.rs
@@ -206,7 +206,8 @@
 
 #[test]
 fn terms_and_refusals_survive_the_wire() {
-    let terms = RelayTerms { attempts_max: 2, config_version: 54 };
+    let terms =
+        RelayTerms { attempts_max: 2, config_version: 54, fingerprint: Some(u128::MAX / 3) };
     let mut head = HeadWriter::with_request("GET", "/");
     terms.write(&mut head);
     let mut bytes = BytesMut::from(&head.finish()[..]);
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -20,3 +20,4 @@
 mod steering;
 mod stop_plan;
 mod storage;
+mod suspects;
--- a/tests/processes/entry.rs
+++ b/tests/processes/entry.rs
@@ -425,6 +425,7 @@
                 demand: Vec::new(),
                 hold_ms: 0,
                 peers_of: None,
+                crashes: Vec::new(),
             };
             let listed = listed_upstream(([127, 0, 0, 1], 1).into());
             let mut reply = follow_reply(&request, &Policy::default(), listed);
--- a/tests/processes/platform.rs
+++ b/tests/processes/platform.rs
@@ -12,6 +12,13 @@
     time::{Duration, Instant},
 };
 
+use bulrushspan::{
+    core::{control::Policy, suspects::CrashReport},
+    net::{
+        mesh::MeshClient,
+        wire::{FollowRequest, NodeReply, NodeRequest, PolicyUpdate},
+    },
+};
 use serde_json::{Value, json};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -42,10 +49,10 @@
 type Runs = Arc<Mutex<BTreeMap<String, u32>>>;
 
 impl Fleet {
-    /// Starts the fleet of the test with this number, below 3, which no other test may have.
+    /// Starts the fleet of the test with this number, below 4, which no other test may have.
     async fn start(number: u32) -> Self {
         let pid = std::process::id();
-        let ip_prefix = format!("127.{}.{}", 100 + pid % 100, pid / 100 % 83 + 83 * number);
+        let ip_prefix = format!("127.{}.{}", 100 + pid % 100, pid / 100 % 62 + 62 * number);
         let folder = std::env::temp_dir().join(format!("bulrushspan-fleet-{pid}-{number}"));
         fs::create_dir_all(&folder).unwrap();
         let mut fleet = Self {
@@ -384,3 +391,44 @@
     fleet.wait_for_voters("c4", 4).await;
     fleet.configure("r6", "/book/").await;
 }
+
+/// Crashes under a request were known only to the instance that saw them.
+#[tokio::test(flavor = "multi_thread")]
+async fn control_tells_all_instances_of_crashes_that_one_reports() {
+    let fleet = Fleet::start(3).await;
+    fleet.configure("r2", "/book/").await;
+    let report = CrashReport { fingerprint: "f".to_owned(), upstream: "i-1@5".to_owned() };
+    let client = |name: &str| MeshClient::new(format!("{}:7660", fleet.ip(name)).parse().unwrap());
+    let (first, second): (MeshClient<_, NodeReply>, MeshClient<_, NodeReply>) =
+        (client("c1"), client("c3"));
+    let follow = |crashes: Vec<CrashReport>| {
+        NodeRequest::Follow(FollowRequest {
+            version: Some(0),
+            list: None,
+            demand: Vec::new(),
+            hold_ms: 0,
+            peers_of: None,
+            crashes,
+        })
+    };
+    let started_at = Instant::now();
+    loop {
+        first.call(follow(vec![report.clone()]), Duration::from_secs(1)).await.ok();
+        let reply = second.call(follow(Vec::new()), Duration::from_secs(1)).await;
+        let mut policy = Policy::default();
+        if let Ok(NodeReply::Follow(reply)) = reply {
+            match reply.update {
+                PolicyUpdate::Whole(whole) => policy = *whole,
+                PolicyUpdate::Deltas(deltas) => {
+                    assert!(deltas.iter().all(|delta| policy.apply_delta(delta)))
+                }
+            }
+        }
+        if let Some(suspect) = policy.suspects.get(&report.fingerprint) {
+            assert!(suspect.crashed.contains(&report.upstream));
+            break;
+        }
+        assert!(started_at.elapsed() < WAIT_TIMEOUT, "the crash is not known");
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
