Show that an upstream's own limit is not kept

An upstream names a Server-Limit of 5 requests a second to two instances, which then send it 1,661 in 4 s instead of 35 at most.

--- a/tests/processes/notices.rs
+++ b/tests/processes/notices.rs
@@ -53,6 +53,9 @@
     status: u16,
 }
 
+/// The number of instances that share limits.
+const ENTRIES: u32 = 2;
+
 const OK: Response = Response { status: 200, fields: "", takes: Duration::ZERO };
 
 impl StandIn {
@@ -149,6 +152,7 @@
             let mut reply = follow_reply(&request, &policy, put[0].1.clone());
             let change = MapDelta { version: 1, is_full: true, put, removed: Vec::new() };
             let counter = counter.fetch_add(1, Ordering::SeqCst);
+            reply.entries = ENTRIES;
             reply.list = request.list.map(|_| ListDelta { counter, change });
             Some(NodeReply::Follow(Box::new(reply)))
         })
@@ -259,3 +263,50 @@
     }
     assert!(checks(&stand_in.received()) >= 1);
 }
+
+/// LIMIT: an upstream that named the request rate that it takes from all instances together got
+/// the old rate from each of them.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upstream_that_names_a_limit_gets_no_more_from_all_instances_together() {
+    const LIMIT_PER_S: f64 = 5.0;
+    let stand_ins = [StandIn::start(215, "u1").await, StandIn::start(216, "u2").await];
+    let [limited, other] = &stand_ins;
+    limited.set_response(Response { fields: "Server-Limit: 5.0\r\n", ..OK });
+    let rigs = [start_with(64, &stand_ins).await.0, start_with(65, &stand_ins).await.0];
+    for rig in &rigs {
+        let told = limited.received().len();
+        for number in 0.. {
+            send(rig, "menu/1", &format!("t{number}")).await;
+            if limited.received().len() > told {
+                break;
+            }
+        }
+    }
+    sleep(Duration::from_millis(500)).await;
+    let (began_at, window) = (Instant::now(), Duration::from_secs(4));
+    let load = async |rig: &Rig, name: &str| {
+        let mut sent = 0;
+        while began_at.elapsed() < window {
+            sent += 1;
+            let (status, response) = send(rig, "menu/1", &format!("{name}{sent}")).await;
+            assert_eq!(status, 200, "{response}");
+        }
+    };
+    tokio::join!(load(&rigs[0], "a"), load(&rigs[1], "b"));
+    let ends_at = began_at + window;
+    let in_window = |received: Vec<Received>| {
+        received.iter().filter(|one| (began_at..ends_at).contains(&one.at)).count()
+    };
+    let allowed = 1.5 * LIMIT_PER_S * window.as_secs_f64() + 5.0;
+    let received = in_window(limited.received());
+    assert!(received as f64 <= allowed, "{received} of {allowed}");
+    assert!(received as f64 >= LIMIT_PER_S * window.as_secs_f64() / 2.0, "{received}");
+    assert!(in_window(other.received()) > received);
+    limited.set_response(OK);
+    let started_at = Instant::now();
+    while limited.received().len() < 2 * received + 100 {
+        send(&rigs[0], "menu/1", &format!("e{}", limited.received().len())).await;
+        send(&rigs[0], "menu/1", &format!("f{}", other.received().len())).await;
+        assert!(started_at.elapsed() < WAIT_TIMEOUT, "the limit has not ended");
+    }
+}
