Keep to the request rate that an upstream names

An upstream in need got requests at the old rate after it had named its Server-Limit, from every instance: no code knew the field.

The limit is decoded with what else upstreams say of themselves, and is kept like that: for one start of the upstream, whatever the list says, until a response to a later request names none, or nothing was heard for ten minutes. Each instance keeps an equal share of it, by the number of entry instances that share the other limits. A share is used in windows, and what a window leaves is lost: after a quiet time, instances would else all send at once. Windows begin at a random phase. First tries, retries, requests taken over and the last upstream left pass through the same choice; if all are limited, the request is refused with the time until the next window.

What is not done: shares follow the number of instances, not demand.

--- a/src/core/balance/balancer.rs
+++ b/src/core/balance/balancer.rs
@@ -47,7 +47,7 @@
             cold_limit,
             services: BTreeMap::new(),
             upstreams: BTreeMap::new(),
-            notices: Notices::default(),
+            notices: Notices::new(cold_limit.entry_count),
             evacuated: BTreeSet::new(),
             placement: Placement::default(),
         }
@@ -56,6 +56,15 @@
     /// Sets the number of entry instances that share the limit for cold upstreams.
     pub fn set_entry_count(&mut self, entry_count: u32) {
         self.cold_limit.entry_count = entry_count;
+        self.notices.entry_count = entry_count;
+    }
+
+    /// Sets how much the instance's windows for limits that upstreams name are shifted, from 0 to
+    /// 1, so that those of all instances begin at different times.
+    #[must_use]
+    pub fn with_phase(mut self, phase: f64) -> Self {
+        self.notices.phase = phase;
+        self
     }
 
     /// Sets the specifications of the services.
@@ -137,13 +146,16 @@
             now >= upstream.cold_until && self.obstacle(upstream, now).is_none()
         };
         if let Some(upstream) = self.first_ranked(requirements, is_warm) {
-            return Some(self.with_passed_over(upstream.choice(now), requirements, now));
+            let choice = self.with_passed_over(upstream.choice(now), requirements, now);
+            self.notices.record_chosen(&choice.id, now);
+            return Some(choice);
         }
         let may_send_cold = |upstream: &UpstreamState| {
             now >= upstream.next_cold_send_at && self.obstacle(upstream, now).is_none()
         };
         let choice = self.first_ranked(requirements, may_send_cold)?.choice(now);
         let choice = self.with_passed_over(choice, requirements, now);
+        self.notices.record_chosen(&choice.id, now);
         let interval = self.cold_interval(requirements.service);
         if let Some(upstream) = self.upstreams.get_mut(&choice.id) {
             upstream.next_cold_send_at = now + interval;
@@ -225,7 +237,9 @@
             let obstacle = self.obstacle(upstream, now);
             let left = match obstacle {
                 Some(Obstacle::Leaving) => continue,
-                Some(Obstacle::Paused(until)) => until.saturating_sub(now),
+                Some(Obstacle::Paused(until) | Obstacle::Limited(until)) => {
+                    until.saturating_sub(now)
+                }
                 Some(Obstacle::Resuming) | None => Duration::ZERO,
             };
             has_pause |= obstacle.is_some();
@@ -242,6 +256,7 @@
         &mut self,
         choice: &Choice,
         notice: UpstreamNotice,
+        sent_at: Duration,
         now: Duration,
     ) -> Vec<NoticeChange> {
         let listed = self.upstreams.get(&choice.id).map(|upstream| &upstream.listed);
@@ -249,7 +264,7 @@
         if listed.is_some_and(|listed| listed.started_unix_ms != choice.started_unix_ms) {
             return Vec::new();
         }
-        self.notices.record(&choice.id, choice.started_unix_ms, is_listed, notice, now)
+        self.notices.record(&choice.id, choice.started_unix_ms, is_listed, notice, (sent_at, now))
     }
 
     /// Returns what has ended since the last call of what upstreams said of themselves.
--- a/src/core/balance/mod.rs
+++ b/src/core/balance/mod.rs
@@ -11,6 +11,7 @@
 mod load;
 mod notices;
 mod pause;
+mod rate_limit;
 mod upstream_state;
 
 pub use self::{
--- a/src/core/balance/notices.rs
+++ b/src/core/balance/notices.rs
@@ -4,7 +4,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use super::pause::Pause;
+use super::{pause::Pause, rate_limit::RateLimit};
 use crate::core::upstreams::{UpstreamId, UpstreamNotice};
 
 /// What upstreams said of themselves, by id.
@@ -12,6 +12,10 @@
 /// All times are relative to one origin, which the calling code chooses.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Notices {
+    /// The number of instances that share limits.
+    pub(super) entry_count: u32,
+    /// How much this instance's windows for limits are shifted, from 0 to 1.
+    pub(super) phase: f64,
     entries: BTreeMap<UpstreamId, Entry>,
     /// The notices that ended since they were last taken.
     ended: Vec<NoticeChange>,
@@ -23,6 +27,7 @@
     started_unix_ms: Option<u64>,
     is_leaving: bool,
     pause: Option<Pause>,
+    limit: Option<RateLimit>,
     /// Whether a finding was reported; further ones are not.
     has_finding: bool,
     /// Since when the list has not contained the upstream.
@@ -30,7 +35,7 @@
 }
 
 /// Represents the beginning or the end of what an upstream said of itself.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct NoticeChange {
     /// The upstream.
     pub upstream: UpstreamId,
@@ -39,7 +44,7 @@
 }
 
 /// Represents what begins or ends with a [`NoticeChange`].
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum NoticeKind {
     /// It leaves.
     LeavingBegan,
@@ -49,6 +54,10 @@
     PauseBegan(Duration),
     /// It may be used again, gradually.
     PauseEnded,
+    /// It takes this many requests a second from all instances together.
+    LimitBegan(f64),
+    /// It names no limit any more.
+    LimitEnded,
     /// It sent a value that could not be decoded as it stands.
     Invalid(String),
 }
@@ -62,6 +71,8 @@
     Paused(Duration),
     /// Its pause has ended, and it has as many requests as it may get for now.
     Resuming,
+    /// It named a limit, and this instance has sent its share until this time.
+    Limited(Duration),
 }
 
 impl Obstacle {
@@ -71,6 +82,7 @@
             Self::Leaving => "leaving",
             Self::Paused(_) => "paused",
             Self::Resuming => "resuming",
+            Self::Limited(_) => "limited",
         }
     }
 }
@@ -80,25 +92,37 @@
 const UNLISTED_TTL: Duration = Duration::from_secs(300);
 
 impl Notices {
-    /// Records what one start of an upstream said with a response, and returns what begins.
-    /// `is_listed` states whether the list contains the upstream.
+    /// Returns no notices, for an instance that shares limits with others.
+    pub(super) fn new(entry_count: u32) -> Self {
+        Self { entry_count, ..Self::default() }
+    }
+
+    /// Records what one start of an upstream said with a response to a request that was sent at
+    /// `sent_at`, and returns what begins. `is_listed` states whether the list contains the
+    /// upstream.
     pub(super) fn record(
         &mut self,
         id: &UpstreamId,
         started_unix_ms: Option<u64>,
         is_listed: bool,
         notice: UpstreamNotice,
-        now: Duration,
+        (sent_at, now): (Duration, Duration),
     ) -> Vec<NoticeChange> {
         // While the upstream is not listed, a late response of an earlier start may arrive.
         if self.entries.get(id).is_some_and(|entry| entry.started_unix_ms > started_unix_ms) {
             return Vec::new();
         }
         self.end_if_restarted(id, started_unix_ms);
+        if notice.is_empty() {
+            self.end_limit(id, sent_at);
+            return Vec::new();
+        }
+        let (entry_count, phase) = (self.entry_count, self.phase);
         let entry = self.entries.entry(id.clone()).or_insert_with(|| Entry {
             started_unix_ms,
             is_leaving: false,
             pause: None,
+            limit: None,
             has_finding: false,
             unlisted_since: (!is_listed).then_some(now),
         });
@@ -119,15 +143,42 @@
                 }
             }
         }
+        match (notice.limit_per_s, &mut entry.limit) {
+            (Some(per_s), Some(limit)) => limit.record_named(per_s, now),
+            (Some(per_s), limit) => {
+                *limit = Some(RateLimit::new(per_s, entry_count, phase, now));
+                kinds.push(NoticeKind::LimitBegan(per_s));
+            }
+            (None, _) => {}
+        }
         if !entry.has_finding
             && let Some(finding) = notice.findings.into_iter().next()
         {
             entry.has_finding = true;
             kinds.push(NoticeKind::Invalid(finding));
         }
+        if notice.limit_per_s.is_none() {
+            self.end_limit(id, sent_at);
+        }
         kinds.into_iter().map(|kind| change(id, kind)).collect()
     }
 
+    /// Ends the limit of an upstream that responded without one to a request sent at `sent_at`.
+    fn end_limit(&mut self, id: &UpstreamId, sent_at: Duration) {
+        let Some(entry) = self.entries.get_mut(id) else { return };
+        if entry.limit.take_if(|limit| limit.ends_with(sent_at)).is_some() {
+            self.ended.push(change(id, NoticeKind::LimitEnded));
+        }
+    }
+
+    /// Records that a request is to be sent to an upstream that was chosen for it.
+    pub(super) fn record_chosen(&mut self, id: &UpstreamId, now: Duration) {
+        let limit = self.entries.get_mut(id).and_then(|entry| entry.limit.as_mut());
+        if let Some(limit) = limit {
+            limit.record_sent(self.entry_count, now);
+        }
+    }
+
     /// Records that the list contains an upstream. A new start ends the notices.
     pub(super) fn record_listed(&mut self, id: &UpstreamId, started_unix_ms: Option<u64>) {
         self.end_if_restarted(id, started_unix_ms);
@@ -159,11 +210,16 @@
         if entry.is_leaving {
             return Some(Obstacle::Leaving);
         }
-        let pause = entry.pause.as_ref()?;
-        if pause.is_active(now) {
-            return Some(Obstacle::Paused(pause.until()));
+        if let Some(pause) = &entry.pause {
+            if pause.is_active(now) {
+                return Some(Obstacle::Paused(pause.until()));
+            }
+            if !pause.admits(slots, now) {
+                return Some(Obstacle::Resuming);
+            }
         }
-        (!pause.admits(slots, now)).then_some(Obstacle::Resuming)
+        let limit = entry.limit.as_ref().filter(|limit| !limit.is_expired(now))?;
+        limit.blocked_until(self.entry_count, now).map(Obstacle::Limited)
     }
 
     /// Returns whether an upstream leaves or pauses.
@@ -189,6 +245,9 @@
     /// Returns what has ended since the last call.
     pub(super) fn take_ended(&mut self, now: Duration) -> Vec<NoticeChange> {
         for (id, entry) in &mut self.entries {
+            if entry.limit.take_if(|limit| limit.is_expired(now)).is_some() {
+                self.ended.push(change(id, NoticeKind::LimitEnded));
+            }
             let Some(pause) = &mut entry.pause else { continue };
             if pause.end(now) {
                 self.ended.push(change(id, NoticeKind::PauseEnded));
@@ -199,7 +258,8 @@
         }
         self.remove_where(|entry| {
             let is_expired = entry.unlisted_since.is_some_and(|since| now >= since + UNLISTED_TTL);
-            let is_empty = !entry.is_leaving && entry.pause.is_none() && !entry.has_finding;
+            let holds = entry.is_leaving || entry.pause.is_some() || entry.limit.is_some();
+            let is_empty = !holds && !entry.has_finding;
             is_empty || is_expired
         });
         std::mem::take(&mut self.ended)
@@ -231,7 +291,8 @@
         let leaving = self.is_leaving.then_some(NoticeKind::LeavingEnded);
         let has_pause = self.pause.as_ref().is_some_and(|pause| !pause.has_ended());
         let pause = has_pause.then_some(NoticeKind::PauseEnded);
-        leaving.into_iter().chain(pause).map(|kind| change(id, kind)).collect()
+        let limit = self.limit.as_ref().map(|_| NoticeKind::LimitEnded);
+        leaving.into_iter().chain(pause).chain(limit).map(|kind| change(id, kind)).collect()
     }
 }
 
--- a/src/runtime/entry_node/attempt.rs
+++ b/src/runtime/entry_node/attempt.rs
@@ -108,7 +108,9 @@
     if !state.link.write_if(&mut connection.stream, &bytes, takes_work).await? {
         return Ok(AttemptOutcome::LeftService);
     }
-    let on_head = |head: &ResponseHead| record_notice(state, choice, head, NoticeSource::Response);
+    let sent_at = state.clock.now();
+    let on_head =
+        |head: &ResponseHead| record_notice(state, choice, head, NoticeSource::Response, sent_at);
     let (pool, address) = (&state.pool, choice.address);
     let (head, body) = receive(state, pool, address, request, connection, on_head).await?;
     let load = headers::reported_load(&head.headers);
--- a/src/runtime/entry_node/health.rs
+++ b/src/runtime/entry_node/health.rs
@@ -84,9 +84,10 @@
     if state.balancer.borrow().is_silenced(&choice.id, state.clock.now()) {
         return Ok(CheckResult::Unhealthy);
     }
+    let sent_at = state.clock.now();
     connection.stream.write_all(&head.finish()).await?;
     let head = read_head(&mut connection, "GET").await?;
-    record_notice(state, choice, &head, NoticeSource::HealthCheck);
+    record_notice(state, choice, &head, NoticeSource::HealthCheck, sent_at);
     read_body(&mut connection, &head, BODY_MAX_BYTES).await?;
     let is_other_upstream = headers::upstream_id(&head.headers).is_some_and(|id| id != choice.id);
     Ok(match head.status {
--- a/src/runtime/entry_node/notices.rs
+++ b/src/runtime/entry_node/notices.rs
@@ -1,5 +1,7 @@
 //! Records what upstreams say of themselves with their responses, and logs it.
 
+use std::time::Duration;
+
 use tracing::{info, warn};
 
 use super::state::EntryState;
@@ -16,21 +18,23 @@
     HealthCheck,
 }
 
-/// Records what an upstream says of itself with a response for which it was chosen.
+/// Records what an upstream says of itself with the response to a request for which it was chosen
+/// and that was sent at `sent_at`.
 pub(super) fn record_notice(
     state: &EntryState,
     choice: &Choice,
     head: &ResponseHead,
     source: NoticeSource,
+    sent_at: Duration,
 ) {
     let notice = headers::upstream_notice(head.status, &head.headers);
     let is_other_upstream =
         head.status == 421 || headers::upstream_id(&head.headers).is_some_and(|id| id != choice.id);
-    if notice.is_empty() || is_other_upstream {
+    if is_other_upstream {
         return;
     }
     let now = state.clock.now();
-    let changes = state.balancer.borrow_mut().record_notice(choice, notice, now);
+    let changes = state.balancer.borrow_mut().record_notice(choice, notice, sent_at, now);
     changes.into_iter().for_each(|change| log_change(state, change, Some(source)));
 }
 
@@ -57,6 +61,11 @@
             info!(upstream, pause_ms = pause.as_millis() as u64, source, "upstream wants a pause");
         }
         NoticeKind::PauseEnded => info!(upstream, "pause of upstream ended"),
+        NoticeKind::LimitBegan(per_s) => {
+            state.metrics.record_notice("limit");
+            info!(upstream, per_s, entries = state.entry_count(), source, "upstream names a limit");
+        }
+        NoticeKind::LimitEnded => info!(upstream, "limit of upstream ended"),
         NoticeKind::Invalid(finding) => {
             state.metrics.record_notice("invalid");
             warn!(upstream, finding, source, "upstream sent an invalid value");
--- a/src/runtime/entry_node/state.rs
+++ b/src/runtime/entry_node/state.rs
@@ -124,7 +124,7 @@
             clock,
             policy: RefCell::default(),
             routes: RefCell::default(),
-            balancer: RefCell::new(Balancer::new(locality, cold_limit)),
+            balancer: RefCell::new(Balancer::new(locality, cold_limit).with_phase(rand::random())),
             pool: RefCell::default(),
             config_confirmed_at: Cell::new(None),
             list_read_at: Cell::new(None),
--- a/tests/it/notices.rs
+++ b/tests/it/notices.rs
@@ -98,6 +98,10 @@
         "503 Full\r\nRetry-After: 2\r\nRetry-After: 7",
         "503 Full\r\nRetry-After: 7, 2",
         "503 Full\r\nRetry-After: 7\r\nRetry-After: -2",
+        "200 OK\r\nServer-Limit: 4.2",
+        "503 Full\r\nserver-limit: 0\r\nRetry-After: 2",
+        "200 OK\r\nServer-Limit: -3",
+        "200 OK\r\nServer-Limit: 6, 4.5\r\nServer-Limit: many",
     ];
     let decoded = heads.map(|head| {
         let mut bytes = BytesMut::from(format!("HTTP/1.1 {head}\r\n\r\n").as_bytes());
@@ -114,9 +118,12 @@
     let mut balancer = balancer(&listed);
     let key = (0..).find(|key| choose(&mut balancer, *key, millis(0)).unwrap().id == "u1").unwrap();
     let choice = choose(&mut balancer, key, millis(0)).unwrap();
-    let began = balancer.record_notice(&choice, leaving(), millis(1));
+    let began = balancer.record_notice(&choice, leaving(), millis(1), millis(1));
     assert_eq!(kinds(began), [NoticeKind::LeavingBegan]);
-    assert!(balancer.record_notice(&choice, leaving(), millis(2)).is_empty(), "said again");
+    assert!(
+        balancer.record_notice(&choice, leaving(), millis(2), millis(2)).is_empty(),
+        "said again"
+    );
     balancer.record_failure(&"u1".to_owned(), millis(3));
     assert!(balancer.take_due_checks(millis(900)).is_empty() && !balancer.has_unhealthy());
     let other = choose(&mut balancer, key, millis(4)).unwrap();
@@ -136,12 +143,12 @@
     assert_eq!(choose(&mut balancer, key, millis(40)).unwrap().id, "u1");
     assert_eq!(kinds(balancer.take_ended_notices(millis(40))), [NoticeKind::LeavingEnded]);
     // A response of the former start arrives late, also while the list misses the upstream.
-    assert!(balancer.record_notice(&choice, leaving(), millis(41)).is_empty());
+    assert!(balancer.record_notice(&choice, leaving(), millis(41), millis(41)).is_empty());
     let choice_of_second_start = choose(&mut balancer, key, millis(41)).unwrap();
     assert_eq!(choice_of_second_start.id, "u1");
-    balancer.record_notice(&choice_of_second_start, leaving(), millis(42));
+    balancer.record_notice(&choice_of_second_start, leaving(), millis(42), millis(42));
     set_list(&mut balancer, &[upstream("u2", Some(1))], millis(43));
-    assert!(balancer.record_notice(&choice, pause(millis(5)), millis(44)).is_empty());
+    assert!(balancer.record_notice(&choice, pause(millis(5)), millis(44), millis(44)).is_empty());
     set_list(&mut balancer, &[upstream("u1", Some(2)), upstream("u2", Some(1))], millis(45));
     assert_eq!(choose(&mut balancer, key, millis(45)).unwrap().id, "u2");
 }
@@ -152,7 +159,7 @@
 fn leaving_ends_with_the_removal_if_the_list_does_not_tell_starts_apart() {
     let mut balancer = balancer(&[upstream("u1", None)]);
     let choice = choose(&mut balancer, 1, millis(0)).unwrap();
-    balancer.record_notice(&choice, leaving(), millis(1));
+    balancer.record_notice(&choice, leaving(), millis(1), millis(1));
     set_list(&mut balancer, &[upstream("u1", None)], millis(2));
     assert_eq!(choose(&mut balancer, 1, millis(2)), None);
     set_list(&mut balancer, &[], millis(3));
@@ -168,13 +175,13 @@
     let mut balancer = balancer(&[upstream("u1", Some(1)), upstream("u2", Some(1))]);
     let first = choose(&mut balancer, 1, millis(0)).unwrap();
     assert_eq!(balancer.pause_left(&requirements(&SERVICE.to_owned(), 1, &[]), millis(0)), None);
-    balancer.record_notice(&first, pause(millis(3000)), millis(0));
+    balancer.record_notice(&first, pause(millis(3000)), millis(0), millis(0));
     let second = choose(&mut balancer, 1, millis(1)).unwrap();
     let expected = PassedOver { id: first.id.clone(), obstacle: Obstacle::Paused(millis(3000)) };
     assert_eq!(second.passed_over, Some(expected));
-    let began = balancer.record_notice(&second, pause(millis(5000)), millis(1));
+    let began = balancer.record_notice(&second, pause(millis(5000)), millis(1), millis(1));
     assert_eq!(kinds(began), [NoticeKind::PauseBegan(millis(5000))]);
-    assert!(balancer.record_notice(&second, pause(millis(10)), millis(2)).is_empty());
+    assert!(balancer.record_notice(&second, pause(millis(10)), millis(2), millis(2)).is_empty());
     assert_eq!(choose(&mut balancer, 1, millis(2999)), None);
     assert!(!balancer.takes_work(&first.id, millis(2999)), "chosen before, not sent yet");
     let tried = [first.id.clone(), second.id.clone()];
@@ -301,8 +308,9 @@
                     let (choice, sent_at) = expected.in_progress.swap_remove(index);
                     let start = start_of(&choice);
                     let length = pause.map(millis);
-                    let notice = UpstreamNotice { is_leaving, pause: length, findings: vec![] };
-                    balancer.record_notice(&choice, notice, now);
+                    let pause = length;
+                    let notice = UpstreamNotice { is_leaving, pause, ..UpstreamNotice::default() };
+                    balancer.record_notice(&choice, notice, now, now);
                     if is_leaving {
                         expected.leaving.push(start.clone());
                     }
