--- a/tests/it/platform.rs
+++ b/tests/it/platform.rs
@@ -1,5 +1,7 @@
 //! Tests of the adapter with valid, invalid and truncated input from the platform.
 
+use std::time::Duration;
+
 use bulrushspan::platform::{configuration, listing, node_file};
 
 #[test]
@@ -23,6 +25,38 @@
     assert_eq!(listing::page_target(None, None), "/instances");
 }
 
+/// One odd entry of another writer made the whole list unreadable, so that it was followed no more.
+#[test]
+fn a_list_is_read_whatever_one_entry_holds() {
+    let sound = |id: u32, more: &str| {
+        format!(
+            r#"{{"id": "i-{id}", "service": "s", "addr": "10.0.0.1:80", "zone": "a", "slots": 4,
+            "state": "ready"{more}}}"#
+        )
+    };
+    let nested = format!("{}{}", "[".repeat(20_000), "]".repeat(20_000));
+    let odd_entries = [
+        nested.clone(),
+        sound(9, &format!(r#", "slots": {nested}"#)),
+        r#"{"id": "i-9", "born": 1e999}"#.to_owned(),
+        sound(9, r#", "born": 99999999999999999999999999"#),
+        sound(9, "").replace(":80", ":65536"),
+        sound(9, r#", "cold_left_s": 1e999"#),
+    ];
+    for odd in odd_entries {
+        let text = format!(r#"{{"instances": [{odd}, {}]}}"#, sound(1, ""));
+        let page = listing::decode_page(text.as_bytes());
+        let page = page.unwrap_or_else(|error| panic!("{error}: {}", &odd[..odd.len().min(90)]));
+        let ids: Vec<&str> = page.upstreams.iter().map(|upstream| upstream.id.as_str()).collect();
+        assert_eq!((ids, page.findings.len()), (vec!["i-1"], 1), "{:?}", page.findings);
+        assert!(page.findings[0].len() < 200);
+    }
+    // The time is added to that of the reading.
+    let text = format!(r#"{{"instances": [{}]}}"#, sound(1, r#", "cold_left_s": 1.8446744e19"#));
+    let page = listing::decode_page(text.as_bytes()).unwrap();
+    assert!(page.upstreams[0].cold_left <= Duration::from_secs(24 * 60 * 60));
+}
+
 #[test]
 fn a_truncated_list_is_refused() {
     assert!(listing::decode_page(br#"{"instances": [{"id": "i-1""#).is_err());
