--- a/src/runtime/entry_node/replica_call.rs
+++ b/src/runtime/entry_node/replica_call.rs
@@ -175,7 +175,7 @@
         demand: state.take_demand_report().into_iter().collect(),
         hold_ms: hold.as_millis() as u64,
         peers_of: state.take_peers_request(),
-        crashes: state.crash_reports(),
+        crashes: state.take_crash_reports(),
     };
     Box::pin(async move { send(address, &client, request, call).await })
 }
--- a/src/runtime/entry_node/state.rs
+++ b/src/runtime/entry_node/state.rs
@@ -59,6 +59,8 @@
     pub(super) seeds: RefCell<Vec<SocketAddr>>,
     /// The requests under which upstreams crashed.
     pub(super) suspects: RefCell<Suspects>,
+    /// When crashes may next be reported to a control replica.
+    next_crash_reports_at: Cell<Duration>,
     /// Notified when an upstream fails, to start health checks.
     pub(super) upstream_failed: Notify,
     /// The last time at which the configuration in force is known to have been the newest.
@@ -83,6 +85,8 @@
 /// instances that have joined but are not counted yet.
 const RETRY_FRACTION: f64 = 0.8;
 
+/// The minimum time between two reports of crashes.
+const CRASH_REPORTS_INTERVAL: Duration = Duration::from_secs(1);
 /// How often the peers are requested.
 const PEERS_INTERVAL: Duration = Duration::from_secs(5);
 /// The minimum time between two demand reports.
@@ -119,6 +123,7 @@
             recent_entry_counts: RefCell::new(RecentMax::new(ENTRY_COUNT_WINDOW)),
             entry_count: Cell::new(ENTRY_COUNT_DEFAULT),
             suspects: RefCell::default(),
+            next_crash_reports_at: Cell::default(),
             upstream_failed: Notify::new(),
             control_addresses: RefCell::new(settings.seed_cluster_addresses()),
             clock,
@@ -211,9 +216,18 @@
         fingerprint.is_some_and(|fingerprint| suspects.is_refused(&fingerprint, &policy.suspects))
     }
 
-    /// Returns the crashes that control does not know yet.
-    pub(super) fn crash_reports(&self) -> Vec<CrashReport> {
-        self.suspects.borrow().unreported(&self.policy.borrow().suspects)
+    /// Returns the crashes that are not in the policy yet, if they are to be reported now. A report
+    /// takes a while to get into the policy, and each makes a new version of it.
+    pub(super) fn take_crash_reports(&self) -> Vec<CrashReport> {
+        let now = self.clock.now();
+        if now < self.next_crash_reports_at.get() {
+            return Vec::new();
+        }
+        let reports = self.suspects.borrow().unreported(&self.policy.borrow().suspects);
+        if !reports.is_empty() {
+            self.next_crash_reports_at.set(now + CRASH_REPORTS_INTERVAL);
+        }
+        reports
     }
 
     /// Records a request in the retry budget of its service.
