--- a/src/runtime/control_node/calls.rs
+++ b/src/runtime/control_node/calls.rs
@@ -14,7 +14,7 @@
         control::{Command, InstanceName, Policy},
         placement::DemandReport,
         roster::AnnouncedInstance,
-        suspects::{CRASH_RETENTION, CrashReport},
+        suspects::CrashReport,
     },
     net::{
         mesh::MeshHandler,
@@ -258,17 +258,6 @@
     }
 }
 
-/// Removes the requests under which no upstream has crashed for long.
-pub(super) async fn forget_suspects(state: &ControlNodeState) {
-    let Some(policy) = current_policy(state).await else { return };
-    let now_unix_ms = state.clock.unix_ms();
-    let before_unix_ms = now_unix_ms.saturating_sub(CRASH_RETENTION.as_millis() as u64);
-    if policy.suspects.values().any(|suspect| suspect.at_unix_ms < before_unix_ms) {
-        let command = Command::ForgetSuspects { before_unix_ms };
-        submit_local(state, SubmitRequest::Command(command)).await;
-    }
-}
-
 /// Receives the announcements of entry instances for as long as the process
 /// runs.
 pub(super) async fn receive_announcements(state: Arc<ControlNodeState>, socket: UdpSocket) {
--- a/src/runtime/control_node/list_reader.rs
+++ b/src/runtime/control_node/list_reader.rs
@@ -7,7 +7,7 @@
 
 use super::{
     ControlNodeState,
-    calls::{current_policy, forget_suspects, leader, submit_local},
+    calls::{current_policy, leader, submit_local},
     list_pages::PageReader,
     lock,
     peers::address_of,
@@ -47,7 +47,6 @@
                 read_from_platform(&state, &mut reader).await;
                 if known_leader.is_some_and(|(_, is_leader)| is_leader) {
                     plan_placement(&state).await;
-                    forget_suspects(&state).await;
                 }
             }
         }
--- a/src/runtime/replica/mod.rs
+++ b/src/runtime/replica/mod.rs
@@ -29,6 +29,7 @@
             DurableState, Entry, Envelope, Input, LogIndex, Outputs, Payload, RaftNode, ReplyTimes,
             RoundTimes, Snapshot, Term, Timers, TimersConfig,
         },
+        suspects::CRASH_RETENTION,
     },
     net::wire::{QueryReply, QueryRequest, SubmitReply, WatchReply, WatchRequest, decode, encode},
     settings::{Settings, Timing},
@@ -95,7 +96,13 @@
     /// Creates a setup without a topology or an initial policy, for instances whose settings don't
     /// describe the other instances.
     pub(super) fn with_timing(timing: Timing) -> Self {
-        Self { timing, topology: Arc::default(), initial_policy: None, silent_member_timeout: None }
+        let topology = Topology { suspect_retention: CRASH_RETENTION, ..Topology::default() };
+        Self {
+            timing,
+            topology: Arc::new(topology),
+            initial_policy: None,
+            silent_member_timeout: None,
+        }
     }
 
     /// Returns the setup with a timeout after which the leader may remove a member that does
--- a/tests/processes/platform.rs
+++ b/tests/processes/platform.rs
@@ -411,9 +411,11 @@
             crashes,
         })
     };
-    let started_at = Instant::now();
+    let (started_at, mut known_since) = (Instant::now(), None);
     loop {
-        first.call(follow(vec![report.clone()]), Duration::from_secs(1)).await.ok();
+        if known_since.is_none() {
+            first.call(follow(vec![report.clone()]), Duration::from_secs(1)).await.ok();
+        }
         let reply = second.call(follow(Vec::new()), Duration::from_secs(1)).await;
         let mut policy = Policy::default();
         if let Ok(NodeReply::Follow(reply)) = reply {
@@ -426,7 +428,12 @@
         }
         if let Some(suspect) = policy.suspects.get(&report.fingerprint) {
             assert!(suspect.crashed.contains(&report.upstream));
-            break;
+            let known_since: Instant = *known_since.get_or_insert_with(Instant::now);
+            if known_since.elapsed() > Duration::from_secs(2) {
+                break;
+            }
+        } else {
+            assert_eq!(known_since, None, "the crash is forgotten at once");
         }
         assert!(started_at.elapsed() < WAIT_TIMEOUT, "the crash is not known");
         tokio::time::sleep(POLL_INTERVAL).await;
