--- a/tests/processes/notices.rs
+++ b/tests/processes/notices.rs
@@ -272,7 +272,7 @@
     let stand_ins = [StandIn::start(215, "u1").await, StandIn::start(216, "u2").await];
     let [limited, other] = &stand_ins;
     limited.set_response(Response { fields: "Server-Limit: 5.0\r\n", ..OK });
-    let rigs = [start_with(63, &stand_ins).await.0, start_with(35, &stand_ins).await.0];
+    let rigs = [start_with(230, &stand_ins).await.0, start_with(231, &stand_ins).await.0];
     for rig in &rigs {
         let told = limited.received().len();
         for number in 0.. {
