review: a frozen control process undoes an evacuation when it wakes

Tried: an operator ends an evacuation, gets no answer from a frozen follower within a second, gets it acknowledged elsewhere and evacuates the zone again; then the follower wakes.

Why: an order to evacuate or to end that has no version, so that the one that is committed last holds, however old it is.

--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -3,6 +3,7 @@
 mod blamed;
 mod fleet;
 mod http;
+mod late_order;
 mod link_turn;
 mod list_bytes;
 mod memory;
@@ -35,6 +36,7 @@
         let verdict = match case.as_str() {
             "link-turn" => link_turn::run(&record, has_trouble),
             "upload-memory" => upload_memory::run(&record, has_trouble),
+            "late-order" => late_order::run(&record, has_trouble),
             "list-bytes" => list_bytes::run(&record, has_trouble),
             "blamed" => blamed::run(&record, has_trouble),
             _ => Err(std::io::Error::other("there is no such case")),
