Ignore evacuation orders that a stopped process carries out late

An operator ended the evacuation of a zone and then evacuated the zone again, both acknowledged. A control process that had been stopped since before woke, carried out the end of the evacuation that waited in its socket, and requests reached the zone.

Cause: an order said what its sender wanted, not which state it was to change, so any delay before its commitment let it revert what was ordered meanwhile.

Why this works: the command names the number of orders that it follows, and is ignored if it would revert an order accepted since, so no delay after that number was read matters. The number is read only while the sender certainly waits for this process: within 0.3 s of the handler's start, in a process that has not stalled for a second. Otherwise the response is 503 and the operator sends the order again. A connection of an operator serves one request.

--- a/src/core/control/command.rs
+++ b/src/core/control/command.rs
@@ -6,8 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    ChangeOutcome, ChangeRequest, Fingerprint, Holder, InstanceName, InstanceState, OwnerEpoch,
-    Preset, PresetName, RegionName, UpstreamName, Version, ZoneName,
+    ChangeOutcome, ChangeRequest, EvacuationOrders, Fingerprint, Holder, InstanceName,
+    InstanceState, OwnerEpoch, Preset, PresetName, RegionName, UpstreamName, Version, ZoneName,
 };
 use crate::core::{
     claims::{ClaimCommand, ClaimOutcome},
@@ -68,13 +68,18 @@
     Routing(Box<RoutingTable>),
     /// Sets the upstreams that objects are placed on.
     Place(PlacementDelta),
-    /// Evacuates an availability zone or ends its evacuation.
+    /// Evacuates an availability zone or ends its evacuation; ignored if that would revert an
+    /// order that was accepted after `expected_orders` was read.
     Evacuate {
         /// The availability zone.
         zone: ZoneName,
         /// Whether the availability zone is evacuated, so that its upstreams get
         /// no new requests.
         evacuated: bool,
+        /// The number of accepted orders for the zone that this one follows. `None` in logs of
+        /// versions that did not count them: the order is accepted.
+        #[serde(default)]
+        expected_orders: Option<EvacuationOrders>,
     },
 }
 
@@ -124,6 +129,13 @@
     },
     /// The outcome of a claim command.
     Claim(ClaimOutcome),
+    /// The outcome of an order to evacuate a zone or to end its evacuation.
+    Evacuation {
+        /// Whether what was ordered is in force.
+        accepted: bool,
+        /// The number of orders accepted for the zone.
+        orders: EvacuationOrders,
+    },
     /// The proposed routing table or a newer one is in force.
     Routing {
         /// The version of the routing table in force.
--- a/src/core/control/mod.rs
+++ b/src/core/control/mod.rs
@@ -49,6 +49,8 @@
 pub type Version = u64;
 /// The number of times that an upstream's ownership was assigned or released.
 pub type OwnerEpoch = u64;
+/// The number of evacuation orders accepted for one availability zone.
+pub type EvacuationOrders = u64;
 /// Distinguishes the processes of one instance from each other.
 pub type Incarnation = u64;
 /// A hash that identifies a request.
--- a/src/core/control/state.rs
+++ b/src/core/control/state.rs
@@ -7,9 +7,9 @@
 
 use super::{
     Assignment, AssignmentAction, AuditRecord, Change, ChangeId, ChangeMeta, ChangeOutcome,
-    ChangeRequest, Command, Fingerprint, Holder, InitialPolicy, InstanceName, InstanceState,
-    Outcome, OwnerEpoch, Ownership, Policy, PolicyDelta, PolicyEdit, PresetName, RegionName,
-    Revision, Suspect, Topology, UpstreamName, Version, ZoneName,
+    ChangeRequest, Command, EvacuationOrders, Fingerprint, Holder, InitialPolicy, InstanceName,
+    InstanceState, Outcome, OwnerEpoch, Ownership, Policy, PolicyDelta, PolicyEdit, PresetName,
+    RegionName, Revision, Suspect, Topology, UpstreamName, Version, ZoneName,
 };
 use crate::core::{
     claims::{ClaimLimits, ClaimTable},
@@ -32,6 +32,9 @@
     /// The keys of `answers`, the oldest first.
     answer_order: VecDeque<ChangeId>,
     audit: VecDeque<AuditRecord>,
+    /// The number of accepted evacuation orders of each zone.
+    #[serde(default)]
+    evacuation_orders: BTreeMap<ZoneName, EvacuationOrders>,
     /// The newest deltas, for instances whose policy is a few versions old.
     #[serde(skip)]
     recent_deltas: VecDeque<PolicyDelta>,
@@ -94,6 +97,11 @@
         self.policy.version > 0
     }
 
+    /// Returns the number of evacuation orders accepted for a zone.
+    pub fn evacuation_orders(&self, zone: &str) -> EvacuationOrders {
+        self.evacuation_orders.get(zone).copied().unwrap_or_default()
+    }
+
     /// Returns the deltas after `version`, or `None` if some of them are no longer
     /// kept.
     pub fn deltas_after(&self, version: Version) -> Option<Vec<PolicyDelta>> {
@@ -137,7 +145,9 @@
                 return Outcome::Routing { version: self.policy.routing.version };
             }
             Command::Place(change) => self.apply_edits(vec![PolicyEdit::Placed(change)], limits),
-            Command::Evacuate { zone, evacuated } => self.set_evacuated(zone, evacuated, limits),
+            Command::Evacuate { zone, evacuated, expected_orders } => {
+                return self.set_evacuated(zone, evacuated, expected_orders, limits);
+            }
             Command::Claim(command) => {
                 let outcome = self.claims.apply(command, &limits.claims);
                 self.update_claim_epoch(limits);
@@ -428,10 +438,24 @@
         self.apply_edits(vec![PolicyEdit::Routing(delta)], limits);
     }
 
-    fn set_evacuated(&mut self, zone: ZoneName, evacuated: bool, limits: &ControlLimits) {
-        if self.policy.evacuated.contains(&zone) != evacuated {
+    fn set_evacuated(
+        &mut self,
+        zone: ZoneName,
+        evacuated: bool,
+        expected_orders: Option<EvacuationOrders>,
+        limits: &ControlLimits,
+    ) -> Outcome {
+        let orders = self.evacuation_orders(&zone);
+        let is_in_force = self.policy.evacuated.contains(&zone) == evacuated;
+        if !is_in_force && expected_orders.is_some_and(|expected| expected != orders) {
+            return Outcome::Evacuation { accepted: false, orders };
+        }
+        // Also counted if nothing changes, so that a delayed contrary order is recognized.
+        self.evacuation_orders.insert(zone.clone(), orders + 1);
+        if !is_in_force {
             self.apply_edits(vec![PolicyEdit::Evacuated(zone, evacuated)], limits);
         }
+        Outcome::Evacuation { accepted: true, orders: orders + 1 }
     }
 
     fn update_claim_epoch(&mut self, limits: &ControlLimits) {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -15,6 +15,7 @@
 pub mod replication;
 pub mod roster;
 pub mod routing;
+mod stall_detector;
 pub mod steering;
 mod stop_plan;
 pub mod suspects;
@@ -24,6 +25,7 @@
 pub use self::{
     link_pacer::LinkPacer,
     recent_max::RecentMax,
+    stall_detector::StallDetector,
     stop_plan::{StopPhase, StopPlan},
     versioned_map::{MapDelta, VersionedMap},
 };
--- a/src/net/http_server.rs
+++ b/src/net/http_server.rs
@@ -27,6 +27,8 @@
     pub header_max_bytes: usize,
     /// The maximum number of request headers that are read.
     pub headers_max: usize,
+    /// Whether a connection serves further requests after the first.
+    pub keep_alive: bool,
 }
 
 impl Default for HttpLimits {
@@ -35,6 +37,7 @@
             header_timeout: Duration::from_secs(10),
             header_max_bytes: 1024 * 1024,
             headers_max: 1000,
+            keep_alive: true,
         }
     }
 }
@@ -99,6 +102,7 @@
         .header_read_timeout(limits.header_timeout)
         .max_buf_size(limits.header_max_bytes)
         .max_headers(limits.headers_max)
+        .keep_alive(limits.keep_alive)
         .serve_connection(TokioIo::new(stream), serve);
     let connection = graceful.watch(connection);
     // Errors are not logged, since peers may close their connections at any time.
--- a/src/runtime/control_node/mod.rs
+++ b/src/runtime/control_node/mod.rs
@@ -42,14 +42,14 @@
 };
 use crate::{
     core::{
-        StopPlan,
+        StallDetector, StopPlan,
         control::{Command, InstanceName},
         placement::{DemandReport, Planner},
         replication::{DurableState, ReplicaId},
         roster::Roster,
         upstreams::UpstreamList,
     },
-    net::mesh::serve_mesh,
+    net::{HttpLimits, mesh::serve_mesh},
     settings::{NodeSettings, Timing},
     storage::{Identity, Store, StoreError, move_damaged_files},
 };
@@ -81,6 +81,8 @@
     /// A random number that identifies this process in cursors, since the list versions
     /// of different processes are not comparable.
     process_id: u64,
+    /// When this process was last stopped, suspended or starved.
+    stalls: Mutex<StallDetector>,
 }
 
 /// The intervals and timeouts of the control replicas.
@@ -131,7 +133,9 @@
             settings,
             clock,
             metrics,
+            stalls: Mutex::new(StallDetector::new(STALL_MIN, clock.now())),
         });
+        tokio::spawn(record_beats(state.clone()));
         let open_result = open_store(&folder, membership::initial_id(&state.settings));
         let (store, durable) = open_result.map_err(NodeError::Store)?;
         let failure_receiver = state.clone().start_replica(store, durable)?;
@@ -141,14 +145,16 @@
         tokio::spawn(list_reader::maintain_list(state.clone()));
         let listen_addresses = state.settings.listen;
         let (mut servers, stop_sender) = (JoinSet::new(), watch::Sender::new(()));
+        // An order must not wait behind another request on its connection.
+        let one_request = HttpLimits { keep_alive: false, ..HttpLimits::default() };
         let handlers = [
-            (listen_addresses.operators, operators::handler(state.clone())),
-            (listen_addresses.directory, directory::handler(state.clone())),
+            (listen_addresses.operators, operators::handler(state.clone()), one_request),
+            (listen_addresses.directory, directory::handler(state.clone()), HttpLimits::default()),
         ];
-        for (address, handler) in handlers {
+        for (address, handler, limits) in handlers {
             let Some(address) = address else { continue };
             let listener = listen(address).await?;
-            servers.spawn(serve_until_stopped(listener, handler, stop_sender.subscribe()));
+            servers.spawn(serve_until_stopped(listener, handler, limits, stop_sender.subscribe()));
         }
         if let Some(port) = metrics_config.metrics_port {
             serve_control_metrics(state.clone(), port, metrics_config.dropped_lines).await?;
@@ -178,6 +184,16 @@
     }
 }
 
+/// Records the beats of this process for as long as it runs.
+async fn record_beats(state: Arc<ControlNodeState>) {
+    loop {
+        tokio::time::sleep(BEAT_INTERVAL).await;
+        if let Some(stall) = lock(&state.stalls).record_beat(state.clock.now()) {
+            warn!(stall_ms = stall.as_millis() as u64, "the process was stopped or starved");
+        }
+    }
+}
+
 async fn serve_control_metrics(
     state: Arc<ControlNodeState>,
     port: u16,
@@ -215,12 +231,13 @@
 async fn serve_until_stopped(
     listener: TcpListener,
     handler: HttpHandler,
+    limits: HttpLimits,
     mut stop_receiver: watch::Receiver<()>,
 ) {
     let stop = async {
         stop_receiver.changed().await.ok();
     };
-    serve_http_handler_until(listener, handler, stop).await;
+    serve_http_handler_until(listener, handler, limits, stop).await;
 }
 
 impl ControlNodeState {
@@ -295,6 +312,10 @@
     }
 }
 
+/// The interval between two beats of the [`StallDetector`].
+const BEAT_INTERVAL: Duration = Duration::from_millis(50);
+/// The pause between two beats from which on the process counts as stalled.
+const STALL_MIN: Duration = Duration::from_millis(150);
 /// How long a control replica may not reply before its vote may be removed. A restart takes
 /// about as long, and a replica that returns later gets its vote back.
 const SILENT_MEMBER_TIMEOUT: Duration = Duration::from_secs(2);
--- a/src/runtime/control_node/operators.rs
+++ b/src/runtime/control_node/operators.rs
@@ -4,14 +4,18 @@
 
 use http::StatusCode;
 use tokio::sync::oneshot;
-use tracing::info;
+use tracing::{info, warn};
 
 use super::{
     ControlNodeState,
     calls::{query, submit},
+    lock,
 };
 use crate::{
-    core::{control::Command, routing::RoutingTable},
+    core::{
+        control::{Command, EvacuationOrders, Outcome, ZoneName},
+        routing::RoutingTable,
+    },
     net::wire::{QueryReply, QueryRequest, SubmitReply, SubmitRequest},
     platform::{
         calls::{OperatorCall, decode_operator_call},
@@ -19,7 +23,7 @@
     },
     runtime::{
         http_handler::{HttpHandler, HttpRequest, HttpResponse},
-        replica::{CatchUp, CurrentPolicy},
+        replica::{CatchUp, CurrentPolicy, GetEvacuationOrders},
     },
 };
 
@@ -27,6 +31,13 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(900);
 /// The timeout of changes. Operators wait longer for large ones.
 const CHANGE_TIMEOUT: Duration = Duration::from_millis(2000);
+/// How long operators wait for a response before they send an order to another replica.
+const OPERATOR_PATIENCE: Duration = Duration::from_secs(1);
+/// How long after its arrival at the handler an order may still be based on a newer state. An
+/// order passes at most four turns of the runtime before that, each no longer than
+/// [`STALL_MIN`](super::STALL_MIN) in a process that is steady, and the sum of both is below
+/// [`OPERATOR_PATIENCE`].
+const ORDER_MAX_AGE: Duration = Duration::from_millis(300);
 
 /// Returns the handler of operators' calls.
 pub(super) fn handler(state: Arc<ControlNodeState>) -> HttpHandler {
@@ -66,20 +77,78 @@
     HttpResponse::text(StatusCode::BAD_REQUEST, &findings.join("\n"))
 }
 
-async fn evacuate(state: &ControlNodeState, zone: String, evacuated: bool) -> HttpResponse {
-    let response = submit_command(state, Command::Evacuate { zone: zone.clone(), evacuated }).await;
-    info!(zone, evacuated, status = response.status.as_u16(), "evacuation requested");
+/// Evacuates an availability zone or ends its evacuation.
+///
+/// Orders carry neither a number nor a time. One that waited unread, or is submitted again, while
+/// its sender moved on to another replica must not revert what was ordered there since. It
+/// therefore names the number of orders that it follows, which is read only while its sender
+/// certainly still waits for this replica.
+async fn evacuate(state: &ControlNodeState, zone: ZoneName, evacuated: bool) -> HttpResponse {
+    let received_at = state.clock.now();
+    let response = match evacuation_orders(state, &zone).await {
+        Some(orders) => submit_order(state, &zone, evacuated, orders, received_at).await,
+        None => no_quorum(),
+    };
+    let elapsed_ms = state.clock.now().saturating_sub(received_at).as_millis() as u64;
+    let status = response.status.as_u16();
+    info!(zone, evacuated, status, elapsed_ms, "evacuation requested");
     response
 }
 
+/// Submits an order that follows the given number of orders, and again with a newer number as
+/// long as its sender certainly waits.
+async fn submit_order(
+    state: &ControlNodeState,
+    zone: &ZoneName,
+    evacuated: bool,
+    mut orders: EvacuationOrders,
+    received_at: Duration,
+) -> HttpResponse {
+    loop {
+        let now = state.clock.now();
+        let age = now.saturating_sub(received_at);
+        let is_steady = lock(&state.stalls).is_steady_for(OPERATOR_PATIENCE, now);
+        if age > ORDER_MAX_AGE || !is_steady {
+            let age_ms = age.as_millis() as u64;
+            warn!(
+                zone,
+                evacuated, orders, age_ms, is_steady, "order may be out of date; not submitted"
+            );
+            let text = "the order may be out of date and was not carried out; send it again";
+            return HttpResponse::text(StatusCode::SERVICE_UNAVAILABLE, text);
+        }
+        let expected_orders = Some(orders);
+        let command = Command::Evacuate { zone: zone.clone(), evacuated, expected_orders };
+        match submit(state, SubmitRequest::Command(command), CHANGE_TIMEOUT).await {
+            Some(SubmitReply::Committed(Outcome::Evacuation {
+                accepted: false,
+                orders: current,
+            })) => {
+                warn!(zone, evacuated, orders, current, "another order was accepted first");
+                orders = current;
+            }
+            Some(SubmitReply::Committed(_)) => return HttpResponse::text(StatusCode::OK, ""),
+            _ => return no_quorum(),
+        }
+    }
+}
+
+async fn evacuation_orders(state: &ControlNodeState, zone: &str) -> Option<EvacuationOrders> {
+    state.replica()?.send(GetEvacuationOrders(zone.to_owned())).await.ok()
+}
+
 /// Submits a command and returns the response to the operator.
 async fn submit_command(state: &ControlNodeState, command: Command) -> HttpResponse {
     match submit(state, SubmitRequest::Command(command), CHANGE_TIMEOUT).await {
         Some(SubmitReply::Committed(_)) => HttpResponse::text(StatusCode::OK, ""),
-        _ => HttpResponse::text(StatusCode::SERVICE_UNAVAILABLE, "no quorum answered in time"),
+        _ => no_quorum(),
     }
 }
 
+fn no_quorum() -> HttpResponse {
+    HttpResponse::text(StatusCode::SERVICE_UNAVAILABLE, "no quorum answered in time")
+}
+
 async fn get_configuration(state: &ControlNodeState) -> HttpResponse {
     let table = tokio::time::timeout(READ_TIMEOUT, current_table(state)).await;
     let Ok(Some(table)) = table else {
--- a/src/runtime/http_handler.rs
+++ b/src/runtime/http_handler.rs
@@ -83,7 +83,8 @@
 
 /// Serves requests for as long as the process runs.
 pub(super) async fn serve_http_handler(listener: TcpListener, handler: HttpHandler) {
-    serve_http_handler_until(listener, handler, std::future::pending()).await;
+    serve_http_handler_until(listener, handler, HttpLimits::default(), std::future::pending())
+        .await;
 }
 
 /// Serves requests until `stop` completes, and then waits for those that are being read or
@@ -91,10 +92,11 @@
 pub(super) async fn serve_http_handler_until(
     listener: TcpListener,
     handler: HttpHandler,
+    limits: HttpLimits,
     stop: impl Future<Output = ()> + Send,
 ) {
     let service = HandlerService { handler };
-    serve_http(listener, service, HttpLimits::default(), stop).await;
+    serve_http(listener, service, limits, stop).await;
 }
 
 #[derive(Clone)]
--- a/src/runtime/replica/handlers.rs
+++ b/src/runtime/replica/handlers.rs
@@ -8,7 +8,7 @@
 use super::{PendingCatchUp, PendingQuery, PendingWatch, RECORD_COMMIT_INTERVAL, Replica};
 use crate::{
     core::{
-        control::{Command, InstanceName, Policy, Version},
+        control::{Command, EvacuationOrders, InstanceName, Policy, Version, ZoneName},
         replication::{Envelope, Input, LogIndex},
     },
     net::wire::{
@@ -47,6 +47,8 @@
 pub(in crate::runtime) struct GetPolicyUpdate(pub(in crate::runtime) Option<Version>);
 /// Returns the policy that this replica has applied.
 pub(in crate::runtime) struct CurrentPolicy;
+/// Returns the number of evacuation orders of a zone that this replica has applied.
+pub(in crate::runtime) struct GetEvacuationOrders(pub(in crate::runtime) ZoneName);
 /// Subscribes to the version of the policy.
 pub(in crate::runtime) struct Subscribe;
 
@@ -177,6 +179,18 @@
     }
 }
 
+impl Handler<GetEvacuationOrders> for Replica {
+    type Return = EvacuationOrders;
+
+    async fn handle(
+        &mut self,
+        GetEvacuationOrders(zone): GetEvacuationOrders,
+        _ctx: &mut Context<Self>,
+    ) -> EvacuationOrders {
+        self.state.evacuation_orders(&zone)
+    }
+}
+
 impl Handler<Subscribe> for Replica {
     type Return = watch::Receiver<Version>;
 
--- a/src/runtime/replica/mod.rs
+++ b/src/runtime/replica/mod.rs
@@ -14,8 +14,8 @@
 use xtra::prelude::*;
 
 pub(super) use self::handlers::{
-    CatchUp, CurrentPolicy, Deliver, GetPolicyUpdate, PolicyUpdateReply, Probe, Query, Submit,
-    Subscribe, Tick, Watch,
+    CatchUp, CurrentPolicy, Deliver, GetEvacuationOrders, GetPolicyUpdate, PolicyUpdateReply,
+    Probe, Query, Submit, Subscribe, Tick, Watch,
 };
 use self::{disk::DiskWriter, handlers::Flush};
 use super::{clock::Clock, metrics::InstanceMetrics, peers::Peers};
--- a/tests/it/control.rs
+++ b/tests/it/control.rs
@@ -157,3 +157,40 @@
     let decoded: Command = bulrushspan::net::wire::decode(&encoded).unwrap();
     assert_eq!(decoded, command);
 }
+
+fn evacuate(state: &mut ControlState, evacuated: bool, expected_orders: Option<u64>) -> Outcome {
+    let command = Command::Evacuate { zone: "a".to_owned(), evacuated, expected_orders };
+    state.apply(command, &topology(), &ControlLimits::default())
+}
+
+/// An evacuation order that was committed late reverted the orders accepted since it was read.
+#[test]
+fn an_evacuation_order_does_not_revert_orders_that_were_accepted_after_it_was_read() {
+    let accepted = |orders| Outcome::Evacuation { accepted: true, orders };
+    let ignored = |orders| Outcome::Evacuation { accepted: false, orders };
+    let mut state = seeded_state();
+    assert_eq!(evacuate(&mut state, true, Some(0)), accepted(1));
+    // What was read when there was one order is late once there are three.
+    assert_eq!(evacuate(&mut state, false, Some(1)), accepted(2));
+    assert_eq!(evacuate(&mut state, true, Some(2)), accepted(3));
+    assert_eq!(evacuate(&mut state, false, Some(1)), ignored(3));
+    assert!(state.policy().evacuated.contains("a"));
+    // An order that is sent again is acknowledged again.
+    assert_eq!(evacuate(&mut state, true, Some(2)), accepted(4));
+    // An order that changes nothing outdates those before it as well.
+    assert_eq!(evacuate(&mut state, false, Some(3)), ignored(4));
+    assert_eq!(evacuate(&mut state, false, Some(4)), accepted(5));
+    assert!(state.policy().evacuated.is_empty());
+}
+
+/// Logs and snapshots of versions that did not count orders must stay readable.
+#[test]
+fn evacuation_orders_of_earlier_versions_are_accepted() {
+    let stored = rmp_serde::to_vec_named(&serde_json::json!({
+        "Evacuate": { "zone": "a", "evacuated": true },
+    }));
+    let command: Command = rmp_serde::from_slice(&stored.unwrap()).unwrap();
+    let mut state = seeded_state();
+    let outcome = state.apply(command, &topology(), &ControlLimits::default());
+    assert_eq!(outcome, Outcome::Evacuation { accepted: true, orders: 1 });
+}
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -17,6 +17,7 @@
 mod routing;
 mod settings;
 mod sizes;
+mod stall_detector;
 mod steering;
 mod stop_plan;
 mod storage;
