Bound the memory of all responses together

What callers saw: many faulty upstreams that sent bytes without end took more memory than an entry instance has.

Cause: heads and bodies had limits for each message, and nothing counted the messages. The same held for replies of what answers in place of a control replica, and for pages of the platform's list.

Why this works: responses take their memory from one budget, half of the instance's memory, and each may grow only as long as it is no larger than what is left. So no number of them can use it up, and short ones always have room. Bodies are kept in pieces that never move, and are written without a copy. Replies and pages have limits that follow from the memory.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,6 +9,7 @@
 pub mod claims;
 pub mod control;
 mod link_pacer;
+mod memory_budget;
 pub mod peers;
 pub mod placement;
 mod recent_max;
@@ -24,6 +25,7 @@
 
 pub use self::{
     link_pacer::LinkPacer,
+    memory_budget::MemoryBudget,
     recent_max::RecentMax,
     stall_detector::StallDetector,
     stop_plan::{StopPhase, StopPlan},
--- a/src/net/http1/mod.rs
+++ b/src/net/http1/mod.rs
@@ -12,5 +12,5 @@
     head::{
         HeadError, Headers, RequestHead, ResponseHead, parse_request_head, parse_response_head,
     },
-    writer::{HeadWriter, reason_phrase},
+    writer::{HeadWriter, Message, reason_phrase},
 };
--- a/src/net/mesh.rs
+++ b/src/net/mesh.rs
@@ -74,6 +74,21 @@
 /// How long data may stay unacknowledged by a receiver that has room for it.
 pub(crate) const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(2);
 
+/// Represents the limits of a client.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ClientLimits {
+    /// The maximum time for establishing a connection.
+    pub connect_timeout: Duration,
+    /// The maximum size of a reply. What answers at the address may be no instance.
+    pub reply_max_bytes: usize,
+}
+
+impl Default for ClientLimits {
+    fn default() -> Self {
+        Self { connect_timeout: CONNECT_TIMEOUT, reply_max_bytes: FRAME_MAX_BYTES }
+    }
+}
+
 /// Represents a client of one other instance. Clones share its connection.
 #[derive(Debug)]
 pub struct MeshClient<Req, Rep> {
@@ -108,18 +123,17 @@
     ///
     /// Panics if it is called outside a Tokio runtime.
     pub fn new(address: SocketAddr) -> Self {
-        Self::with_connect_timeout(address, CONNECT_TIMEOUT)
+        Self::with_limits(address, ClientLimits::default())
     }
 
-    /// Creates a client like [`new`](Self::new), with another maximum time for establishing
-    /// a connection.
+    /// Creates a client like [`new`](Self::new) with other limits.
     ///
     /// # Panics
     ///
     /// Panics if it is called outside a Tokio runtime.
-    pub fn with_connect_timeout(address: SocketAddr, connect_timeout: Duration) -> Self {
+    pub fn with_limits(address: SocketAddr, limits: ClientLimits) -> Self {
         let (calls, queue) = mpsc::channel(QUEUE_LEN);
-        tokio::spawn(run_client(address, connect_timeout, queue));
+        tokio::spawn(run_client(address, limits, queue));
         Self { calls }
     }
 
@@ -144,7 +158,7 @@
 
 async fn run_client<Req, Rep>(
     address: SocketAddr,
-    connect_timeout: Duration,
+    limits: ClientLimits,
     mut queue: mpsc::Receiver<Call<Req, Rep>>,
 ) where
     Req: Serialize,
@@ -152,7 +166,7 @@
 {
     let mut last_id = 0;
     while let Some(first_call) = queue.recv().await {
-        let stream = time::timeout(connect_timeout, TcpStream::connect(address)).await;
+        let stream = time::timeout(limits.connect_timeout, TcpStream::connect(address)).await;
         let Ok(Ok(stream)) = stream else {
             first_call.reply.send(Err(MeshError::Unreachable)).ok();
             while let Ok(call) = queue.try_recv() {
@@ -162,7 +176,7 @@
             continue;
         };
         configure_stream(&stream, UNACKNOWLEDGED_MAX);
-        run_connection(stream, first_call, &mut queue, &mut last_id).await;
+        run_connection(stream, limits, first_call, &mut queue, &mut last_id).await;
     }
 }
 
@@ -170,6 +184,7 @@
 /// pending call stops waiting or all clients are dropped.
 async fn run_connection<Req, Rep>(
     stream: TcpStream,
+    limits: ClientLimits,
     first_call: Call<Req, Rep>,
     queue: &mut mpsc::Receiver<Call<Req, Rep>>,
     last_id: &mut u64,
@@ -178,10 +193,10 @@
     Rep: DeserializeOwned + Send + 'static,
 {
     let (read_half, write_half) = stream.into_split();
-    let mut write = FramedWrite::new(write_half, codec());
+    let mut write = FramedWrite::new(write_half, codec(FRAME_MAX_BYTES));
+    let replies = FramedRead::new(read_half, codec(limits.reply_max_bytes));
     let pending: PendingReplies<Rep> = Arc::default();
-    let mut reader =
-        tokio::spawn(read_replies(FramedRead::new(read_half, codec()), pending.clone()));
+    let mut reader = tokio::spawn(read_replies(replies, pending.clone()));
     let mut next_call = Some(first_call);
     loop {
         let call = match next_call.take() {
@@ -243,8 +258,8 @@
     shared.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
-fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder().max_frame_length(FRAME_MAX_BYTES).new_codec()
+fn codec(frame_max_bytes: usize) -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(frame_max_bytes).new_codec()
 }
 
 /// Configures a connection to send small frames without delay and to fail when the peer
@@ -295,9 +310,9 @@
     Rep: Serialize + Send + 'static,
 {
     let (read_half, write_half) = stream.into_split();
-    let mut read = FramedRead::new(read_half, codec());
+    let mut read = FramedRead::new(read_half, codec(FRAME_MAX_BYTES));
     let (replies, queue) = mpsc::channel::<Bytes>(QUEUE_LEN);
-    tokio::spawn(write_replies(FramedWrite::new(write_half, codec()), queue));
+    tokio::spawn(write_replies(FramedWrite::new(write_half, codec(FRAME_MAX_BYTES)), queue));
     while let Some(Ok(frame)) = read.next().await {
         let Ok(MeshMessage { id, body }) = decode::<MeshMessage<Req>>(&frame) else {
             tracing::warn!(%peer, "can't decode a call from another instance; disconnecting it");
--- a/src/runtime/control_node/list_pages.rs
+++ b/src/runtime/control_node/list_pages.rs
@@ -43,10 +43,11 @@
     pub(super) fn new(
         source: UpstreamListSource,
         zones: impl IntoIterator<Item = ZoneName>,
+        page_max_bytes: usize,
     ) -> Self {
-        let zones = zones.into_iter();
-        let zone_clients = zones.map(|zone| (zone, HttpClient::new(source.address))).collect();
-        Self { source, client: HttpClient::new(source.address), zone_clients, is_long: false }
+        let new_client = || HttpClient::new(source.address, page_max_bytes);
+        let zone_clients = zones.into_iter().map(|zone| (zone, new_client())).collect();
+        Self { source, client: new_client(), zone_clients, is_long: false }
     }
 
     /// Reads the list of all availability zones.
--- a/src/runtime/control_node/list_reader.rs
+++ b/src/runtime/control_node/list_reader.rs
@@ -35,7 +35,8 @@
 pub(super) async fn maintain_list(state: Arc<ControlNodeState>) {
     let Some(source) = state.settings.upstream_list else { return };
     let zones = state.settings.regions_of_zones.keys().cloned();
-    let mut reader = PageReader::new(source, zones);
+    let page_max_bytes = state.settings.list_page_max_bytes();
+    let mut reader = PageReader::new(source, zones, page_max_bytes);
     let mut cursor = Cursor::default();
     loop {
         let started_at = state.clock.now();
--- a/src/runtime/entry_node/attempt.rs
+++ b/src/runtime/entry_node/attempt.rs
@@ -2,10 +2,11 @@
 
 use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Buf;
 use tokio::io::AsyncReadExt;
 
 use super::{
+    held_bytes::{Body, BodyBuffer, HeldBytes, SharedBudget},
     links::{AwaitedResponse, connect_to_upstream},
     notices::{NoticeSource, record_notice},
     pool::{ConnectionPool, UpstreamConnection},
@@ -18,7 +19,7 @@
         balance::Choice,
         upstreams::{ReportedLoad, UpstreamId},
     },
-    net::http1::{BodyReader, Framing, HeadWriter, ResponseHead, parse_response_head},
+    net::http1::{BodyReader, Framing, HeadWriter, Message, ResponseHead, parse_response_head},
     platform::headers,
 };
 
@@ -98,14 +99,14 @@
     mut connection: UpstreamConnection,
 ) -> io::Result<AttemptOutcome> {
     let time_left = deadline.saturating_sub(state.clock.now());
-    let bytes = encode_request(request, time_left, |head| {
+    let message = encode_request(request, time_left, |head| {
         head.field(headers::EXPECT_INSTANCE, choice.id.as_bytes());
     });
     // Establishing the connection, or the wait for the link, may have taken most of the time in
     // which an upstream that leaves or pauses, or an evacuated zone, may still get requests.
     let takes_work = || state.balancer.borrow().takes_work(&choice.id, state.clock.now());
-    connection.prepare_write(bytes.len());
-    if !state.link.write_if(&mut connection.stream, &bytes, takes_work).await? {
+    connection.prepare_write(message.remaining());
+    if !state.link.write_if(&mut connection.stream, message, takes_work).await? {
         return Ok(AttemptOutcome::LeftService);
     }
     let sent_at = state.clock.now();
@@ -155,9 +156,10 @@
     request: &Request,
     mut connection: UpstreamConnection,
     on_head: impl FnOnce(&ResponseHead),
-) -> io::Result<(ResponseHead, Bytes)> {
-    let body_max_bytes = state.settings.response_max_bytes();
-    let (head, body) = read_response(&mut connection, request, body_max_bytes, on_head).await?;
+) -> io::Result<(ResponseHead, Body)> {
+    let limits =
+        BodyLimits { max_bytes: state.settings.response_max_bytes(), memory: &state.memory };
+    let (head, body) = read_response(&mut connection, request, limits, on_head).await?;
     if head.keeps_alive && connection.buffer.is_empty() && request.is_named_by(&head) {
         let keep_alive = keep_alive_timeout(&head);
         pool.borrow_mut().put(address, connection.into_idle_stream(), keep_alive);
@@ -170,7 +172,7 @@
     request: &Request,
     time_left: Duration,
     write_fields: impl FnOnce(&mut HeadWriter),
-) -> Bytes {
+) -> Message {
     let mut head = HeadWriter::with_request(&request.head.method, &request.head.target);
     let fields = &request.head.headers;
     let authority = request.head.authority.as_deref();
@@ -193,7 +195,7 @@
     if !request.body.is_empty() || request.head.framing != Framing::Length(0) {
         head.number("Content-Length", request.body.len() as u64);
     }
-    head.finish_with(&request.body)
+    head.finish_with(std::slice::from_ref(&request.body))
 }
 
 /// Reads the response to a request. Interim responses (1xx) and responses that
@@ -204,12 +206,12 @@
 async fn read_response(
     connection: &mut UpstreamConnection,
     request: &Request,
-    body_max_bytes: usize,
+    limits: BodyLimits<'_>,
     on_head: impl FnOnce(&ResponseHead),
-) -> io::Result<(ResponseHead, Bytes)> {
+) -> io::Result<(ResponseHead, Body)> {
     let mut is_first = !connection.is_reused;
     for _ in 0..=SKIPPED_MAX {
-        let head = read_head(connection, &request.head.method).await?;
+        let head = read_head(connection, &request.head.method, limits.memory).await?;
         if head.status < 200 {
             continue;
         }
@@ -217,10 +219,10 @@
         let is_unambiguous = is_first && (!has_id || request.id().is_none());
         if is_unambiguous || request.is_named_by(&head) {
             on_head(&head);
-            let body = read_body(connection, &head, body_max_bytes).await?;
+            let body = read_body(connection, &head, limits).await?;
             return Ok((head, body));
         }
-        read_body(connection, &head, body_max_bytes).await?;
+        read_body(connection, &head, limits).await?;
         if !has_id {
             return Err(io::Error::other("a response without an id on a kept connection"));
         }
@@ -233,42 +235,60 @@
 }
 
 /// Reads a response head; `method` is that of the request.
+///
+/// # Errors
+///
+/// Returns an error if the connection ends, or if the head is malformed, too long or longer than
+/// there is memory for.
 pub(super) async fn read_head(
     connection: &mut UpstreamConnection,
     method: &str,
+    memory: &SharedBudget,
 ) -> io::Result<ResponseHead> {
+    let mut held = HeldBytes::new(memory);
     loop {
         let parse_result = parse_response_head(&mut connection.buffer, HEAD_MAX_BYTES, method);
         if let Some(head) = parse_result.map_err(io::Error::other)? {
             return Ok(head);
         }
+        held.resize(connection.buffer.capacity())?;
         read_more(connection).await?;
     }
 }
 
+/// The limits on the body of a response.
+#[derive(Clone, Copy)]
+pub(super) struct BodyLimits<'a> {
+    pub(super) max_bytes: usize,
+    /// What all messages may take together.
+    pub(super) memory: &'a SharedBudget,
+}
+
 /// Reads the body that follows a response head.
 ///
-/// A body of more than `max_bytes` is an error: an upstream in trouble may send bytes
-/// without end, and they are held in memory.
+/// # Errors
+///
+/// Returns an error if the connection ends, or if the body is malformed or longer than the limits
+/// allow: an upstream in trouble may send bytes without end, and they are held in memory.
 pub(super) async fn read_body(
     connection: &mut UpstreamConnection,
     head: &ResponseHead,
-    max_bytes: usize,
-) -> io::Result<Bytes> {
+    limits: BodyLimits<'_>,
+) -> io::Result<Body> {
     let mut reader = BodyReader::new(head.framing);
-    let mut body = BytesMut::new();
+    let mut body = BodyBuffer::new(limits.memory);
     while !reader.is_done() {
         while let Some(piece) = reader.next(&mut connection.buffer).map_err(io::Error::other)? {
-            body.extend_from_slice(&piece);
-        }
-        if body.len() > max_bytes {
-            return Err(io::Error::other("the response body is too large"));
+            if body.len() + piece.len() > limits.max_bytes {
+                return Err(io::Error::other("the response body is too large"));
+            }
+            body.push(&piece)?;
         }
         if !reader.is_done() && connection.stream.read_buf(&mut connection.buffer).await? == 0 {
             reader.handle_eof().map_err(io::Error::other)?;
         }
     }
-    Ok(body.freeze())
+    Ok(body.finish())
 }
 
 /// Reads more bytes into the buffer.
--- a/src/runtime/entry_node/callers.rs
+++ b/src/runtime/entry_node/callers.rs
@@ -321,7 +321,7 @@
         // Requests behind this one that were sent on are answered before the connection closes.
         let is_last = is_stopping && self.pending.is_empty();
         let ready = if is_last { ready.with_connection_close() } else { ready };
-        self.state.link.write(&mut self.stream, &ready.encode(self.sender)).await?;
+        self.state.link.write(&mut self.stream, ready.encode(self.sender)).await?;
         self.last_active_at = Instant::now();
         if ready.response.closes_connection {
             self.read_state = ReadState::Finished;
--- a/src/runtime/entry_node/hand_over.rs
+++ b/src/runtime/entry_node/hand_over.rs
@@ -2,6 +2,7 @@
 
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
+use bytes::Buf;
 use tracing::info;
 
 use super::{
@@ -160,9 +161,9 @@
         },
     };
     let time_left = deadline.saturating_sub(state.clock.now());
-    let bytes = encode_request(request, time_left, |head| terms.write(head));
-    connection.prepare_write(bytes.len());
-    if let Err(error) = state.link.write(&mut connection.stream, &bytes).await {
+    let message = encode_request(request, time_left, |head| terms.write(head));
+    connection.prepare_write(message.remaining());
+    if let Err(error) = state.link.write(&mut connection.stream, message).await {
         return PeerOutcome::Unknown(error);
     }
     // What the upstream says of itself in a response that the peer passes on concerns the peer.
--- a/src/runtime/entry_node/health.rs
+++ b/src/runtime/entry_node/health.rs
@@ -6,7 +6,7 @@
 use tracing::info;
 
 use super::{
-    attempt::{read_body, read_head},
+    attempt::{BodyLimits, read_body, read_head},
     links::connect_to_upstream,
     notices::{NoticeSource, record_notice},
     state::EntryState,
@@ -86,9 +86,10 @@
     }
     let sent_at = state.clock.now();
     connection.stream.write_all(&head.finish()).await?;
-    let head = read_head(&mut connection, "GET").await?;
+    let head = read_head(&mut connection, "GET", &state.memory).await?;
     record_notice(state, choice, &head, NoticeSource::HealthCheck, sent_at);
-    read_body(&mut connection, &head, BODY_MAX_BYTES).await?;
+    let limits = BodyLimits { max_bytes: BODY_MAX_BYTES, memory: &state.memory };
+    read_body(&mut connection, &head, limits).await?;
     let is_other_upstream = headers::upstream_id(&head.headers).is_some_and(|id| id != choice.id);
     Ok(match head.status {
         421 => CheckResult::Misdirected,
--- /dev/null
+++ b/src/runtime/entry_node/held_bytes.rs
@@ -0,0 +1,131 @@
+//! Counts the memory that messages take against the budget of the process.
+
+use std::{cell::RefCell, io, rc::Rc};
+
+use bytes::{Bytes, BytesMut};
+
+use crate::core::MemoryBudget;
+
+/// The memory that the messages of an entry instance may take together.
+pub(super) type SharedBudget = Rc<RefCell<MemoryBudget>>;
+
+/// The bytes that one message takes, until dropped.
+#[derive(Debug)]
+pub(super) struct HeldBytes {
+    budget: SharedBudget,
+    bytes: usize,
+}
+
+impl HeldBytes {
+    /// Counts a message that takes no memory yet.
+    pub(super) fn new(budget: &SharedBudget) -> Self {
+        Self { budget: budget.clone(), bytes: 0 }
+    }
+
+    /// Records how many bytes the message takes now.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the message has grown and the budget has no room for it.
+    pub(super) fn resize(&mut self, bytes: usize) -> io::Result<()> {
+        if !self.budget.borrow_mut().try_resize(self.bytes, bytes) {
+            let text = format!("no memory for a message of {bytes} bytes");
+            return Err(io::Error::new(io::ErrorKind::OutOfMemory, text));
+        }
+        self.bytes = bytes;
+        Ok(())
+    }
+}
+
+impl Drop for HeldBytes {
+    fn drop(&mut self) {
+        // A message can always shrink.
+        let _ = self.budget.borrow_mut().try_resize(self.bytes, 0);
+    }
+}
+
+/// A complete body, which is counted until dropped.
+#[derive(Debug, Default)]
+pub(super) struct Body {
+    pieces: Vec<Bytes>,
+    _held: Option<HeldBytes>,
+}
+
+impl Body {
+    pub(super) fn pieces(&self) -> &[Bytes] {
+        &self.pieces
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.pieces.iter().map(Bytes::len).sum()
+    }
+}
+
+impl From<String> for Body {
+    /// Creates a short body of this instance's own, which is not counted.
+    fn from(text: String) -> Self {
+        Self { pieces: vec![text.into()], _held: None }
+    }
+}
+
+/// The minimum and maximum size of a piece of a body.
+const PIECE_BYTES: (usize, usize) = (1024, 64 * 1024);
+
+/// A body that is being received. It is kept in pieces, so that it never moves while it grows.
+#[derive(Debug)]
+pub(super) struct BodyBuffer {
+    pieces: Vec<Bytes>,
+    /// The last piece, which is not full.
+    last: BytesMut,
+    length: usize,
+    held: HeldBytes,
+}
+
+impl BodyBuffer {
+    /// Creates an empty buffer.
+    pub(super) fn new(budget: &SharedBudget) -> Self {
+        let (pieces, last, held) = (Vec::new(), BytesMut::new(), HeldBytes::new(budget));
+        Self { pieces, last, length: 0, held }
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.length
+    }
+
+    /// Adds bytes to the end.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no memory for them.
+    pub(super) fn push(&mut self, mut bytes: &[u8]) -> io::Result<()> {
+        while !bytes.is_empty() {
+            if self.last.len() == self.last.capacity() {
+                self.begin_piece()?;
+            }
+            let room = self.last.capacity() - self.last.len();
+            let (start, rest) = bytes.split_at(room.min(bytes.len()));
+            self.last.extend_from_slice(start);
+            self.length += start.len();
+            bytes = rest;
+        }
+        Ok(())
+    }
+
+    fn begin_piece(&mut self) -> io::Result<()> {
+        let capacity = self.length.clamp(PIECE_BYTES.0, PIECE_BYTES.1);
+        self.held.resize(self.length + capacity)?;
+        let full = std::mem::replace(&mut self.last, BytesMut::with_capacity(capacity));
+        if !full.is_empty() {
+            self.pieces.push(full.freeze());
+        }
+        Ok(())
+    }
+
+    /// Returns the complete body.
+    pub(super) fn finish(mut self) -> Body {
+        if !self.last.is_empty() {
+            self.pieces.push(self.last.freeze());
+        }
+        Body { pieces: self.pieces, _held: Some(self.held) }
+    }
+}
--- a/src/runtime/entry_node/link.rs
+++ b/src/runtime/entry_node/link.rs
@@ -2,12 +2,13 @@
 
 use std::{cell::RefCell, io};
 
+use bytes::Buf;
 use tokio::{
     io::{AsyncWrite, AsyncWriteExt},
     sync::Semaphore,
 };
 
-use crate::{core::LinkPacer, runtime::clock::Clock};
+use crate::{core::LinkPacer, net::http1::Message, runtime::clock::Clock};
 
 /// The instance's own network link, which all of its connections share.
 pub(super) struct InstanceLink {
@@ -30,7 +31,7 @@
     /// # Errors
     ///
     /// Returns an error if the connection fails.
-    pub(super) async fn write<W>(&self, stream: &mut W, message: &[u8]) -> io::Result<()>
+    pub(super) async fn write<W>(&self, stream: &mut W, message: Message) -> io::Result<()>
     where
         W: AsyncWrite + Unpin,
     {
@@ -46,29 +47,31 @@
     pub(super) async fn write_if<W>(
         &self,
         stream: &mut W,
-        message: &[u8],
+        mut message: Message,
         is_wanted: impl Fn() -> bool,
     ) -> io::Result<bool>
     where
         W: AsyncWrite + Unpin,
     {
         let piece_max_bytes = self.pacer.borrow().piece_max_bytes();
-        if message.len() <= piece_max_bytes {
+        let length = message.remaining();
+        if length <= piece_max_bytes {
             if !is_wanted() {
                 return Ok(false);
             }
-            self.record_write(message.len());
-            stream.write_all(message).await?;
+            self.record_write(length);
+            stream.write_all_buf(&mut message).await?;
             return Ok(true);
         }
-        for (index, piece) in message.chunks(piece_max_bytes).enumerate() {
+        while message.has_remaining() {
+            let mut piece = (&mut message).take(piece_max_bytes);
             // The turn is not kept while the connection takes the piece: a peer that stops
             // reading must not hold up the other bodies.
-            self.take_turn(piece.len()).await?;
-            if index == 0 && !is_wanted() {
+            self.take_turn(piece.remaining()).await?;
+            if piece.get_ref().remaining() == length && !is_wanted() {
                 return Ok(false);
             }
-            stream.write_all(piece).await?;
+            stream.write_all_buf(&mut piece).await?;
         }
         Ok(true)
     }
--- a/src/runtime/entry_node/mod.rs
+++ b/src/runtime/entry_node/mod.rs
@@ -11,6 +11,7 @@
 mod follow;
 mod hand_over;
 mod health;
+mod held_bytes;
 mod link;
 mod links;
 mod metrics;
--- a/src/runtime/entry_node/ready_response.rs
+++ b/src/runtime/entry_node/ready_response.rs
@@ -2,10 +2,11 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
-
 use super::{response::Response, state::EntryState};
-use crate::{net::http1::RequestHead, platform::headers};
+use crate::{
+    net::http1::{Message, RequestHead},
+    platform::headers,
+};
 
 /// Who sends requests over a connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -35,7 +36,7 @@
     }
 
     /// Encodes the response for the sender of the request.
-    pub(super) fn encode(&self, sender: Sender) -> Bytes {
+    pub(super) fn encode(&self, sender: Sender) -> Message {
         let head = self.head.as_ref();
         let method = head.map_or("", |head| head.method.as_str());
         let id = head.and_then(|head| headers::request_id(&head.headers));
--- a/src/runtime/entry_node/replica_call.rs
+++ b/src/runtime/entry_node/replica_call.rs
@@ -9,7 +9,7 @@
 use crate::{
     core::{control::Version, routing::RouteIndex},
     net::{
-        mesh::{MeshClient, MeshError},
+        mesh::{ClientLimits, MeshClient, MeshError},
         wire::{
             Cursor, FollowReply, FollowRequest, ListDelta, NodeReply, NodeRequest, PolicyUpdate,
         },
@@ -118,8 +118,9 @@
 }
 
 /// Returns a client of the replica at an address.
-pub(super) fn new_client(address: SocketAddr) -> Client {
-    Client::with_connect_timeout(address, CONNECT_TIMEOUT)
+pub(super) fn new_client(state: &EntryState, address: SocketAddr) -> Client {
+    let reply_max_bytes = state.settings.reply_max_bytes();
+    Client::with_limits(address, ClientLimits { connect_timeout: CONNECT_TIMEOUT, reply_max_bytes })
 }
 
 /// Asks a replica how up to date it is, after a delay.
--- a/src/runtime/entry_node/replica_search.rs
+++ b/src/runtime/entry_node/replica_search.rs
@@ -150,25 +150,25 @@
             counts.log(state, self.awaited.len());
             return None;
         };
-        Some((address, self.client(address)))
+        Some((address, self.client(state, address)))
     }
 
     fn probe(&mut self, state: &Rc<EntryState>, address: SocketAddr, delay: Duration) {
-        let client = self.client(address);
+        let client = self.client(state, address);
         self.awaited.insert(address);
         self.replies.push(probe(state, address, &client, delay));
     }
 
     /// Fetches a replica's state, whether or not the replica is up to date.
     fn fetch(&mut self, state: &Rc<EntryState>, address: SocketAddr, progress: &FollowState) {
-        let client = self.client(address);
+        let client = self.client(state, address);
         self.awaited.insert(address);
         self.replies.push(fetch_state(state, address, &client, Duration::ZERO, progress));
         self.next_fetch_at = state.clock.now() + progress.state_timeout() / 2;
     }
 
-    fn client(&mut self, address: SocketAddr) -> Client {
-        self.clients.entry(address).or_insert_with(|| new_client(address)).clone()
+    fn client(&mut self, state: &EntryState, address: SocketAddr) -> Client {
+        self.clients.entry(address).or_insert_with(|| new_client(state, address)).clone()
     }
 }
 
--- a/src/runtime/entry_node/response.rs
+++ b/src/runtime/entry_node/response.rs
@@ -2,12 +2,12 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use bytes::Bytes;
 use http::header;
 use serde_json::json;
 
+use super::held_bytes::Body;
 use crate::net::{
-    http1::{HeadWriter, Headers},
+    http1::{HeadWriter, Headers, Message},
     relay::{Refusal, is_relay_field},
 };
 
@@ -16,7 +16,7 @@
 pub(super) struct Response {
     pub(super) status: u16,
     source: Source,
-    body: Bytes,
+    body: Body,
     /// Whether the connection is closed after this response.
     pub(super) closes_connection: bool,
 }
@@ -56,7 +56,7 @@
 
 impl Response {
     /// Creates a response that forwards the response of an upstream.
-    pub(super) fn from_upstream(status: u16, headers: Headers, body: Bytes) -> Self {
+    pub(super) fn from_upstream(status: u16, headers: Headers, body: Body) -> Self {
         Self { status, source: Source::Upstream(headers), body, closes_connection: false }
     }
 
@@ -92,12 +92,12 @@
 
     /// Encodes the response to a request with the given method. Local responses
     /// include the request's id.
-    pub(super) fn encode(&self, method: &str, request_id: Option<&str>) -> Bytes {
+    pub(super) fn encode(&self, method: &str, request_id: Option<&str>) -> Message {
         self.encode_with(method, request_id, |_| {})
     }
 
     /// Encodes the response to a request that a peer handed over. A refusal says so.
-    pub(super) fn encode_for_peer(&self, method: &str, request_id: Option<&str>) -> Bytes {
+    pub(super) fn encode_for_peer(&self, method: &str, request_id: Option<&str>) -> Message {
         self.encode_with(method, request_id, |head| {
             if let Source::Local { error, retry_after: Some(delay) } = &self.source {
                 Refusal { reason: error.clone(), retry_after: *delay }.write(head);
@@ -110,7 +110,7 @@
         method: &str,
         request_id: Option<&str>,
         write_fields: impl FnOnce(&mut HeadWriter),
-    ) -> Bytes {
+    ) -> Message {
         let mut head = HeadWriter::with_status(self.status);
         write_fields(&mut head);
         match &self.source {
@@ -137,6 +137,6 @@
         if self.closes_connection {
             head.field(header::CONNECTION.as_str(), b"close");
         }
-        if method == "HEAD" { head.finish() } else { head.finish_with(&self.body) }
+        if method == "HEAD" { head.finish_with(&[]) } else { head.finish_with(self.body.pieces()) }
     }
 }
--- a/src/runtime/entry_node/state.rs
+++ b/src/runtime/entry_node/state.rs
@@ -12,12 +12,12 @@
 use tokio::sync::{Notify, watch};
 
 use super::{
-    Flag, link::InstanceLink, links::LinkState, metrics::EntryMetrics, pool::ConnectionPool,
-    request::Request,
+    Flag, held_bytes::SharedBudget, link::InstanceLink, links::LinkState, metrics::EntryMetrics,
+    pool::ConnectionPool, request::Request,
 };
 use crate::{
     core::{
-        RecentMax, StopPhase, StopPlan,
+        MemoryBudget, RecentMax, StopPhase, StopPlan,
         admission::RetryBudget,
         balance::{Balancer, ColdLimit, Locality},
         control::{InstanceName, Policy, ServiceName, ZoneName},
@@ -46,6 +46,8 @@
     /// When the peers are next requested from a control replica.
     next_peers_request_at: Cell<Duration>,
     pub(super) link: InstanceLink,
+    /// The memory that all messages may take together.
+    pub(super) memory: SharedBudget,
     pub(super) demand: RefCell<DemandMeter>,
     /// When the next demand report may be sent to a control replica.
     next_demand_report_at: Cell<Duration>,
@@ -116,6 +118,7 @@
             peer_pool: RefCell::default(),
             next_peers_request_at: Cell::default(),
             link: InstanceLink::new(clock, settings.link_bytes_per_s()),
+            memory: Rc::new(RefCell::new(MemoryBudget::new(settings.messages_max_bytes()))),
             seeds: RefCell::new(settings.seed_cluster_addresses()),
             demand: RefCell::new(DemandMeter::new(Duration::ZERO)),
             next_demand_report_at: Cell::new(DEMAND_REPORT_INTERVAL),
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -172,6 +172,15 @@
 
 /// The part of the memory that one response of an upstream may take: 1 of this many.
 const RESPONSES_IN_MEMORY: u64 = 32;
+/// The part of the memory that one reply of a control replica may take: 1 of this many. The
+/// largest replies hold a whole policy.
+const REPLIES_IN_MEMORY: u64 = 8;
+/// The part of the memory that one page of the list of upstreams may take: 1 of this many. The
+/// pages of all availability zones are read at the same time.
+const LIST_PAGES_IN_MEMORY: u64 = 64;
+/// The part of the memory that all messages may take together: 1 of this many. The rest is for
+/// the state, connections and short-lived copies.
+const MESSAGES_MEMORY_PART: u64 = 2;
 
 impl NodeSettings {
     /// Returns the maximum size of the body of an upstream's response, in bytes.
@@ -179,6 +188,21 @@
         (self.resources.memory_mib * 1024 * 1024 / RESPONSES_IN_MEMORY) as usize
     }
 
+    /// Returns the maximum size of a reply of a control replica, in bytes.
+    pub fn reply_max_bytes(&self) -> usize {
+        (self.resources.memory_mib * 1024 * 1024 / REPLIES_IN_MEMORY) as usize
+    }
+
+    /// Returns the maximum size of a page of the list of upstreams, in bytes.
+    pub fn list_page_max_bytes(&self) -> usize {
+        (self.resources.memory_mib * 1024 * 1024 / LIST_PAGES_IN_MEMORY) as usize
+    }
+
+    /// Returns the maximum size of all messages together that are held in memory, in bytes.
+    pub fn messages_max_bytes(&self) -> usize {
+        (self.resources.memory_mib * 1024 * 1024 / MESSAGES_MEMORY_PART) as usize
+    }
+
     /// Returns the bandwidth of the instance's own network link in bytes per second; 0 if it
     /// is not limited.
     pub fn link_bytes_per_s(&self) -> f64 {
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -9,6 +9,7 @@
 mod http1;
 mod layout;
 mod link_pacer;
+mod memory_budget;
 mod notices;
 mod placement;
 mod platform;
--- a/tests/processes/entry.rs
+++ b/tests/processes/entry.rs
@@ -36,7 +36,7 @@
 pub(super) const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 pub(super) const POLL_INTERVAL: Duration = Duration::from_millis(50);
 pub(super) const SERVICE: &str = "orders";
-const MEMORY_MB: u64 = 64;
+pub(super) const MEMORY_MB: u64 = 64;
 pub(super) const LINK_MBPS: f64 = 1000.0;
 const GRACE_S: f64 = 6.0;
 /// The length of the body of [`large_response`].
@@ -172,13 +172,18 @@
     }
 
     /// Returns the greatest amount of memory that the process has used, in MiB.
-    fn peak_memory_mib(&self) -> u64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.process.id())).unwrap();
-        let line = status.lines().find(|line| line.starts_with("VmHWM")).unwrap();
-        line.split_whitespace().nth(1).unwrap().parse::<u64>().unwrap() / 1024
+    pub(super) fn peak_memory_mib(&self) -> u64 {
+        peak_memory_mib(self.process.id())
     }
 }
 
+/// Returns the greatest amount of memory that a process has used, in MiB.
+pub(super) fn peak_memory_mib(process: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmHWM")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse::<u64>().unwrap() / 1024
+}
+
 impl Drop for Rig {
     fn drop(&mut self) {
         self.process.kill().ok();
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -18,6 +18,7 @@
 pub(super) const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 pub(super) const POLL_INTERVAL: Duration = Duration::from_millis(50);
 const UPSTREAMS: usize = 3;
+const MEMORY_MB: u64 = 260;
 
 /// Three control replicas and two entry instances, which are killed on drop.
 pub(super) struct Fleet {
@@ -107,7 +108,7 @@
             "node": name, "ip": ip, "zone": "a", "region": "north", "zones": {"a": "north"},
             "listen": listen, "cluster_ports": [7660, 7675], "seeds": seeds, "bootstrap": bootstrap,
             "data_dir": self.folder.join(name),
-            "limits": {"cpu_share": 1.0, "memory_mb": 260, "max_fds": 4000, "link_mbps": 1000},
+            "limits": {"cpu_share": 1.0, "memory_mb": MEMORY_MB, "max_fds": 4000, "link_mbps": 1000},
             "bounds": {"grace_s": 6, "config_s": 2.5},
             "cloud": {
                 "addr": format!("{}.40:8142", self.ip_prefix), "rate_per_s": 50, "max_lag_s": 0.8,
--- a/tests/processes/hand_over.rs
+++ b/tests/processes/hand_over.rs
@@ -35,7 +35,7 @@
 type Received = Arc<Mutex<Vec<String>>>;
 
 /// The service of uploaded files.
-const FILES: &str = "files";
+pub(super) const FILES: &str = "files";
 /// The number of upstreams in the lists of the instances.
 const UPSTREAMS: u32 = 4;
 
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -3,6 +3,7 @@
 mod control;
 mod crashing_requests;
 mod deployment;
+mod endless_bytes;
 mod entry;
 mod evacuations;
 mod faulty_upstreams;
