Add a soak that checks what refusals promise

The users saw requests that had run although they had been refused (REFUSED), on an earlier landing, as real processes.

The soak runs control replicas, entry instances, faulty upstreams and callers that keep their connections, under signals that overlap.

--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -13,6 +13,7 @@
 };
 
 use serde_json::{Value, json};
+use tokio::task::JoinHandle;
 use warp::{Filter, http::Response};
 
 pub(super) const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
@@ -33,6 +34,11 @@
     pub(super) runs: Runs,
     /// The queries of the calls for the list of upstreams.
     pub(super) list_queries: ListQueries,
+    list_server: Option<JoinHandle<()>>,
+    /// The program that is run.
+    pub(super) program: PathBuf,
+    /// Whether the folder with the logs stays.
+    pub(super) keeps_logs: bool,
 }
 
 pub(super) type ListQueries = Arc<Mutex<Vec<BTreeMap<String, String>>>>;
@@ -41,11 +47,19 @@
 impl Fleet {
     /// Starts the fleet of the test with this number, below 8, which no other test may have.
     pub(super) async fn start(number: u32) -> Self {
+        let mut fleet = Self::new(number);
+        let entries = fleet.start_upstreams();
+        fleet.launch(entries, &["c1", "c2", "c3", "e1", "e2"]);
+        fleet
+    }
+
+    /// Creates the fleet of the test with this number, of which nothing runs yet.
+    pub(super) fn new(number: u32) -> Self {
         let pid = std::process::id();
         let ip_prefix = format!("127.{}.{}", 100 + pid % 100, pid / 100 % 31 + 31 * number);
         let folder = std::env::temp_dir().join(format!("bulrushspan-fleet-{pid}-{number}"));
         fs::create_dir_all(&folder).unwrap();
-        let mut fleet = Self {
+        Self {
             folder,
             ip_prefix,
             processes: BTreeMap::new(),
@@ -53,12 +67,21 @@
             http: reqwest::Client::builder().no_proxy().build().unwrap(),
             runs: Runs::default(),
             list_queries: ListQueries::default(),
-        };
-        fleet.start_stand_ins();
-        for name in ["c1", "c2", "c3", "e1", "e2"] {
-            fleet.start_process(name, true);
+            program: PathBuf::from(env!("CARGO_BIN_EXE_bulrushspan")),
+            list_server: None,
+            keeps_logs: false,
         }
-        fleet
+    }
+
+    /// Serves the list of upstreams, and starts processes.
+    pub(super) fn launch(&mut self, entries: Vec<Value>, processes: &[&str]) {
+        self.serve_list(entries);
+        processes.iter().for_each(|name| self.start_process(name, true));
+    }
+
+    /// Returns the address of the upstream with this number, below 10.
+    pub(super) fn upstream_address(&self, number: usize) -> SocketAddr {
+        format!("{}.{}:8080", self.ip_prefix, 30 + number).parse().unwrap()
     }
 
     pub(super) fn ip(&self, name: &str) -> String {
@@ -67,11 +90,11 @@
         format!("{}.{}", self.ip_prefix, offset + number)
     }
 
-    fn start_stand_ins(&self) {
+    /// Starts upstreams, and returns their entries in the list.
+    fn start_upstreams(&self) -> Vec<Value> {
         let mut entries = Vec::new();
         for number in 0..UPSTREAMS {
-            let address: SocketAddr =
-                format!("{}.{}:8080", self.ip_prefix, 30 + number).parse().unwrap();
+            let address = self.upstream_address(number);
             entries.push(json!({
                 "id": format!("i-{number}"), "service": "orders", "addr": address, "zone": "a",
                 "version": "v1", "slots": 4, "state": "ready", "cold_left_s": 0,
@@ -81,6 +104,10 @@
         }
         // A malformed entry is skipped; the other entries still apply.
         entries.push(json!({"id": "i-damaged", "slots": []}));
+        entries
+    }
+
+    fn serve_list(&mut self, entries: Vec<Value>) {
         let address: SocketAddr = format!("{}.40:8142", self.ip_prefix).parse().unwrap();
         let queries = self.list_queries.clone();
         let list_route = warp::path("instances").and(warp::query()).map(
@@ -90,7 +117,7 @@
                 page
             },
         );
-        tokio::spawn(warp::serve(list_route).run(address));
+        self.list_server = Some(tokio::spawn(warp::serve(list_route).run(address)));
     }
 
     pub(super) fn start_process(&mut self, name: &str, bootstrap: bool) {
@@ -117,8 +144,9 @@
         let file = self.folder.join(format!("{name}.json"));
         fs::write(&file, settings.to_string()).unwrap();
         fs::create_dir_all(self.folder.join(name)).unwrap();
-        let log = fs::File::create(self.folder.join(format!("{name}.log"))).unwrap();
-        let process = Command::new(env!("CARGO_BIN_EXE_bulrushspan"))
+        let log_file = self.folder.join(format!("{name}.log"));
+        let log = fs::OpenOptions::new().create(true).append(true).open(log_file).unwrap();
+        let process = Command::new(&self.program)
             .args([role, "--metrics-port", "9464", "--settings"])
             .arg(file)
             .stdout(Stdio::from(log))
@@ -135,11 +163,12 @@
 
     /// Sends a configuration to the replicas in turn until one acknowledges it.
     pub(super) async fn configure(&self, version: &str, prefix: &str) {
+        let body = configuration(version, prefix);
         let started_at = Instant::now();
         for attempt in 0.. {
             let url = format!("http://{}:8146/api/config", self.ip(self.seeds[attempt % 3]));
-            let body = configuration(version, prefix);
-            let result = self.http.put(url).body(body).timeout(Duration::from_secs(3)).send().await;
+            let result =
+                self.http.put(url).body(body.clone()).timeout(Duration::from_secs(3)).send().await;
             if result.is_ok_and(|response| response.status().is_success()) {
                 return;
             }
@@ -216,11 +245,12 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
+        self.list_server.take().inspect(JoinHandle::abort);
         for process in self.processes.values_mut() {
             process.kill().ok();
             process.wait().ok();
         }
-        if !std::thread::panicking() {
+        if !std::thread::panicking() && !self.keeps_logs {
             fs::remove_dir_all(&self.folder).ok();
         }
     }
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -17,5 +17,6 @@
 mod pauses;
 mod platform;
 mod requests;
+mod soak;
 mod stops;
 mod whole_path;
