Don't pass on a peer's status that promises more than the peer said

What callers saw: a 408, 421, 429 or 503, which promises "not run", for a request that a peer had taken over and that had run (REFUSED).

Cause: the response of a peer that is no refusal of the peer's own was passed on whatever its status.

Why this works: only a refusal that says so, with the request's id, counts as "not run". Anything else with such a status may have run, and is answered 502.

--- a/src/runtime/entry_node/attempt.rs
+++ b/src/runtime/entry_node/attempt.rs
@@ -47,6 +47,9 @@
 /// The error of a refusal without the request's id, which may belong to another request.
 pub(super) const UNNAMED_REFUSAL: &str = "a refusal without the request's id";
 
+/// The error of a status that promises "not run" while nothing else in the response says so.
+pub(super) const UNMARKED_REFUSAL: &str = "a status that promises `not run` without saying so";
+
 /// Counts a request as in flight at an upstream until dropped.
 struct InFlight {
     state: Rc<EntryState>,
@@ -123,7 +126,7 @@
         return Err(io::Error::other(UNNAMED_REFUSAL));
     }
     if headers::promises_not_run(head.status) {
-        return Err(io::Error::other("a status that promises `not run` without saying so"));
+        return Err(io::Error::other(UNMARKED_REFUSAL));
     }
     Ok(AttemptOutcome::Responded {
         response: Response::from_upstream(head.status, head.headers, body),
--- a/src/runtime/entry_node/hand_over.rs
+++ b/src/runtime/entry_node/hand_over.rs
@@ -6,7 +6,7 @@
 use tracing::info;
 
 use super::{
-    attempt::{UNNAMED_REFUSAL, encode_request, receive, take_pooled},
+    attempt::{UNMARKED_REFUSAL, UNNAMED_REFUSAL, encode_request, receive, take_pooled},
     pool::connect,
     request::Request,
     response::Response,
@@ -172,6 +172,9 @@
         Ok((head, body)) => match Refusal::parse(&head.headers) {
             Some(refusal) if request.is_named_by(&head) => PeerOutcome::Refused(refusal),
             Some(_) => PeerOutcome::Unknown(io::Error::other(UNNAMED_REFUSAL)),
+            None if headers::promises_not_run(head.status) => {
+                PeerOutcome::Unknown(io::Error::other(UNMARKED_REFUSAL))
+            }
             None => {
                 PeerOutcome::Responded(Response::from_upstream(head.status, head.headers, body))
             }
--- a/tests/processes/faulty_upstreams.rs
+++ b/tests/processes/faulty_upstreams.rs
@@ -102,7 +102,8 @@
         }
         ["extra"] => ok(id) + &refusal("503", None),
         ["unmarked", status] if !is_repeated => {
-            refusal(status, Some(id)).replace("Bulrushspan-Not-Run", "X-Other")
+            let unmarked = refusal(status, Some(id)).replace("Bulrushspan-Not-Run", "X-Other");
+            unmarked.replace("Relay-Refused", "X-Other")
         }
         ["cut", number] if !is_repeated => {
             let (name, bytes) = CUTS[number.parse::<usize>().unwrap()];
@@ -270,6 +271,17 @@
     }
 }
 
+/// A status that promises "not run", from a peer that does not say that it refused, was passed on.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unmarked_refusal_of_a_peer_is_not_passed_on_as_not_run() {
+    let received = serve(&[address(98, 7660), address(99, 7660)]).await;
+    let peers = vec![peer(98), peer(99)];
+    let rig = start(97, control(unreachable_upstreams(97), peers, 1)).await;
+    for status in [408, 421, 429, 503] {
+        expect(&rig, &received, &format!("order/unmarked-{status}"), (502, 1)).await;
+    }
+}
+
 /// An upstream stopped in the middle of a response and closed: callers got a 200 with an empty
 /// or short body.
 #[tokio::test(flavor = "multi_thread")]
