--- a/review/rig-2/src/fleet.rs
+++ b/review/rig-2/src/fleet.rs
@@ -71,7 +71,7 @@
     port: u16,
     controls: Vec<String>,
     processes: BTreeMap<String, Child>,
-    list: Arc<Mutex<String>>,
+    list: Arc<Mutex<Vec<u8>>>,
 }
 
 impl Fleet {
@@ -91,7 +91,7 @@
             port: 0,
             controls,
             processes: BTreeMap::new(),
-            list: Arc::new(Mutex::new(r#"{"instances":[],"next_token":null}"#.to_owned())),
+            list: Arc::new(Mutex::new(br#"{"instances":[],"next_token":null}"#.to_vec())),
         };
         fleet.port = fleet.find_ports();
         fleet.serve_list();
@@ -104,7 +104,8 @@
         let seed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().subsec_nanos();
         let mut port = 12_000 + (seed % 8_000) as u16;
         loop {
-            let is_free = |ip| (port..port + PORTS).all(|port| TcpListener::bind((ip, port)).is_ok());
+            let is_free =
+                |ip| (port..port + PORTS).all(|port| TcpListener::bind((ip, port)).is_ok());
             if ips().all(is_free) {
                 return port;
             }
@@ -151,8 +152,10 @@
         SocketAddr::new(self.ip_of(30), self.port + LIST_PORT)
     }
 
-    /// Sets the platform's list, as JSON.
-    pub fn set_list(&self, page: String) {
+    /// Sets the entries of the platform's list, which has one page.
+    pub fn set_list(&self, entries: &[Vec<u8>]) {
+        let entries = entries.join(&b","[..]);
+        let page = [br#"{"instances":["#, entries.as_slice(), br#"],"next_token":null}"#].concat();
         *self.list.lock().unwrap() = page;
     }
 
@@ -169,10 +172,11 @@
                         let body = list.lock().unwrap().clone();
                         let response = format!(
                             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\
-                             Content-Length: {}\r\n\r\n{body}",
+                             Content-Length: {}\r\n\r\n",
                             body.len()
                         );
-                        if stream.write_all(response.as_bytes()).is_err() {
+                        let message = [response.as_bytes(), &body].concat();
+                        if stream.write_all(&message).is_err() {
                             return;
                         }
                     }
@@ -193,7 +197,8 @@
         fs::create_dir_all(self.data_folder(name)).unwrap();
         let settings = folder.join("node.json");
         fs::write(&settings, self.settings(name, is_control, bootstrap)).unwrap();
-        let log = fs::OpenOptions::new().create(true).append(true).open(folder.join("log")).unwrap();
+        let log =
+            fs::OpenOptions::new().create(true).append(true).open(folder.join("log")).unwrap();
         let role = if is_control { "control" } else { "entry" };
         let mut command = Command::new(&self.binary);
         // SAFETY: the call is safe between fork and exec; it ends the process with this one.
@@ -224,7 +229,8 @@
     }
 
     fn settings(&self, name: &str, is_control: bool, bootstrap: bool) -> String {
-        let zone_of = |name: &str| ["pos-a", "sfo-a", "ari-a"][usize::from(Self::number_of(name)) % 3];
+        let zone_of =
+            |name: &str| ["pos-a", "sfo-a", "ari-a"][usize::from(Self::number_of(name)) % 3];
         let zone = zone_of(name);
         let region = match zone {
             "pos-a" => "port-of-spain",
@@ -247,8 +253,12 @@
             format!(r#"{{"front":"{}","ready":"{}"}}"#, self.front(name), self.ready(name))
         };
         let serves = if is_control { r#"["control","directory"]"# } else { r#"["front"]"# };
-        let seeds: Vec<String> =
-            self.controls.iter().take(3).map(|name| format!("\"{}\"", self.control(name))).collect();
+        let seeds: Vec<String> = self
+            .controls
+            .iter()
+            .take(3)
+            .map(|name| format!("\"{}\"", self.control(name)))
+            .collect();
         format!(
             r#"{{"node":"{name}","role":"{role}","class":"{class}","serves":{serves},
 "ip":"{ip}","zone":"{zone}","region":"{region}",
@@ -353,13 +363,13 @@
 
     /// Reads the configuration at a machine, and returns the status and the version.
     pub fn read_version(&self, name: &str) -> (u16, Option<u64>) {
-        let response =
-            call(self.control(name), "GET", "/api/config", b"", Duration::from_secs(2));
+        let response = call(self.control(name), "GET", "/api/config", b"", Duration::from_secs(2));
         let Ok(response) = response else { return (0, None) };
         let text = response.text();
-        let version = text.split("\"version\":\"r").nth(1).and_then(|rest| {
-            rest.split('"').next().and_then(|digits| digits.parse().ok())
-        });
+        let version = text
+            .split("\"version\":\"r")
+            .nth(1)
+            .and_then(|rest| rest.split('"').next().and_then(|digits| digits.parse().ok()));
         (response.status(), version.filter(|_| response.status() == 200))
     }
 }
--- a/review/rig-2/src/http.rs
+++ b/review/rig-2/src/http.rs
@@ -25,11 +25,6 @@
         self.first_line.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0)
     }
 
-    /// Returns the method of a request.
-    pub fn method(&self) -> &str {
-        self.first_line.split(' ').next().unwrap_or("")
-    }
-
     /// Returns the target of a request.
     pub fn target(&self) -> &str {
         self.first_line.split(' ').nth(1).unwrap_or("")
--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -1,8 +1,11 @@
 //! The stand-ins and scripts of the second review. Usage: `rig-2 CASE RECORD`, where `RECORD` is
 //! the file to write; the environment gives `RIG_BINARY` and `TROUBLE`.
 
+mod client;
+mod deltas;
 mod fleet;
 mod http;
+mod servers;
 mod store_gap;
 
 use std::path::Path;
@@ -17,11 +20,9 @@
     };
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let record = Record::new(Path::new(path));
-    record.line(format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
-    let result = match case.as_str() {
-        "store-gap" => store_gap::run(record.clone(), trouble),
-        _ => 2,
-    };
+    record
+        .line(format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
+    let result = std::panic::catch_unwind(|| play(case, &record, trouble)).unwrap_or(2);
     let text = match result {
         0 => "the rule held",
         1 => "the rule was broken",
@@ -30,3 +31,11 @@
     record.line(format!("{text} (exit {result}, {:.1} s)", record.elapsed().as_secs_f64()));
     std::process::exit(result);
 }
+
+fn play(case: &str, record: &Record, trouble: bool) -> i32 {
+    match case {
+        "store-gap" => store_gap::run(record.clone(), trouble),
+        "deltas" => deltas::run(record.clone(), trouble),
+        _ => 2,
+    }
+}
--- a/review/rig-2/src/store_gap.rs
+++ b/review/rig-2/src/store_gap.rs
@@ -88,7 +88,9 @@
             return 2;
         }
     }
-    record.line(format!("{CHANGES} configurations of {ROUTES} routes acknowledged, up to r{version}"));
+    record.line(format!(
+        "{CHANGES} configurations of {ROUTES} routes acknowledged, up to r{version}"
+    ));
     thread::sleep(Duration::from_secs(1));
 
     let mut hit = false;
@@ -154,7 +156,8 @@
     for _ in 0..3 {
         for name in ALL {
             let (status, read) = fleet.read_version(name);
-            record.line(format!("{name} reads {status} {read:?}; r{acknowledged} was acknowledged"));
+            record
+                .line(format!("{name} reads {status} {read:?}; r{acknowledged} was acknowledged"));
             match read {
                 Some(read) if read < acknowledged => result = 1,
                 Some(_) if result == 2 => result = 0,
@@ -164,13 +167,8 @@
         thread::sleep(Duration::from_secs(1));
     }
     // Whether orders are still taken is recorded, but not judged.
-    let evacuation = call(
-        fleet.control("core-2"),
-        "POST",
-        "/api/evacuate/pos-a",
-        b"",
-        Duration::from_secs(3),
-    );
+    let evacuation =
+        call(fleet.control("core-2"), "POST", "/api/evacuate/pos-a", b"", Duration::from_secs(3));
     record.line(format!("an evacuation: {:?}", evacuation.map(|response| response.status()).ok()));
     result
 }
