Add review case 8: the log of a large configuration exceeds the memory

A configuration grows by 380 routes ten times and then changes 190 times, one route at a time. All three control processes pass their 256 MB at about the 175th change, and again each time they are started: no order is acknowledged and no read is answered any more.

--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -1,10 +1,12 @@
 //! The stand-ins and scripts of the second review. Usage: `rig-2 CASE RECORD`, where `RECORD` is
 //! the file to write; the environment gives `RIG_BINARY` and `TROUBLE`.
 
+mod big_log;
 mod client;
 mod deltas;
 mod fleet;
 mod http;
+mod memory;
 mod servers;
 mod store_gap;
 
@@ -35,6 +37,7 @@
 fn play(case: &str, record: &Record, trouble: bool) -> i32 {
     match case {
         "store-gap" => store_gap::run(record.clone(), trouble),
+        "big-log" => big_log::run(record.clone(), trouble),
         "deltas" => deltas::run(record.clone(), trouble),
         _ => 2,
     }
