Add review case 9: uploads that arrive together exceed a front's memory

17 uploads of 18 MB, within the limits of the configuration, are sent at once instead of 10. The front process passes its 260 MB and is killed; the 8 bookings that it had passed on from kept connections are run and never answered.

Why: request bodies are not counted against the budget for messages.

--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -9,6 +9,7 @@
 mod memory;
 mod servers;
 mod store_gap;
+mod uploads;
 
 use std::path::Path;
 
@@ -39,6 +40,7 @@
         "store-gap" => store_gap::run(record.clone(), trouble),
         "big-log" => big_log::run(record.clone(), trouble),
         "deltas" => deltas::run(record.clone(), trouble),
+        "uploads" => uploads::run(record.clone(), trouble),
         _ => 2,
     }
 }
