Add review case 10: one unreadable entry makes the whole list unreadable

An entry of another writer, with a byte that is no UTF-8, is on the platform's list while two of six servers are replaced one after the other. Requests reach them up to 3 s after drain_s, until they end and cut the bookings that run; the new servers get nothing.

Why: the page is decoded as raw JSON values, which have to be valid UTF-8.

--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -9,6 +9,7 @@
 mod memory;
 mod servers;
 mod store_gap;
+mod unreadable;
 mod uploads;
 
 use std::path::Path;
@@ -41,6 +42,7 @@
         "big-log" => big_log::run(record.clone(), trouble),
         "deltas" => deltas::run(record.clone(), trouble),
         "uploads" => uploads::run(record.clone(), trouble),
+        "unreadable" => unreadable::run(record.clone(), trouble),
         _ => 2,
     }
 }
