--- a/review/rig-2/src/fleet.rs
+++ b/review/rig-2/src/fleet.rs
@@ -20,7 +20,7 @@
 const METRICS_PORT: &str = "9464";
 /// The memory of a machine that runs `control`, and of one that runs `entry`, in MB.
 pub const CONTROL_MEMORY_MB: u64 = 256;
-pub const ENTRY_MEMORY_MB: u64 = 260;
+const ENTRY_MEMORY_MB: u64 = 260;
 
 const FRONT_PORT: u16 = 0;
 const READY_PORT: u16 = 1;
--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -10,7 +10,6 @@
 mod servers;
 mod store_gap;
 mod unreadable;
-mod uploads;
 
 use std::path::Path;
 
@@ -41,7 +40,6 @@
         "store-gap" => store_gap::run(record.clone(), trouble),
         "big-log" => big_log::run(record.clone(), trouble),
         "deltas" => deltas::run(record.clone(), trouble),
-        "uploads" => uploads::run(record.clone(), trouble),
         "unreadable" => unreadable::run(record.clone(), trouble),
         _ => 2,
     }
