--- a/review/rig-2/src/store_gap.rs
+++ b/review/rig-2/src/store_gap.rs
@@ -18,7 +18,9 @@
 const ROUTES: u32 = 100;
 const CHANGES: u32 = 240;
 /// How often the kill during the catch-up is tried.
-const ATTEMPTS: u32 = 6;
+const ATTEMPTS: u32 = 20;
+/// The pause before the next try.
+const MISS_PAUSE: Duration = Duration::from_secs(1);
 /// `catch_up_s` and `recovery_s` of the settings.
 const CATCH_UP: Duration = Duration::from_secs(4);
 const RECOVERY: Duration = Duration::from_secs(15);
@@ -108,15 +110,15 @@
             }
             Some(is_between) => {
                 record.line(format!(
-                    "attempt {attempt}: core-2 killed while it caught up; its log was {} yet",
-                    if is_between { "not rewritten" } else { "rewritten" }
+                    "attempt {attempt}: core-2 killed while it caught up; its log was {}",
+                    if is_between { "not rewritten yet" } else { "rewritten" }
                 ));
                 fleet.start("core-2", false);
                 hit = is_between;
                 if hit {
                     break;
                 }
-                thread::sleep(CATCH_UP);
+                thread::sleep(MISS_PAUSE);
             }
         }
     }
