Review case 10: an entry with missing fields replaces a sound one

Requests reach two servers later than drain_s after the list shows them as draining, and bookings are cut when these end.

Why: missing fields are filled in, and entries are collected by id.

--- a/review/rig-2/src/unreadable.rs
+++ b/review/rig-2/src/copied_entry.rs
@@ -1,5 +1,6 @@
-//! While an entry of the platform's list holds bytes that can't be read, the others don't hold
-//! either: servers that drain get requests until they end, and new ones get none.
+//! Another writer's entry of the platform's list, without two of the fields, has the id of a sound
+//! server and stands behind that one's own entry. It replaces it: a server that drains gets requests
+//! until it ends.
 
 use std::{
     sync::{
@@ -27,9 +28,6 @@
 /// The pause between the replacements of two servers.
 const RELEASE_GAP: Duration = Duration::from_secs(1);
 const CLIENTS: usize = 12;
-/// What another writer has left in the list. The second byte of the name is no UTF-8.
-const UNREADABLE: &[u8] = b"{\"service\":\"d\xffsk\",\"id\":\"i-other\"}";
-
 fn configuration() -> String {
     let resources = [
         r#"{"type":"routes","meta":{"name":"booking"},"spec":{"host":"desk.example","path_prefix":"/booking/","kind":"unsafe","timeout_s":4,"slo_s":0.6,"priority":1,"service":"desk","max_attempts":2,"sticky":false,"home_regions":[]}}"#,
@@ -114,14 +112,17 @@
         }));
     }
     thread::sleep(Duration::from_secs(3));
+    // Copies of the first two entries by another writer, without `version` and `cold_left_s`.
+    let copies: Vec<Vec<u8>> =
+        servers[..2].iter().map(|server| server.partial_entry().into_bytes()).collect();
     let with_other = |mut entries: Vec<Vec<u8>>| {
         if trouble {
-            entries.insert(0, UNREADABLE.to_vec());
+            entries.extend(copies.clone());
         }
         entries
     };
     if trouble {
-        record.line("an entry of another writer, with bytes that can't be read, is on the list");
+        record.line("two entries of another writer, without two fields, are on the list");
     }
     fleet.set_list(&with_other(entries(&states)));
     thread::sleep(Duration::from_secs(3));
--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -3,13 +3,13 @@
 
 mod big_log;
 mod client;
+mod copied_entry;
 mod deltas;
 mod fleet;
 mod http;
 mod memory;
 mod servers;
 mod store_gap;
-mod unreadable;
 
 use std::path::Path;
 
@@ -40,7 +40,7 @@
         "store-gap" => store_gap::run(record.clone(), trouble),
         "big-log" => big_log::run(record.clone(), trouble),
         "deltas" => deltas::run(record.clone(), trouble),
-        "unreadable" => unreadable::run(record.clone(), trouble),
+        "copied-entry" => copied_entry::run(record.clone(), trouble),
         _ => 2,
     }
 }
--- a/review/rig-2/src/servers.rs
+++ b/review/rig-2/src/servers.rs
@@ -59,6 +59,14 @@
         )
     }
 
+    /// Returns an entry of another writer with the server's id, in which fields are missing.
+    pub fn partial_entry(&self) -> String {
+        format!(
+            r#"{{"service":"{}","addr":"{}","zone":"{}","slots":{},"state":"ready","id":"{}","born":1700000000000}}"#,
+            self.service, self.address, self.zone, self.slots, self.id
+        )
+    }
+
     /// Ends the server: it takes no connection any more and breaks off what it runs.
     pub fn end(&self) {
         self.has_ended.store(true, Ordering::SeqCst);
