--- a/review/rig-2/src/big_log.rs
+++ b/review/rig-2/src/big_log.rs
@@ -30,7 +30,7 @@
     for route in 0..routes {
         // Each version changes the timeout of one route.
         let changes = (version + routes - 1 - route) / routes;
-        let timeout = 2.0 + f64::from(changes % 10) / 10.0;
+        let timeout = 2.0 + f64::from(changes % 10) / 10_f64;
         resources.push(format!(
             r#"{{"type":"routes","meta":{{"name":"r-{route}"}},"spec":{{"host":"desk.example","path_prefix":"/p{route}/","kind":"safe","timeout_s":{timeout},"slo_s":0.5,"priority":2,"service":"desk","max_attempts":2,"sticky":true,"home_regions":[]}}}}"#
         ));
--- a/review/rig-2/src/deltas.rs
+++ b/review/rig-2/src/deltas.rs
@@ -31,7 +31,7 @@
 fn configuration(version: u32, routes: u32) -> String {
     let mut resources = Vec::new();
     for route in 0..routes {
-        let timeout = 2.0 + f64::from(version % 10) / 10.0;
+        let timeout = 2.0 + f64::from(version % 10) / 10_f64;
         resources.push(format!(
             r#"{{"type":"routes","meta":{{"name":"r-{route}"}},"spec":{{"host":"desk.example","path_prefix":"/p{route}/","kind":"safe","timeout_s":{timeout},"slo_s":0.6,"priority":2,"service":"desk","max_attempts":2,"sticky":true,"home_regions":[]}}}}"#
         ));
--- a/review/rig-2/src/store_gap.rs
+++ b/review/rig-2/src/store_gap.rs
@@ -35,7 +35,7 @@
 fn configuration(version: u32) -> String {
     let mut resources = Vec::new();
     for route in 0..ROUTES {
-        let timeout = 2.0 + f64::from((version + route) % 10) / 10.0;
+        let timeout = 2.0 + f64::from((version + route) % 10) / 10_f64;
         resources.push(format!(
             r#"{{"type":"routes","meta":{{"name":"route-{route}"}},"spec":{{"host":"desk.example","path_prefix":"/path{route}/","kind":"safe","timeout_s":{timeout},"slo_s":0.5,"priority":2,"service":"desk","max_attempts":2,"sticky":true,"home_regions":[]}}}}"#
         ));
