Add review case 9: a lost disk takes the other machines over their memory

Three control processes hold 158 configurations, the last 150 of 2,672 routes, in 165 MB each. core-2 loses its disk. The other two pass their 256 MB in turn as they send it the log, are killed by the stand-in of the platform and pass it again; most reads get no answer, and core-2 never gets the log.

Why: a message holds up to 256 entries, however large they are.

--- a/review/rig-2/src/big_log.rs
+++ b/review/rig-2/src/big_log.rs
@@ -12,10 +12,10 @@
     memory::resident_mb,
 };
 
-const ALL: [&str; 3] = ["core-1", "core-2", "core-3"];
+pub const ALL: [&str; 3] = ["core-1", "core-2", "core-3"];
 /// The routes at first, the routes of one `big_config`, and how often one comes.
-const FIRST_ROUTES: u32 = 12;
-const MORE_ROUTES: u32 = 380;
+pub const FIRST_ROUTES: u32 = 12;
+pub const MORE_ROUTES: u32 = 380;
 const GROWTHS: u32 = 10;
 /// The changes after that, and the time within which they are sent.
 const CHANGES: u32 = 190;
@@ -25,7 +25,7 @@
 /// How long the configuration is read at the end; it is more than `recovery_s`.
 const READS: Duration = Duration::from_secs(20);
 
-fn configuration(version: u32, routes: u32) -> String {
+pub fn configuration(version: u32, routes: u32) -> String {
     let mut resources = Vec::new();
     for route in 0..routes {
         // Each version changes the timeout of one route.
@@ -42,15 +42,20 @@
 
 /// The platform's care for the processes: it kills those that use too much memory, and starts
 /// those again that have ended.
-struct Platform {
+pub struct Platform {
     record: Record,
-    ends: BTreeMap<String, u32>,
+    pub ends: BTreeMap<String, u32>,
     restarts: BTreeMap<String, Instant>,
-    peak_mb: BTreeMap<String, u64>,
+    pub peak_mb: BTreeMap<String, u64>,
 }
 
 impl Platform {
-    fn check(&mut self, fleet: &mut Fleet) {
+    pub fn new(record: Record) -> Self {
+        let (ends, restarts, peak_mb) = Default::default();
+        Self { record, ends, restarts, peak_mb }
+    }
+
+    pub fn check(&mut self, fleet: &mut Fleet) {
         for name in ALL {
             if let Some(at) = self.restarts.get(name).copied() {
                 if Instant::now() >= at {
@@ -76,7 +81,12 @@
         }
     }
 
-    fn watch(&mut self, fleet: &mut Fleet, time: Duration) {
+    /// Returns whether a process has ended and is not started again yet.
+    pub fn is_down(&self, name: &str) -> bool {
+        self.restarts.contains_key(name)
+    }
+
+    pub fn watch(&mut self, fleet: &mut Fleet, time: Duration) {
         let until = Instant::now() + time;
         while Instant::now() < until {
             self.check(fleet);
@@ -92,12 +102,7 @@
     for name in ALL {
         fleet.start(name, true);
     }
-    let mut platform = Platform {
-        record: record.clone(),
-        ends: BTreeMap::new(),
-        restarts: BTreeMap::new(),
-        peak_mb: BTreeMap::new(),
-    };
+    let mut platform = Platform::new(record.clone());
     let mut routes = FIRST_ROUTES;
     let (mut version, mut acknowledged) = (0, 0);
     let mut began_at = Instant::now();
--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -2,6 +2,7 @@
 //! the file to write; the environment gives `RIG_BINARY` and `TROUBLE`.
 
 mod big_log;
+mod big_message;
 mod client;
 mod copied_entry;
 mod deltas;
@@ -38,6 +39,7 @@
 fn play(case: &str, record: &Record, trouble: bool) -> i32 {
     match case {
         "store-gap" => store_gap::run(record.clone(), trouble),
+        "big-message" => big_message::run(record.clone(), trouble),
         "big-log" => big_log::run(record.clone(), trouble),
         "deltas" => deltas::run(record.clone(), trouble),
         "copied-entry" => copied_entry::run(record.clone(), trouble),
