--- a/review/rig-2/src/deltas.rs
+++ b/review/rig-2/src/deltas.rs
@@ -21,7 +21,7 @@
 const MORE_ROUTES: u32 = 380;
 const GROWTHS: u32 = 4;
 /// The changes after that, each of the timeouts of all routes.
-const CHANGES: u32 = 140;
+const CHANGES: u32 = 139;
 /// `contact_window_s` and `recovery_s` of the settings.
 const CONTACT: Duration = Duration::from_secs(4);
 const RECOVERY: Duration = Duration::from_secs(15);
@@ -104,6 +104,15 @@
         record.line("less than a quarter is served before the final fault; the case can't run");
         return 2;
     }
+    // The final fault comes right after one more change is acknowledged.
+    let last = 2 + GROWTHS + CHANGES;
+    let body = configuration(last, routes);
+    let patience = Duration::from_secs(20);
+    if fleet.order(&CONTROLS, "PUT", "/api/config", body.as_bytes(), patience).is_none() {
+        record.line(format!("r{last} is not acknowledged; the case can't run"));
+        return 2;
+    }
+    record.line(format!("r{last} acknowledged"));
     if trouble {
         record.line("the final fault: all processes are killed, and are back within a second");
         for name in CONTROLS.iter().chain(&FRONTS) {
