Log which connection a refused request was sent on

The lines `not run` and `peer refused` now name the local port of the connection, how many ids it had carried, and whether this one was among them; a response that is skipped gets a line, and two counters tell skipped responses and refusals that were not believed. No logic is changed: the record of the ids that a connection has carried is only logged.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod balance;
 mod byte_string;
+mod carried_requests;
 pub mod claims;
 pub mod control;
 mod link_pacer;
@@ -24,6 +25,7 @@
 mod versioned_map;
 
 pub use self::{
+    carried_requests::CarriedRequests,
     link_pacer::LinkPacer,
     memory_budget::MemoryBudget,
     recent_max::RecentMax,
--- a/src/runtime/entry_node/attempt.rs
+++ b/src/runtime/entry_node/attempt.rs
@@ -4,6 +4,7 @@
 
 use bytes::Buf;
 use tokio::io::AsyncReadExt;
+use tracing::info;
 
 use super::{
     held_bytes::{Body, BodyBuffer, HeldBytes, SharedBudget},
@@ -21,6 +22,7 @@
     },
     net::http1::{BodyReader, Framing, HeadWriter, Message, ResponseHead, parse_response_head},
     platform::headers,
+    runtime::logs::REQUEST_TARGET,
 };
 
 /// The outcome of an attempt at one upstream.
@@ -29,7 +31,7 @@
     /// The upstream responded.
     Responded { response: Response, load: Option<ReportedLoad> },
     /// The upstream reported that it did not run the request.
-    NotRun { status: u16, load: Option<ReportedLoad> },
+    NotRun { status: u16, load: Option<ReportedLoad>, connection: ConnectionUse },
     /// The connection could not be established, so nothing was sent.
     NotSent(io::Error),
     /// The upstream left service or asked for a pause before anything was sent.
@@ -38,6 +40,28 @@
     Unknown(io::Error),
 }
 
+/// The connection that a request was sent on, for log lines.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ConnectionUse {
+    pub(super) local_port: u16,
+    /// The number of ids that it had carried before.
+    pub(super) carried: usize,
+    /// Whether the id of the request was one of them.
+    pub(super) had_carried_id: bool,
+}
+
+impl ConnectionUse {
+    /// Returns how a connection has been used before it carries a request.
+    pub(super) fn new(connection: &UpstreamConnection, request: &Request) -> Self {
+        let carried = &connection.carried;
+        Self {
+            local_port: connection.local_port(),
+            carried: carried.len(),
+            had_carried_id: request.id().is_some_and(|id| carried.may_contain(id)),
+        }
+    }
+}
+
 /// The maximum size of an upstream's response head.
 const HEAD_MAX_BYTES: usize = 64 * 1024;
 /// The maximum number of responses that are skipped before the one to the request:
@@ -109,6 +133,7 @@
     // which an upstream that leaves or pauses, or an evacuated zone, may still get requests.
     let takes_work = || state.balancer.borrow().takes_work(&choice.id, state.clock.now());
     connection.prepare_write(message.remaining());
+    let connection_use = ConnectionUse::new(&connection, request);
     if !state.link.write_if(&mut connection.stream, message, takes_work).await? {
         return Ok(AttemptOutcome::LeftService);
     }
@@ -120,12 +145,15 @@
     let load = headers::reported_load(&head.headers);
     let says_not_run = headers::is_not_run(&head.headers) || head.status == 421;
     if says_not_run && request.is_named_by(&head) {
-        return Ok(AttemptOutcome::NotRun { status: head.status, load });
+        let (status, connection) = (head.status, connection_use);
+        return Ok(AttemptOutcome::NotRun { status, load, connection });
     }
     if says_not_run {
+        state.metrics.record_disbelieved_refusal("unnamed");
         return Err(io::Error::other(UNNAMED_REFUSAL));
     }
     if headers::promises_not_run(head.status) {
+        state.metrics.record_disbelieved_refusal("unmarked");
         return Err(io::Error::other(UNMARKED_REFUSAL));
     }
     Ok(AttemptOutcome::Responded {
@@ -162,14 +190,31 @@
 ) -> io::Result<(ResponseHead, Body)> {
     let limits =
         BodyLimits { max_bytes: state.settings.response_max_bytes(), memory: &state.memory };
-    let (head, body) = read_response(&mut connection, request, limits, on_head).await?;
+    if let Some(id) = request.id() {
+        connection.carried.record(id);
+    }
+    let on_skipped = |head: &ResponseHead, port| record_skipped(state, request, head, port);
+    let (head, body) = read_response(&mut connection, request, limits, on_head, on_skipped).await?;
     if head.keeps_alive && connection.buffer.is_empty() && request.is_named_by(&head) {
         let keep_alive = keep_alive_timeout(&head);
-        pool.borrow_mut().put(address, connection.into_idle_stream(), keep_alive);
+        pool.borrow_mut().put(address, connection, keep_alive);
     }
     Ok((head, body))
 }
 
+/// Counts and logs a response that is skipped while that to a request is awaited.
+fn record_skipped(state: &EntryState, request: &Request, head: &ResponseHead, local_port: u16) {
+    state.metrics.record_skipped_response();
+    info!(
+        target: REQUEST_TARGET,
+        request = request.id(),
+        response_to = headers::request_id(&head.headers),
+        status = head.status,
+        local_port,
+        "response to another request skipped"
+    );
+}
+
 /// Encodes a request that is forwarded; `write_fields` adds fields for the receiver.
 pub(super) fn encode_request(
     request: &Request,
@@ -202,7 +247,8 @@
 }
 
 /// Reads the response to a request. Interim responses (1xx) and responses that
-/// have the id of another request are skipped, up to [`SKIPPED_MAX`] of them.
+/// have the id of another request are skipped, up to [`SKIPPED_MAX`] of them; `on_skipped` gets
+/// the head of each of the latter, and the local port of the connection.
 ///
 /// A response without an id is an error, unless it is the first on its connection: it may be
 /// a late one to an earlier request.
@@ -211,6 +257,7 @@
     request: &Request,
     limits: BodyLimits<'_>,
     on_head: impl FnOnce(&ResponseHead),
+    on_skipped: impl Fn(&ResponseHead, u16),
 ) -> io::Result<(ResponseHead, Body)> {
     let mut is_first = !connection.is_reused;
     for _ in 0..=SKIPPED_MAX {
@@ -225,6 +272,7 @@
             let body = read_body(connection, &head, limits).await?;
             return Ok((head, body));
         }
+        on_skipped(&head, connection.local_port());
         read_body(connection, &head, limits).await?;
         if !has_id {
             return Err(io::Error::other("a response without an id on a kept connection"));
--- a/src/runtime/entry_node/exchange/mod.rs
+++ b/src/runtime/entry_node/exchange/mod.rs
@@ -307,14 +307,24 @@
                 info!(target: REQUEST_TARGET, request = self.id, upstream, "left service");
                 None
             }
-            AttemptOutcome::NotRun { status, load } => {
+            AttemptOutcome::NotRun { status, load, connection } => {
                 let now = self.state.clock.now();
                 self.state.links.record_response(self.service, now);
                 if let Some(load) = load {
                     self.state.balancer.borrow_mut().record_load(&choice.id, load, now);
                 }
                 let (upstream, load) = (&choice.id, load.map(|load| load.to_string()));
-                info!(target: REQUEST_TARGET, request = self.id, upstream, status, load, "not run");
+                info!(
+                    target: REQUEST_TARGET,
+                    request = self.id,
+                    upstream,
+                    status,
+                    load,
+                    local_port = connection.local_port,
+                    carried = connection.carried,
+                    had_carried_id = connection.had_carried_id,
+                    "not run"
+                );
                 let will_retry = self.attempts < self.attempts_max && self.try_take_retry();
                 let retry_after = self.pause_left().unwrap_or(RETRY_AFTER_DEFAULT);
                 (!will_retry).then(|| self.refuse("shed", retry_after))
--- a/src/runtime/entry_node/hand_over.rs
+++ b/src/runtime/entry_node/hand_over.rs
@@ -6,7 +6,9 @@
 use tracing::info;
 
 use super::{
-    attempt::{UNMARKED_REFUSAL, UNNAMED_REFUSAL, encode_request, receive, take_pooled},
+    attempt::{
+        ConnectionUse, UNMARKED_REFUSAL, UNNAMED_REFUSAL, encode_request, receive, take_pooled,
+    },
     pool::connect,
     request::Request,
     response::Response,
@@ -35,7 +37,7 @@
 /// What one peer made of a request.
 enum PeerOutcome {
     Responded(Response),
-    Refused(Refusal),
+    Refused(Refusal, ConnectionUse),
     NotSent(io::Error),
     Unknown(io::Error),
 }
@@ -78,10 +80,17 @@
         state.metrics.record_hand_over(outcome.label());
         match outcome {
             PeerOutcome::Responded(response) => return HandOverOutcome::Responded(response),
-            PeerOutcome::Refused(Refusal { reason, retry_after }) => {
+            PeerOutcome::Refused(Refusal { reason, retry_after }, connection) => {
                 let peer_name = &peer.instance;
                 info!(
-                    target: REQUEST_TARGET, request = id, peer = peer_name, reason, "peer refused"
+                    target: REQUEST_TARGET,
+                    request = id,
+                    peer = peer_name,
+                    reason,
+                    local_port = connection.local_port,
+                    carried = connection.carried,
+                    had_carried_id = connection.had_carried_id,
+                    "peer refused"
                 );
                 if !REASONS_OF_ONE_PEER.contains(&reason.as_str()) {
                     return HandOverOutcome::Refused { retry_after };
@@ -119,7 +128,7 @@
     fn label(&self) -> &'static str {
         match self {
             Self::Responded(_) => "responded",
-            Self::Refused(_) => "refused",
+            Self::Refused(..) => "refused",
             Self::NotSent(_) => "unreachable",
             Self::Unknown(_) => "broken_off",
         }
@@ -163,6 +172,7 @@
     let time_left = deadline.saturating_sub(state.clock.now());
     let message = encode_request(request, time_left, |head| terms.write(head));
     connection.prepare_write(message.remaining());
+    let connection_use = ConnectionUse::new(&connection, request);
     if let Err(error) = state.link.write(&mut connection.stream, message).await {
         return PeerOutcome::Unknown(error);
     }
@@ -170,9 +180,15 @@
     let (pool, address) = (&state.peer_pool, peer.address);
     match receive(state, pool, address, request, connection, |_| {}).await {
         Ok((head, body)) => match Refusal::parse(&head.headers) {
-            Some(refusal) if request.is_named_by(&head) => PeerOutcome::Refused(refusal),
-            Some(_) => PeerOutcome::Unknown(io::Error::other(UNNAMED_REFUSAL)),
+            Some(refusal) if request.is_named_by(&head) => {
+                PeerOutcome::Refused(refusal, connection_use)
+            }
+            Some(_) => {
+                state.metrics.record_disbelieved_refusal("unnamed");
+                PeerOutcome::Unknown(io::Error::other(UNNAMED_REFUSAL))
+            }
             None if headers::promises_not_run(head.status) => {
+                state.metrics.record_disbelieved_refusal("unmarked");
                 PeerOutcome::Unknown(io::Error::other(UNMARKED_REFUSAL))
             }
             None => {
--- a/src/runtime/entry_node/links.rs
+++ b/src/runtime/entry_node/links.rs
@@ -246,6 +246,6 @@
 async fn probe(state: &EntryState, choice: Choice) {
     // A failure is recorded; it shows only that the links are still lost.
     if let Ok(connection) = connect_to_upstream(state, &choice).await {
-        state.pool.borrow_mut().put(choice.address, connection.stream, None);
+        state.pool.borrow_mut().put(choice.address, connection, None);
     }
 }
--- a/src/runtime/entry_node/metrics.rs
+++ b/src/runtime/entry_node/metrics.rs
@@ -24,6 +24,8 @@
     retries: IntCounterVec,
     handed_over: IntCounterVec,
     upstream_notices: IntCounterVec,
+    skipped_responses: IntCounter,
+    disbelieved_refusals: IntCounterVec,
     links_lost: IntGauge,
     open_requests: IntGauge,
     ready: IntGauge,
@@ -125,6 +127,19 @@
                  invalid value for it.",
                 &["notice"],
             )?,
+            skipped_responses: register_metric(
+                &registry,
+                IntCounter::with_opts(opts(
+                    "skipped_responses_total",
+                    "Responses of upstreams and peers that bear the id of another request than \
+                     the one under way.",
+                )),
+            )?,
+            disbelieved_refusals: counter(
+                "disbelieved_refusals_total",
+                "Refusals of upstreams and peers that were not taken for `not run`, by reason.",
+                &["reason"],
+            )?,
             links_lost: gauge(
                 "links_lost",
                 "1 while the upstreams of some service can't be reached.",
@@ -205,6 +220,16 @@
         self.upstream_notices.with_label_values(&[notice]).inc();
     }
 
+    /// Counts a response that bears the id of another request.
+    pub(super) fn record_skipped_response(&self) {
+        self.skipped_responses.inc();
+    }
+
+    /// Counts a refusal that is not taken for "not run".
+    pub(super) fn record_disbelieved_refusal(&self, reason: &str) {
+        self.disbelieved_refusals.with_label_values(&[reason]).inc();
+    }
+
     /// Updates the gauges from the state of the instance.
     pub(super) fn update(&self, state: &EntryState, dropped_lines: &DroppedLines) {
         self.open_requests.set(state.open_requests.get() as i64);
--- a/src/runtime/entry_node/pool.rs
+++ b/src/runtime/entry_node/pool.rs
@@ -8,7 +8,10 @@
     time::{Instant, timeout},
 };
 
-use crate::net::mesh::{UNACKNOWLEDGED_MAX, configure_stream, set_unacknowledged_max};
+use crate::{
+    core::CarriedRequests,
+    net::mesh::{UNACKNOWLEDGED_MAX, configure_stream, set_unacknowledged_max},
+};
 
 /// Idle connections to upstreams, by address.
 #[derive(Debug, Default)]
@@ -18,7 +21,7 @@
 
 #[derive(Debug)]
 struct IdleConnection {
-    stream: TcpStream,
+    connection: UpstreamConnection,
     expires_at: Instant,
 }
 
@@ -28,8 +31,9 @@
 pub(super) struct UpstreamConnection {
     pub(super) stream: TcpStream,
     pub(super) buffer: BytesMut,
-    /// Whether it was used for an earlier request, of which a late response may still arrive.
+    /// Whether it was kept for later requests. Late responses to earlier ones may still arrive.
     pub(super) is_reused: bool,
+    pub(super) carried: CarriedRequests,
     /// Whether sent data may stay unacknowledged for as long as the request lasts.
     awaits_reader: bool,
 }
@@ -52,12 +56,19 @@
         }
     }
 
-    /// Returns the stream, ready for any other message.
-    pub(super) fn into_idle_stream(self) -> TcpStream {
+    /// Returns what tells the connection from others to the same address, for log lines.
+    pub(super) fn local_port(&self) -> u16 {
+        self.stream.local_addr().map_or(0, |address| address.port())
+    }
+
+    /// Returns the connection, ready for any other message.
+    fn into_idle(mut self) -> Self {
         if self.awaits_reader {
             set_unacknowledged_max(&self.stream, Some(UNACKNOWLEDGED_MAX));
+            self.awaits_reader = false;
         }
-        self.stream
+        self.is_reused = true;
+        self
     }
 }
 
@@ -66,14 +77,9 @@
     pub(super) fn take(&mut self, address: SocketAddr) -> Option<UpstreamConnection> {
         let idle = self.idle.get_mut(&address)?;
         let now = Instant::now();
-        while let Some(connection) = idle.pop() {
-            if connection.expires_at > now && is_reusable(&connection.stream) {
-                return Some(UpstreamConnection {
-                    stream: connection.stream,
-                    buffer: BytesMut::new(),
-                    is_reused: true,
-                    awaits_reader: false,
-                });
+        while let Some(IdleConnection { connection, expires_at }) = idle.pop() {
+            if expires_at > now && is_reusable(&connection.stream) {
+                return Some(connection);
             }
         }
         None
@@ -84,14 +90,13 @@
     pub(super) fn put(
         &mut self,
         address: SocketAddr,
-        stream: TcpStream,
+        connection: UpstreamConnection,
         keep_alive: Option<Duration>,
     ) {
         let keep_alive = keep_alive.map_or(KEEP_ALIVE_DEFAULT, |keep_alive| keep_alive * 7 / 10);
-        self.idle
-            .entry(address)
-            .or_default()
-            .push(IdleConnection { stream, expires_at: Instant::now() + keep_alive });
+        let expires_at = Instant::now() + keep_alive;
+        let idle_connection = IdleConnection { connection: connection.into_idle(), expires_at };
+        self.idle.entry(address).or_default().push(idle_connection);
     }
 
     /// Closes all connections.
@@ -133,6 +138,7 @@
         stream,
         buffer: BytesMut::new(),
         is_reused: false,
+        carried: CarriedRequests::new(),
         awaits_reader: false,
     })
 }
