Reproduce copies of refusals that are believed (REFUSED)

Upstreams refuse an id when it first comes to their address, and when it comes again run it, precede the response with a copy of the refusal if the connection is the one that was refused, and answer 200 after 30 ms.

--- /dev/null
+++ b/tests/processes/copied_refusals.rs
@@ -0,0 +1,176 @@
+//! Runs entry instances against upstreams, peers and callers that bring the id of a refused request
+//! to its connection again, where a copy of the refusal arrives before the response.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use bulrushspan::core::upstreams::ListedUpstream;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
+
+use super::{
+    entry::{Rig, address, listed_upstream, upstream_number},
+    hand_over::{control, peer, send, start, unreachable_upstreams},
+};
+
+/// What upstreams, or peers, did.
+#[derive(Default)]
+struct Record {
+    /// How often each request ran, by id.
+    runs: BTreeMap<String, u32>,
+    open_connections: usize,
+    open_connections_max: usize,
+    /// The connections on which a refusal was written once more.
+    copies: u32,
+}
+
+type Shared = Arc<Mutex<Record>>;
+
+/// How upstreams, or peers, respond.
+#[derive(Clone, Copy)]
+struct Behaviour {
+    /// The status of refusals.
+    status: u16,
+    /// How many connections one of them keeps open; others are reset.
+    connections_max: usize,
+}
+
+const REFUSING: Behaviour = Behaviour { status: 503, connections_max: usize::MAX };
+/// How long a request runs.
+const RUN_TIME: Duration = Duration::from_millis(30);
+
+/// Serves upstreams, or peers, at addresses. Each refuses a request when it first comes to its
+/// address, and runs it when it comes again. A copy of the refusal precedes the response on the
+/// connection of the refusal.
+async fn serve(addresses: &[String], behaviour: Behaviour) -> Shared {
+    let record = Shared::default();
+    for address in addresses {
+        let listener = TcpListener::bind(address).await.unwrap();
+        let record = record.clone();
+        tokio::spawn(async move {
+            let refused = Arc::new(Mutex::new(BTreeSet::new()));
+            while let Ok((stream, _)) = listener.accept().await {
+                let is_full = {
+                    let mut record = record.lock().unwrap();
+                    let is_full = record.open_connections >= behaviour.connections_max;
+                    record.open_connections += usize::from(!is_full);
+                    record.open_connections_max =
+                        record.open_connections_max.max(record.open_connections);
+                    is_full
+                };
+                if is_full {
+                    stream.set_zero_linger().unwrap();
+                    continue;
+                }
+                let (record, refused) = (record.clone(), refused.clone());
+                tokio::spawn(async move {
+                    serve_connection(stream, behaviour.status, &record, &refused).await;
+                    record.lock().unwrap().open_connections -= 1;
+                });
+            }
+        });
+    }
+    record
+}
+
+async fn serve_connection(
+    mut stream: TcpStream,
+    status: u16,
+    record: &Mutex<Record>,
+    refused: &Mutex<BTreeSet<String>>,
+) {
+    let mut head = vec![0; 4096];
+    let mut refused_here = BTreeSet::new();
+    while let Ok(length @ 1..) = stream.read(&mut head).await {
+        let text = String::from_utf8_lossy(&head[..length]).into_owned();
+        let field = text.lines().find_map(|line| line.strip_prefix("Bulrushspan-Request-Id: "));
+        let id = field.unwrap_or_default().to_owned();
+        let refuses = text.contains("/refuse ") && refused.lock().unwrap().insert(id.clone());
+        if refuses {
+            refused_here.insert(id.clone());
+            stream.write_all(refusal(status, &id).as_bytes()).await.ok();
+            continue;
+        }
+        *record.lock().unwrap().runs.entry(id.clone()).or_default() += 1;
+        if refused_here.contains(&id) {
+            record.lock().unwrap().copies += 1;
+            stream.write_all(refusal(status, &id).as_bytes()).await.ok();
+        }
+        sleep(RUN_TIME).await;
+        let response = format!(
+            "HTTP/1.1 200 OK\r\nBulrushspan-Request-Id: {id}\r\nContent-Length: 2\r\n\r\nok"
+        );
+        stream.write_all(response.as_bytes()).await.ok();
+    }
+}
+
+/// Returns a refusal of an upstream or of a peer.
+fn refusal(status: u16, id: &str) -> String {
+    format!(
+        "HTTP/1.1 {status} Refused\r\nBulrushspan-Request-Id: {id}\r\nBulrushspan-Not-Run: 1\r\n\
+         Relay-Refused: crashes_upstreams 1\r\nContent-Length: 0\r\n\r\n"
+    )
+}
+
+/// Starts an instance with upstreams at the given addresses, by id.
+async fn start_with(number: u32, upstreams: &[(&str, &String)]) -> Rig {
+    let listed = upstreams.iter().map(|(id, address)| ListedUpstream {
+        id: (*id).to_owned(),
+        ..listed_upstream(address.parse().unwrap())
+    });
+    start(number, control(listed.collect(), Vec::new(), 1)).await
+}
+
+fn addresses(number: u32) -> [String; 2] {
+    [8080, 8081].map(|port| address(upstream_number(number), port))
+}
+
+/// Callers were refused while their request ran: an address was listed under two ids, the first
+/// refused, and its refusal was taken for that of the second.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_copy_of_a_refusal_is_not_believed_of_the_same_address_under_another_id() {
+    for (number, status) in [(120, 503), (121, 429), (122, 421)] {
+        let [address, _] = addresses(number);
+        let record = serve(&[address.clone()], Behaviour { status, ..REFUSING }).await;
+        let rig = start_with(number, &[("u1", &address), ("u2", &address)]).await;
+        for id in ["a", "b", "c"] {
+            let (answered, _) = send(&rig, "order/refuse", id).await;
+            let runs = record.lock().unwrap().runs.get(id).copied();
+            assert_eq!((answered, runs), (200, Some(1)), "{id} refused with {status}");
+        }
+    }
+}
+
+/// Callers that sent a refused request again were refused while it ran, twice: each upstream's copy
+/// of the first refusal was believed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_copy_of_a_refusal_is_not_believed_when_a_caller_sends_its_id_again() {
+    let addresses = addresses(123);
+    let record = serve(&addresses, REFUSING).await;
+    let rig = start_with(123, &[("u1", &addresses[0]), ("u2", &addresses[1])]).await;
+    for id in ["a", "b", "c"] {
+        let (first, _) = send(&rig, "order/refuse", id).await;
+        let (second, _) = send(&rig, "order/refuse", id).await;
+        let runs = record.lock().unwrap().runs.get(id).copied();
+        assert_eq!((first, second, runs), (503, 200, Some(1)), "{id}");
+    }
+}
+
+/// The same with a peer that took a request over: its earlier refusal was believed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_copy_of_a_peers_refusal_is_not_believed_when_a_caller_sends_its_id_again() {
+    let record = serve(&[address(125, 7660)], REFUSING).await;
+    let rig = start(124, control(unreachable_upstreams(124), vec![peer(125)], 1)).await;
+    for id in ["a", "b", "c"] {
+        let (first, _) = send(&rig, "order/refuse", id).await;
+        let (second, _) = send(&rig, "order/refuse", id).await;
+        let runs = record.lock().unwrap().runs.get(id).copied();
+        assert_eq!((first, second, runs), (503, 200, Some(1)), "{id}");
+    }
+}
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -1,6 +1,7 @@
 //! Tests of complete deployments, each with its own processes on loopback.
 
 mod control;
+mod copied_refusals;
 mod crashing_requests;
 mod deployment;
 mod endless_bytes;
