Never send an id twice on one connection

Callers of requests that may run once were answered 503, 429 or 421 while their request ran, or ran twice (REFUSED, TWICE). Cause: a refusal that bears the request's id was taken for the response to this attempt, but the id names the request: where it comes to a connection again, the copy of an earlier refusal bears it as well. Connections are pooled by address and upstreams that were tried are known by id, so an address under two ids is enough, and so is a caller that sends its id again.

Each connection now remembers the ids that it has carried, and a request is sent on one that has not carried its id. A connection that is opened beside an idle one for this reason replaces it, and its failure says nothing of the upstream's health.

Two tests are new: ids that come again cost no upstream and leave no connections open, and a connection is replaced before it forgets an id.

Why it works: on a connection that has carried an id once, the first response with that id, late or not, answers the only attempt that bore it there.

--- a/src/runtime/entry_node/attempt.rs
+++ b/src/runtime/entry_node/attempt.rs
@@ -10,7 +10,7 @@
     held_bytes::{Body, BodyBuffer, HeldBytes, SharedBudget},
     links::{AwaitedResponse, connect_to_upstream},
     notices::{NoticeSource, record_notice},
-    pool::{ConnectionPool, UpstreamConnection},
+    pool::{ConnectionPool, UpstreamConnection, connect},
     request::Request,
     response::{Response, is_stripped},
     state::EntryState,
@@ -33,32 +33,34 @@
     /// The upstream reported that it did not run the request.
     NotRun { status: u16, load: Option<ReportedLoad>, connection: ConnectionUse },
     /// The connection could not be established, so nothing was sent.
-    NotSent(io::Error),
+    NotSent(AttemptError),
     /// The upstream left service or asked for a pause before anything was sent.
     LeftService,
     /// At least a part of the request was sent, and whether it ran is unknown.
-    Unknown(io::Error),
+    Unknown(AttemptError),
+}
+
+/// The error of an attempt at one upstream.
+#[derive(Debug)]
+pub(super) struct AttemptError {
+    pub(super) error: io::Error,
+    /// Whether the connection was opened beside an idle one to the upstream, which then may have
+    /// reset it for having too many.
+    pub(super) is_on_extra_connection: bool,
 }
 
 /// The connection that a request was sent on, for log lines.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ConnectionUse {
     pub(super) local_port: u16,
-    /// The number of ids that it had carried before.
+    /// The number of requests that it had carried before.
     pub(super) carried: usize,
-    /// Whether the id of the request was one of them.
-    pub(super) had_carried_id: bool,
 }
 
 impl ConnectionUse {
     /// Returns how a connection has been used before it carries a request.
-    pub(super) fn new(connection: &UpstreamConnection, request: &Request) -> Self {
-        let carried = &connection.carried;
-        Self {
-            local_port: connection.local_port(),
-            carried: carried.len(),
-            had_carried_id: request.id().is_some_and(|id| carried.may_contain(id)),
-        }
+    pub(super) fn new(connection: &UpstreamConnection) -> Self {
+        Self { local_port: connection.local_port(), carried: connection.carried.len() }
     }
 }
 
@@ -104,17 +106,25 @@
     deadline: Duration,
 ) -> AttemptOutcome {
     let _in_flight = InFlight::new(state, &choice.id);
-    let connection = match take_pooled(&state.pool, choice.address, request) {
-        Some(connection) => connection,
-        None => match connect_to_upstream(state, choice).await {
-            Ok(connection) => connection,
-            Err(error) => return AttemptOutcome::NotSent(error),
-        },
+    let pooled = take_pooled(&state.pool, choice.address, request);
+    let is_on_extra_connection =
+        pooled.is_none() && needs_extra_connection(state, &state.pool, choice.address, request);
+    let result = match pooled {
+        Some(connection) => Ok(connection),
+        None if is_on_extra_connection => {
+            connect(choice.address, state.settings.link_queue_time()).await
+        }
+        None => connect_to_upstream(state, choice).await,
+    };
+    let with_connection = |error| AttemptError { error, is_on_extra_connection };
+    let connection = match result {
+        Ok(connection) => connection,
+        Err(error) => return AttemptOutcome::NotSent(with_connection(error)),
     };
     let _awaited = AwaitedResponse::new(state, choice);
     match send(state, choice, request, deadline, connection).await {
         Ok(outcome) => outcome,
-        Err(error) => AttemptOutcome::Unknown(error),
+        Err(error) => AttemptOutcome::Unknown(with_connection(error)),
     }
 }
 
@@ -133,7 +143,7 @@
     // which an upstream that leaves or pauses, or an evacuated zone, may still get requests.
     let takes_work = || state.balancer.borrow().takes_work(&choice.id, state.clock.now());
     connection.prepare_write(message.remaining());
-    let connection_use = ConnectionUse::new(&connection, request);
+    let connection_use = ConnectionUse::new(&connection);
     if !state.link.write_if(&mut connection.stream, message, takes_work).await? {
         return Ok(AttemptOutcome::LeftService);
     }
@@ -162,20 +172,43 @@
     })
 }
 
-/// Removes and returns an idle connection that can be used for a request, if any. A request
-/// without an id gets none, since late responses to earlier ones could not be told apart.
+/// Removes and returns an idle connection that can be used for a request, if any. A request gets
+/// none that has carried its id, since a late copy of an earlier response would bear the id too, and
+/// a request without an id gets none at all.
 pub(super) fn take_pooled(
     pool: &RefCell<ConnectionPool>,
     address: SocketAddr,
     request: &Request,
 ) -> Option<UpstreamConnection> {
-    request.id()?;
-    pool.borrow_mut().take(address)
+    pool.borrow_mut().take(address, request.id()?)
+}
+
+/// Returns whether a request needs a connection beside those to the address, as the idle ones have
+/// carried its id.
+pub(super) fn needs_extra_connection(
+    state: &EntryState,
+    pool: &RefCell<ConnectionPool>,
+    address: SocketAddr,
+    request: &Request,
+) -> bool {
+    let Some(id) = request.id() else { return false };
+    if !pool.borrow().has_carried(address, id) {
+        return false;
+    }
+    state.metrics.record_extra_connection();
+    info!(
+        target: REQUEST_TARGET,
+        request = id,
+        %address,
+        "idle connection has carried the id; opening another"
+    );
+    true
 }
 
 /// Reads the response to a request that was sent. `on_head` gets its head as soon as it has
 /// arrived. The connection is put into the pool if it can be reused; not after a response
-/// without the request's id, since those to later requests would not have theirs either.
+/// without the request's id, since those to later requests would not have theirs either, nor once
+/// it has carried as many requests as are remembered.
 ///
 /// # Errors
 ///
@@ -195,9 +228,17 @@
     }
     let on_skipped = |head: &ResponseHead, port| record_skipped(state, request, head, port);
     let (head, body) = read_response(&mut connection, request, limits, on_head, on_skipped).await?;
-    if head.keeps_alive && connection.buffer.is_empty() && request.is_named_by(&head) {
-        let keep_alive = keep_alive_timeout(&head);
-        pool.borrow_mut().put(address, connection, keep_alive);
+    let may_carry_more = head.keeps_alive
+        && connection.buffer.is_empty()
+        && request.is_named_by(&head)
+        && !connection.carried.is_full();
+    if may_carry_more {
+        let mut pool = pool.borrow_mut();
+        // The connection takes the place of one that was passed over for its sake.
+        if let Some(id) = request.id() {
+            pool.close_carried(address, id);
+        }
+        pool.put(address, connection, keep_alive_timeout(&head));
     }
     Ok((head, body))
 }
--- a/src/runtime/entry_node/exchange/mod.rs
+++ b/src/runtime/entry_node/exchange/mod.rs
@@ -295,10 +295,10 @@
                 self.record_demand(sent_at);
                 Some(response)
             }
-            AttemptOutcome::NotSent(error) => {
-                self.record_failure(choice, &error, "unreachable");
+            AttemptOutcome::NotSent(failure) => {
+                self.record_failure(choice, &failure, "unreachable");
                 self.attempts -= 1;
-                self.unreachable_count += 1;
+                self.unreachable_count += usize::from(!failure.is_on_extra_connection);
                 None
             }
             AttemptOutcome::LeftService => {
@@ -322,19 +322,20 @@
                     load,
                     local_port = connection.local_port,
                     carried = connection.carried,
-                    had_carried_id = connection.had_carried_id,
                     "not run"
                 );
                 let will_retry = self.attempts < self.attempts_max && self.try_take_retry();
                 let retry_after = self.pause_left().unwrap_or(RETRY_AFTER_DEFAULT);
                 (!will_retry).then(|| self.refuse("shed", retry_after))
             }
-            AttemptOutcome::Unknown(error) => {
+            AttemptOutcome::Unknown(failure) => {
                 self.may_have_run = true;
-                self.record_failure(choice, &error, "broken off");
-                self.record_broken_off(choice);
-                if error.kind() == io::ErrorKind::TimedOut {
-                    record_unreachable(self.state, choice, &error, sent_at);
+                self.record_failure(choice, &failure, "broken off");
+                if !failure.is_on_extra_connection {
+                    self.record_broken_off(choice);
+                    if failure.error.kind() == io::ErrorKind::TimedOut {
+                        record_unreachable(self.state, choice, &failure.error, sent_at);
+                    }
                 }
                 let may_repeat =
                     self.route.execution.is_repeatable() && self.attempts < self.attempts_max;
--- a/src/runtime/entry_node/exchange/records.rs
+++ b/src/runtime/entry_node/exchange/records.rs
@@ -1,11 +1,14 @@
 //! Records what becomes of a request: for the choice of upstreams, the retry budget, the metrics
 //! and the log.
 
-use std::{io, time::Duration};
+use std::time::Duration;
 
 use tracing::info;
 
-use super::{super::metrics::RequestOutcome, Exchange};
+use super::{
+    super::{attempt::AttemptError, metrics::RequestOutcome},
+    Exchange,
+};
 use crate::{
     core::{balance::Choice, placement::CompletedRequest, routing::Execution},
     runtime::logs::REQUEST_TARGET,
@@ -37,11 +40,20 @@
         is_taken
     }
 
-    /// Records that an attempt failed, so that the upstream is checked before it is used again.
-    pub(super) fn record_failure(&self, choice: &Choice, error: &io::Error, message: &'static str) {
-        let now = self.state.clock.now();
-        self.state.balancer.borrow_mut().record_failure(&choice.id, now);
-        self.state.upstream_failed.notify_one();
+    /// Records that an attempt failed, so that the upstream is checked before it is used again. An
+    /// extra connection may have been one too many, which tells nothing of the upstream's health.
+    pub(super) fn record_failure(
+        &self,
+        choice: &Choice,
+        failure: &AttemptError,
+        message: &'static str,
+    ) {
+        let AttemptError { error, is_on_extra_connection } = failure;
+        if !is_on_extra_connection {
+            let now = self.state.clock.now();
+            self.state.balancer.borrow_mut().record_failure(&choice.id, now);
+            self.state.upstream_failed.notify_one();
+        }
         info!(target: REQUEST_TARGET, request = self.id, upstream = choice.id, %error, "{message}");
     }
 
--- a/src/runtime/entry_node/hand_over.rs
+++ b/src/runtime/entry_node/hand_over.rs
@@ -7,7 +7,8 @@
 
 use super::{
     attempt::{
-        ConnectionUse, UNMARKED_REFUSAL, UNNAMED_REFUSAL, encode_request, receive, take_pooled,
+        ConnectionUse, UNMARKED_REFUSAL, UNNAMED_REFUSAL, encode_request, needs_extra_connection,
+        receive, take_pooled,
     },
     pool::connect,
     request::Request,
@@ -89,7 +90,6 @@
                     reason,
                     local_port = connection.local_port,
                     carried = connection.carried,
-                    had_carried_id = connection.had_carried_id,
                     "peer refused"
                 );
                 if !REASONS_OF_ONE_PEER.contains(&reason.as_str()) {
@@ -164,15 +164,18 @@
     let _in_progress = InProgress::new(state, peer.address);
     let mut connection = match take_pooled(&state.peer_pool, peer.address, request) {
         Some(connection) => connection,
-        None => match connect(peer.address, state.settings.link_queue_time()).await {
-            Ok(connection) => connection,
-            Err(error) => return PeerOutcome::NotSent(error),
-        },
+        None => {
+            needs_extra_connection(state, &state.peer_pool, peer.address, request);
+            match connect(peer.address, state.settings.link_queue_time()).await {
+                Ok(connection) => connection,
+                Err(error) => return PeerOutcome::NotSent(error),
+            }
+        }
     };
     let time_left = deadline.saturating_sub(state.clock.now());
     let message = encode_request(request, time_left, |head| terms.write(head));
     connection.prepare_write(message.remaining());
-    let connection_use = ConnectionUse::new(&connection, request);
+    let connection_use = ConnectionUse::new(&connection);
     if let Err(error) = state.link.write(&mut connection.stream, message).await {
         return PeerOutcome::Unknown(error);
     }
--- a/src/runtime/entry_node/metrics.rs
+++ b/src/runtime/entry_node/metrics.rs
@@ -26,6 +26,7 @@
     upstream_notices: IntCounterVec,
     skipped_responses: IntCounter,
     disbelieved_refusals: IntCounterVec,
+    extra_connections: IntCounter,
     links_lost: IntGauge,
     open_requests: IntGauge,
     ready: IntGauge,
@@ -140,6 +141,13 @@
                 "Refusals of upstreams and peers that were not taken for `not run`, by reason.",
                 &["reason"],
             )?,
+            extra_connections: register_metric(
+                &registry,
+                IntCounter::with_opts(opts(
+                    "extra_connections_total",
+                    "Requests whose id all idle connections to an upstream or a peer had carried.",
+                )),
+            )?,
             links_lost: gauge(
                 "links_lost",
                 "1 while the upstreams of some service can't be reached.",
@@ -230,6 +238,11 @@
         self.disbelieved_refusals.with_label_values(&[reason]).inc();
     }
 
+    /// Counts a request whose id all idle connections to an address had carried.
+    pub(super) fn record_extra_connection(&self) {
+        self.extra_connections.inc();
+    }
+
     /// Updates the gauges from the state of the instance.
     pub(super) fn update(&self, state: &EntryState, dropped_lines: &DroppedLines) {
         self.open_requests.set(state.open_requests.get() as i64);
--- a/src/runtime/entry_node/pool.rs
+++ b/src/runtime/entry_node/pool.rs
@@ -73,16 +73,33 @@
 }
 
 impl ConnectionPool {
-    /// Removes and returns an idle connection that is still usable, if any.
-    pub(super) fn take(&mut self, address: SocketAddr) -> Option<UpstreamConnection> {
+    /// Removes and returns an idle connection that is still usable and has not carried a request
+    /// with this id, if any.
+    pub(super) fn take(&mut self, address: SocketAddr, id: &str) -> Option<UpstreamConnection> {
         let idle = self.idle.get_mut(&address)?;
         let now = Instant::now();
-        while let Some(IdleConnection { connection, expires_at }) = idle.pop() {
-            if expires_at > now && is_reusable(&connection.stream) {
-                return Some(connection);
-            }
+        idle.retain(|idle| idle.expires_at > now && is_reusable(&idle.connection.stream));
+        let index = idle.iter().rposition(|idle| !idle.connection.carried.may_contain(id))?;
+        Some(idle.remove(index).connection)
+    }
+
+    /// Returns whether there is an idle connection that has carried a request with this id.
+    pub(super) fn has_carried(&self, address: SocketAddr, id: &str) -> bool {
+        self.position_carried(address, id).is_some()
+    }
+
+    /// Closes one idle connection that has carried a request with this id, if there is any.
+    pub(super) fn close_carried(&mut self, address: SocketAddr, id: &str) {
+        if let Some(index) = self.position_carried(address, id)
+            && let Some(idle) = self.idle.get_mut(&address)
+        {
+            idle.remove(index);
         }
-        None
+    }
+
+    fn position_carried(&self, address: SocketAddr, id: &str) -> Option<usize> {
+        let idle = self.idle.get(&address)?;
+        idle.iter().position(|idle| idle.connection.carried.may_contain(id))
     }
 
     /// Keeps a connection for later requests: for 70 % of the time that the
--- a/tests/processes/copied_refusals.rs
+++ b/tests/processes/copied_refusals.rs
@@ -24,6 +24,7 @@
 struct Record {
     /// How often each request ran, by id.
     runs: BTreeMap<String, u32>,
+    connections: u32,
     open_connections: usize,
     open_connections_max: usize,
     /// The connections on which a refusal was written once more.
@@ -42,7 +43,7 @@
 }
 
 const REFUSING: Behaviour = Behaviour { status: 503, connections_max: usize::MAX };
-/// How long a request runs.
+/// How long a request runs after the copy of its refusal was written.
 const RUN_TIME: Duration = Duration::from_millis(30);
 
 /// Serves upstreams, or peers, at addresses. Each refuses a request when it first comes to its
@@ -59,6 +60,7 @@
                 let is_full = {
                     let mut record = record.lock().unwrap();
                     let is_full = record.open_connections >= behaviour.connections_max;
+                    record.connections += 1;
                     record.open_connections += usize::from(!is_full);
                     record.open_connections_max =
                         record.open_connections_max.max(record.open_connections);
@@ -101,8 +103,8 @@
         if refused_here.contains(&id) {
             record.lock().unwrap().copies += 1;
             stream.write_all(refusal(status, &id).as_bytes()).await.ok();
+            sleep(RUN_TIME).await;
         }
-        sleep(RUN_TIME).await;
         let response = format!(
             "HTTP/1.1 200 OK\r\nBulrushspan-Request-Id: {id}\r\nContent-Length: 2\r\n\r\nok"
         );
@@ -174,3 +176,44 @@
         assert_eq!((first, second, runs), (503, 200, Some(1)), "{id}");
     }
 }
+
+/// Callers that send an id again and again took no upstream out of use, though these reset further
+/// connections, and left no connections open.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_id_that_is_sent_again_and_again_costs_no_upstream() {
+    for (number, connections_max) in [(126, 1), (127, usize::MAX)] {
+        let [address, _] = addresses(number);
+        let record = serve(&[address.clone()], Behaviour { connections_max, ..REFUSING }).await;
+        let rig = start_with(number, &[("u1", &address)]).await;
+        for id in 0..10 {
+            for _ in 0..5 {
+                let runs_of = || record.lock().unwrap().runs.get("again").copied().unwrap_or(0);
+                let runs_before = runs_of();
+                let (repeated, _) = send(&rig, "order/run", "again").await;
+                let runs = runs_of() - runs_before;
+                assert!([(200, 1), (502, 0), (503, 0)].contains(&(repeated, runs)), "{repeated}");
+            }
+            let id = format!("other-{id}");
+            let (answered, _) = send(&rig, "order/run", &id).await;
+            let runs = record.lock().unwrap().runs.get(&id).copied();
+            assert_eq!((answered, runs), (200, Some(1)), "{id}, {connections_max} connections");
+        }
+        let open_max = record.lock().unwrap().open_connections_max;
+        assert!(open_max <= 2, "{open_max} connections were open at once");
+    }
+}
+
+/// Connections were kept for more requests than are remembered.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_is_replaced_before_an_id_that_it_carried_is_forgotten() {
+    let [address, _] = addresses(128);
+    let record = serve(&[address.clone()], REFUSING).await;
+    let rig = start_with(128, &[("u1", &address)]).await;
+    assert_eq!(send(&rig, "order/refuse", "first").await.0, 503);
+    for id in 0..300 {
+        assert_eq!(send(&rig, "order/run", &format!("other-{id}")).await.0, 200);
+    }
+    assert_eq!(send(&rig, "order/refuse", "first").await.0, 200);
+    let record = record.lock().unwrap();
+    assert_eq!((record.runs["first"], record.copies, record.connections), (1, 0, 2));
+}
