Soak: copy refusals, list addresses twice and send refused ids again

Half of the upstreams are now listed under two ids, callers send some refused requests again under their id, and an upstream that gets an id again on the connection on which it refused it writes the refusal once more and runs the request.

--- a/tests/processes/soak.rs
+++ b/tests/processes/soak.rs
@@ -6,7 +6,7 @@
 //! `SOAK_FAULTS` upstreams with only some of [`FAULTS`].
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     env,
     path::PathBuf,
     sync::{Arc, Mutex},
@@ -27,6 +27,8 @@
 const ENTRIES: [&str; 4] = ["e1", "e2", "e3", "e4"];
 const CONTROLS: [&str; 3] = ["c1", "c2", "c3"];
 const UPSTREAMS: usize = 8;
+/// How many upstreams are listed under two ids each.
+const LISTED_TWICE: usize = 4;
 /// The slots of an upstream, and how many more requests it queues.
 const SLOTS: usize = 3;
 const QUEUE: usize = 3;
@@ -36,9 +38,9 @@
 /// How long requests may still run after the last one was sent.
 const SETTLE_TIME: Duration = Duration::from_secs(4);
 /// What upstreams in trouble do: they answer a request that has run with a status that promises
-/// the contrary, refuse requests without naming them, answer twice, answer in pieces, break off,
-/// and take no new connections for a while.
-const FAULTS: &str = "unmarked,unnamed,twice,pieces,breaks,closed";
+/// the contrary, refuse requests without naming them, answer twice, copy a refusal while its
+/// request runs after all, answer in pieces, break off, and take no new connections for a while.
+const FAULTS: &str = "unmarked,unnamed,twice,copies,pieces,breaks,closed";
 const DEADLINE: Duration = Duration::from_secs(3);
 
 /// What callers and upstreams saw of requests that may run once.
@@ -46,7 +48,7 @@
 struct Record {
     /// How often an upstream began to run each request.
     runs: BTreeMap<String, u32>,
-    /// The status that the caller of each request got, with the response.
+    /// The status that the caller of each request got last, with the response.
     answers: BTreeMap<String, (u16, String)>,
 }
 
@@ -117,20 +119,28 @@
 
     async fn serve_connection(self: Arc<Self>, mut stream: TcpStream) {
         stream.set_nodelay(true).ok();
+        let mut refused = BTreeSet::new();
         while let Some(head) = read_message(&mut stream).await {
-            if self.respond(&mut stream, &head).await.is_none() {
+            if self.respond(&mut stream, &head, &mut refused).await.is_none() {
                 return;
             }
         }
     }
 
-    /// Handles one request. Returns `None` if the connection is to be closed.
-    async fn respond(&self, stream: &mut TcpStream, head: &str) -> Option<()> {
+    /// Handles one request. `refused` are the ids that were refused on the connection. Returns
+    /// `None` if the connection is to be closed.
+    async fn respond(
+        &self,
+        stream: &mut TcpStream,
+        head: &str,
+        refused: &mut BTreeSet<String>,
+    ) -> Option<()> {
         let id = field(head, "bulrushspan-request-id").unwrap_or_default().to_owned();
         if id.is_empty() {
+            let instance = field(head, "bulrushspan-expect-instance").unwrap_or_default();
             let text = format!(
-                "HTTP/1.1 200 OK\r\nBulrushspan-Instance-Id: i-{}\r\nContent-Length: 0\r\n\r\n",
-                self.number
+                "HTTP/1.1 200 OK\r\nBulrushspan-Instance-Id: {instance}\r\n\
+                 Content-Length: 0\r\n\r\n"
             );
             return stream.write_all(text.as_bytes()).await.ok();
         }
@@ -141,11 +151,15 @@
         }
         let has_slot = *self.running.lock().unwrap() < SLOTS;
         if is_full || !has_slot {
+            refused.insert(id.clone());
             let id = if self.shows("unnamed", 20) { "" } else { &id };
             return self.write(stream, id, 503, "Bulrushspan-Not-Run: 1\r\n").await;
         }
         *self.running.lock().unwrap() += 1;
         *self.record.lock().unwrap().runs.entry(id.clone()).or_default() += 1;
+        if refused.contains(&id) && self.shows("copies", 1) {
+            self.write(stream, &id, 503, "Bulrushspan-Not-Run: 1\r\n").await?;
+        }
         let work_ms = if self.draw(0..40) == 0 { 1000..4000 } else { 5..100 };
         sleep(Duration::from_millis(self.draw(work_ms))).await;
         *self.running.lock().unwrap() -= 1;
@@ -192,6 +206,7 @@
     let mut rng = StdRng::seed_from_u64(seed * 1000 + number as u64);
     let started_at = Instant::now();
     let mut connection: Option<TcpStream> = None;
+    let mut refused_id: Option<String> = None;
     for attempt in 0.. {
         if started_at.elapsed() > LOAD_TIME {
             return;
@@ -208,7 +223,13 @@
                 stream
             }
         };
-        let id = format!("s{seed}-{number}-{attempt}");
+        let id = match refused_id.take() {
+            Some(id) => {
+                record.lock().unwrap().answers.remove(&id);
+                id
+            }
+            None => format!("s{seed}-{number}-{attempt}"),
+        };
         let body = "x".repeat(if rng.random_range(0..10) == 0 { 40_000 } else { 30 });
         let request = format!(
             "POST /book/{number} HTTP/1.1\r\nHost: shop.example\r\n\
@@ -225,7 +246,10 @@
         let Ok(Some(head)) = timeout(patience, read_message(&mut stream)).await else { continue };
         let status = head[9..12].parse().unwrap();
         let is_closed = field(&head, "connection") == Some("close");
-        record.lock().unwrap().answers.insert(id, (status, head));
+        record.lock().unwrap().answers.insert(id.clone(), (status, head));
+        // Some callers send a request again under the id that was refused.
+        let is_repeated = is_promise(status) && rng.random_range(0..3) == 0;
+        refused_id = is_repeated.then_some(id);
         if !is_closed && status == 200 {
             connection = Some(stream);
         }
@@ -293,9 +317,13 @@
     let mut entries: Vec<Value> = Vec::new();
     for number in 0..UPSTREAMS {
         let address = fleet.upstream_address(number);
-        entries.push(json!({
-            "id": format!("i-{number}"), "service": "orders", "addr": address, "zone": "a",
-            "version": "v1", "slots": SLOTS, "state": "ready", "cold_left_s": 0,
+        let is_listed_twice = number < LISTED_TWICE;
+        let ids = [Some(format!("i-{number}")), is_listed_twice.then(|| format!("j-{number}"))];
+        entries.extend(ids.into_iter().flatten().map(|id| {
+            json!({
+                "id": id, "service": "orders", "addr": address, "zone": "a", "version": "v1",
+                "slots": SLOTS, "state": "ready", "cold_left_s": 0,
+            })
         }));
         let rng = Mutex::new(StdRng::seed_from_u64(seed * 1000 + 500 + number as u64));
         let (record, running, faults) = (record.clone(), Mutex::default(), faults.clone());
@@ -324,14 +352,19 @@
     broken
 }
 
+/// Returns whether a status promises that the request has not run and never will.
+fn is_promise(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 fn broken_promises(record: &Record, seed: u64) -> Vec<String> {
     let mut counts: BTreeMap<u16, u32> = BTreeMap::new();
     record.answers.values().for_each(|(status, _)| *counts.entry(*status).or_default() += 1);
     println!("seed {seed}: {} ran, answers {counts:?}", record.runs.len());
     let refused = record.answers.iter().filter_map(|(id, (status, head))| {
-        let is_promise = matches!(status, 408 | 421 | 429 | 503);
         let has_run = record.runs.contains_key(id);
-        (is_promise && has_run).then(|| format!("REFUSED: {id} was refused and ran: {head}"))
+        (is_promise(*status) && has_run)
+            .then(|| format!("REFUSED: {id} was refused and ran: {head}"))
     });
     let twice = record.runs.iter().filter(|(_, count)| **count > 1);
     refused.chain(twice.map(|(id, count)| format!("TWICE: {id} ran {count} times"))).collect()
