Send bookings on connections of their own, where responses bear no id

Responses bear no id there, so that nothing tells a late response from the one that is due; a late 200 would be relayed and recorded for another booking as well (by reading, found in review).

Requests that aren't idempotent now use a connection each.

--- a/src/runtime/gateway/attempt.rs
+++ b/src/runtime/gateway/attempt.rs
@@ -50,9 +50,15 @@
         let url = format!("http://{}{}", upstream_config.address, request.path);
         let mut headers = end_to_end(&request.headers);
         headers.remove(header::HOST);
-        let upstream_request = self.build_request(request, url, headers, None);
-        let result = upstream_request.send().await;
         let shed_means_not_run = service.shed_means_not_run;
+        // Responses bear no id: on a kept connection, a late response to an earlier request could be
+        // taken for that to this one.
+        let client = match request.is_idempotent() {
+            true => &self.shared.http,
+            false => &self.shared.http_without_reuse,
+        };
+        let upstream_request = self.build_request(client, request, url, headers, None);
+        let result = upstream_request.send().await;
         match result {
             Ok(response) => {
                 self.accept_response(request, slot, upstream, response, shed_means_not_run)
@@ -148,7 +154,8 @@
             format!("http://{}/forward/{}{}", peer.forward_address, request.service, request.path);
         let headers = self.peer_headers(request);
         let _guard = self.count_forwarded(&owner.holder.instance);
-        let result = self.build_request(request, url, headers, limiter).send().await;
+        let result =
+            self.build_request(&self.shared.http, request, url, headers, limiter).send().await;
         match result {
             Ok(response) if response.headers().contains_key(REFUSAL) => {
                 Err(self.read_refusal(request, response).await)
@@ -201,15 +208,14 @@
 
     fn build_request(
         &self,
+        client: &reqwest::Client,
         request: &CallerRequest,
         url: String,
         headers: HeaderMap,
         limiter: Option<LinkLimiter>,
     ) -> reqwest::RequestBuilder {
         let remaining = request.deadline.saturating_sub(self.now());
-        let mut builder = self
-            .shared
-            .http
+        let mut builder = client
             .request(request.method.clone(), url)
             .headers(headers)
             .header(DEADLINE, remaining.as_millis() as u64)
--- a/src/runtime/gateway/mod.rs
+++ b/src/runtime/gateway/mod.rs
@@ -53,6 +53,8 @@
     metrics: InstanceMetrics,
     cluster_key: String,
     http: reqwest::Client,
+    /// Opens a connection for each request, so that the first response on it is the one to it.
+    http_without_reuse: reqwest::Client,
     link_limiters: LinkLimiters,
     retry_budgets: BTreeMap<ServiceName, Mutex<RetryBudget>>,
     /// For each other instance, the number of requests that were forwarded to it and whose
@@ -93,15 +95,19 @@
             .map(|(name, service)| (name.clone(), budget(service.retry_percent)))
             .collect();
         // The client must not retry: only this module decides which requests may be sent again.
-        let http = reqwest::Client::builder()
-            .retry(reqwest::retry::never())
-            .redirect(reqwest::redirect::Policy::none())
-            .no_proxy()
-            .connect_timeout(CONNECT_TIMEOUT)
-            .pool_idle_timeout(POOL_IDLE_TIMEOUT)
-            .tcp_nodelay(true)
-            .http1_only()
-            .build()?;
+        let build_client = |idle_max| {
+            reqwest::Client::builder()
+                .retry(reqwest::retry::never())
+                .redirect(reqwest::redirect::Policy::none())
+                .no_proxy()
+                .connect_timeout(CONNECT_TIMEOUT)
+                .pool_idle_timeout(POOL_IDLE_TIMEOUT)
+                .pool_max_idle_per_host(idle_max)
+                .tcp_nodelay(true)
+                .http1_only()
+                .build()
+        };
+        let (http, http_without_reuse) = (build_client(usize::MAX)?, build_client(0)?);
         let link_limiters = LinkLimiters::new(&parts.settings, &region);
         let shared = Shared {
             local_id: parts.local_id,
@@ -114,6 +120,7 @@
             metrics: parts.metrics,
             cluster_key: parts.cluster_key,
             http,
+            http_without_reuse,
             link_limiters,
             retry_budgets,
             forwarded: Mutex::default(),
--- a/tests/processes/deployment.rs
+++ b/tests/processes/deployment.rs
@@ -40,6 +40,11 @@
     /// Starts the same deployment with additional keys of the `timing` settings, each with a
     /// leading comma.
     pub fn start_with(timing: &str) -> Self {
+        Self::start_edited(timing, |settings| settings)
+    }
+
+    /// Starts the same deployment with settings that `edit` changes.
+    pub fn start_edited(timing: &str, edit: fn(String) -> String) -> Self {
         let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
         let pid = std::process::id();
         // Each deployment has its own loopback address, so that ports don't collide.
@@ -54,7 +59,7 @@
             upstreams: ["u1", "u2", "u3", "u4"].map(str::to_owned).to_vec(),
             http: reqwest::Client::builder().no_proxy().build().unwrap(),
         };
-        deployment.write_files(timing);
+        deployment.write_files(edit(deployment.settings(timing)));
         for name in deployment.upstreams.clone() {
             deployment.start_upstream(&name);
         }
@@ -64,12 +69,12 @@
         deployment
     }
 
-    fn write_files(&self, timing: &str) {
+    fn write_files(&self, settings: String) {
         fs::write(self.folder.join("cluster.key"), "a-cluster-key-for-tests").unwrap();
         fs::write(self.folder.join("first.token"), TOKEN).unwrap();
         fs::write(self.folder.join("other.token"), OTHER_TOKEN).unwrap();
         fs::write(self.folder.join("platform.json"), r#"{"instances": []}"#).unwrap();
-        fs::write(self.folder.join("settings.jsonc"), self.settings(timing)).unwrap();
+        fs::write(self.folder.join("settings.jsonc"), settings).unwrap();
     }
 
     fn settings(&self, timing: &str) -> String {
@@ -166,7 +171,7 @@
 
     pub fn start_upstream(&mut self, name: &str) {
         let index = self.upstreams.iter().position(|upstream| upstream == name).unwrap();
-        let listen = format!("{}:{}", self.address, 8000 + index);
+        let listen = self.upstream_address(index);
         let record = self.record_file(name);
         let slots = SLOTS.to_string();
         let args = [
@@ -183,6 +188,10 @@
         self.spawn(name, &args);
     }
 
+    pub fn upstream_address(&self, index: usize) -> String {
+        format!("{}:{}", self.address, 8000 + index)
+    }
+
     fn spawn(&mut self, name: &str, args: &[&str]) {
         let log = self.folder.join(format!("{name}.log"));
         let log = fs::OpenOptions::new().create(true).append(true).open(log).unwrap();
