Close only the connection that an extra one replaces

Only the response on an extra connection closes another one now. A failure is held against the limit on connections only if the upstream refused, closed or reset the extra connection while the one that had carried the id is still open, which a crash would have closed. A connection carries up to 1,024 requests instead of 256: renewals are rarer, as an upstream that is full may refuse them.

Evidence: the new test sends five requests at once, one id five times, and five requests at once again; no connection may be opened meanwhile. The crash under a repeated id has no test.

--- a/src/core/carried_requests.rs
+++ b/src/core/carried_requests.rs
@@ -14,7 +14,7 @@
 }
 
 /// The maximum number of requests that a connection carries.
-const REQUESTS_MAX: usize = 256;
+const REQUESTS_MAX: usize = 1024;
 
 impl CarriedRequests {
     /// Returns the record of a connection that has carried no request.
--- a/src/runtime/entry_node/attempt.rs
+++ b/src/runtime/entry_node/attempt.rs
@@ -44,9 +44,9 @@
 #[derive(Debug)]
 pub(super) struct AttemptError {
     pub(super) error: io::Error,
-    /// Whether the connection was opened beside an idle one to the upstream, which then may have
-    /// reset it for having too many.
-    pub(super) is_on_extra_connection: bool,
+    /// Whether the upstream may have closed the connection for being one too many, as it was opened
+    /// beside an idle one that is still open.
+    pub(super) may_be_connection_limit: bool,
 }
 
 /// The connection that a request was sent on, for log lines.
@@ -107,27 +107,48 @@
 ) -> AttemptOutcome {
     let _in_flight = InFlight::new(state, &choice.id);
     let pooled = take_pooled(&state.pool, choice.address, request);
-    let is_on_extra_connection =
+    let is_extra =
         pooled.is_none() && needs_extra_connection(state, &state.pool, choice.address, request);
     let result = match pooled {
         Some(connection) => Ok(connection),
-        None if is_on_extra_connection => {
-            connect(choice.address, state.settings.link_queue_time()).await
-        }
+        None if is_extra => connect(choice.address, state.settings.link_queue_time()).await,
         None => connect_to_upstream(state, choice).await,
     };
-    let with_connection = |error| AttemptError { error, is_on_extra_connection };
-    let connection = match result {
+    let describe = |error| {
+        let may_be_connection_limit =
+            is_extra && is_close(&error) && is_carrier_open(state, choice, request);
+        AttemptError { error, may_be_connection_limit }
+    };
+    let mut connection = match result {
         Ok(connection) => connection,
-        Err(error) => return AttemptOutcome::NotSent(with_connection(error)),
+        Err(error) => return AttemptOutcome::NotSent(describe(error)),
     };
+    connection.is_extra = is_extra;
     let _awaited = AwaitedResponse::new(state, choice);
     match send(state, choice, request, deadline, connection).await {
         Ok(outcome) => outcome,
-        Err(error) => AttemptOutcome::Unknown(with_connection(error)),
+        Err(error) => AttemptOutcome::Unknown(describe(error)),
     }
 }
 
+/// Returns whether the other side refused, closed or reset the connection.
+fn is_close(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::ConnectionRefused
+            | io::ErrorKind::ConnectionReset
+            | io::ErrorKind::ConnectionAborted
+            | io::ErrorKind::BrokenPipe
+            | io::ErrorKind::UnexpectedEof
+    )
+}
+
+/// Returns whether a connection to an upstream that has carried a request's id is still open. One
+/// that crashed has closed it.
+fn is_carrier_open(state: &EntryState, choice: &Choice, request: &Request) -> bool {
+    request.id().is_some_and(|id| state.pool.borrow().is_carrier_open(choice.address, id))
+}
+
 async fn send(
     state: &Rc<EntryState>,
     choice: &Choice,
@@ -234,8 +255,8 @@
         && !connection.carried.is_full();
     if may_carry_more {
         let mut pool = pool.borrow_mut();
-        // The connection takes the place of one that was passed over for its sake.
-        if let Some(id) = request.id() {
+        // An extra connection takes the place of the one that was passed over.
+        if let Some(id) = request.id().filter(|_| connection.is_extra) {
             pool.close_carried(address, id);
         }
         pool.put(address, connection, keep_alive_timeout(&head));
--- a/src/runtime/entry_node/exchange/mod.rs
+++ b/src/runtime/entry_node/exchange/mod.rs
@@ -298,7 +298,7 @@
             AttemptOutcome::NotSent(failure) => {
                 self.record_failure(choice, &failure, "unreachable");
                 self.attempts -= 1;
-                self.unreachable_count += usize::from(!failure.is_on_extra_connection);
+                self.unreachable_count += usize::from(!failure.may_be_connection_limit);
                 None
             }
             AttemptOutcome::LeftService => {
@@ -331,7 +331,7 @@
             AttemptOutcome::Unknown(failure) => {
                 self.may_have_run = true;
                 self.record_failure(choice, &failure, "broken off");
-                if !failure.is_on_extra_connection {
+                if !failure.may_be_connection_limit {
                     self.record_broken_off(choice);
                     if failure.error.kind() == io::ErrorKind::TimedOut {
                         record_unreachable(self.state, choice, &failure.error, sent_at);
--- a/src/runtime/entry_node/exchange/records.rs
+++ b/src/runtime/entry_node/exchange/records.rs
@@ -40,16 +40,16 @@
         is_taken
     }
 
-    /// Records that an attempt failed, so that the upstream is checked before it is used again. An
-    /// extra connection may have been one too many, which tells nothing of the upstream's health.
+    /// Records that an attempt failed, so that the upstream is checked before it is used again, unless
+    /// the connection may have been one too many for a sound upstream.
     pub(super) fn record_failure(
         &self,
         choice: &Choice,
         failure: &AttemptError,
         message: &'static str,
     ) {
-        let AttemptError { error, is_on_extra_connection } = failure;
-        if !is_on_extra_connection {
+        let AttemptError { error, may_be_connection_limit } = failure;
+        if !may_be_connection_limit {
             let now = self.state.clock.now();
             self.state.balancer.borrow_mut().record_failure(&choice.id, now);
             self.state.upstream_failed.notify_one();
--- a/src/runtime/entry_node/hand_over.rs
+++ b/src/runtime/entry_node/hand_over.rs
@@ -165,9 +165,12 @@
     let mut connection = match take_pooled(&state.peer_pool, peer.address, request) {
         Some(connection) => connection,
         None => {
-            needs_extra_connection(state, &state.peer_pool, peer.address, request);
+            let is_extra = needs_extra_connection(state, &state.peer_pool, peer.address, request);
             match connect(peer.address, state.settings.link_queue_time()).await {
-                Ok(connection) => connection,
+                Ok(mut connection) => {
+                    connection.is_extra = is_extra;
+                    connection
+                }
                 Err(error) => return PeerOutcome::NotSent(error),
             }
         }
--- a/src/runtime/entry_node/pool.rs
+++ b/src/runtime/entry_node/pool.rs
@@ -1,8 +1,9 @@
 //! Connections to upstreams, pooled for reuse.
 
-use std::{collections::BTreeMap, io, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, io, mem::MaybeUninit, net::SocketAddr, time::Duration};
 
 use bytes::BytesMut;
+use socket2::SockRef;
 use tokio::{
     net::TcpStream,
     time::{Instant, timeout},
@@ -34,6 +35,8 @@
     /// Whether it was kept for later requests. Late responses to earlier ones may still arrive.
     pub(super) is_reused: bool,
     pub(super) carried: CarriedRequests,
+    /// Whether it was opened beside an idle one that had carried the id of its first request.
+    pub(super) is_extra: bool,
     /// Whether sent data may stay unacknowledged for as long as the request lasts.
     awaits_reader: bool,
 }
@@ -68,6 +71,7 @@
             self.awaits_reader = false;
         }
         self.is_reused = true;
+        self.is_extra = false;
         self
     }
 }
@@ -88,6 +92,13 @@
         self.position_carried(address, id).is_some()
     }
 
+    /// Returns whether an idle connection that has carried a request with this id is still open.
+    pub(super) fn is_carrier_open(&self, address: SocketAddr, id: &str) -> bool {
+        let idle = self.idle.get(&address).into_iter().flatten();
+        let mut carriers = idle.filter(|idle| idle.connection.carried.may_contain(id));
+        carriers.any(|idle| is_open(&idle.connection.stream))
+    }
+
     /// Closes one idle connection that has carried a request with this id, if there is any.
     pub(super) fn close_carried(&mut self, address: SocketAddr, id: &str) {
         if let Some(index) = self.position_carried(address, id)
@@ -138,6 +149,16 @@
     matches!(stream.try_read(&mut byte), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
 }
 
+/// Returns whether the upstream has not closed or reset a connection, whether or not the runtime
+/// knows that yet.
+fn is_open(stream: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    match SockRef::from(stream).peek(&mut byte) {
+        Ok(length) => length > 0,
+        Err(error) => error.kind() == io::ErrorKind::WouldBlock,
+    }
+}
+
 /// Opens a connection. `queue_time` is how long packets may be queued on this
 /// instance's own link; it is added to the timeout.
 ///
@@ -156,6 +177,7 @@
         buffer: BytesMut::new(),
         is_reused: false,
         carried: CarriedRequests::new(),
+        is_extra: false,
         awaits_reader: false,
     })
 }
--- a/tests/processes/copied_refusals.rs
+++ b/tests/processes/copied_refusals.rs
@@ -8,6 +8,7 @@
 };
 
 use bulrushspan::core::upstreams::ListedUpstream;
+use futures_util::future::join_all;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -45,6 +46,8 @@
 const REFUSING: Behaviour = Behaviour { status: 503, connections_max: usize::MAX };
 /// How long a request runs after the copy of its refusal was written.
 const RUN_TIME: Duration = Duration::from_millis(30);
+/// How long a slow request runs: others that were sent with it run at the same time.
+const SLOW_TIME: Duration = Duration::from_millis(500);
 
 /// Serves upstreams, or peers, at addresses. Each refuses a request when it first comes to its
 /// address, and runs it when it comes again. A copy of the refusal precedes the response on the
@@ -105,6 +108,9 @@
             stream.write_all(refusal(status, &id).as_bytes()).await.ok();
             sleep(RUN_TIME).await;
         }
+        if text.contains("/slow ") {
+            sleep(SLOW_TIME).await;
+        }
         let response = format!(
             "HTTP/1.1 200 OK\r\nBulrushspan-Request-Id: {id}\r\nContent-Length: 2\r\n\r\nok"
         );
@@ -210,10 +216,29 @@
     let record = serve(&[address.clone()], REFUSING).await;
     let rig = start_with(128, &[("u1", &address)]).await;
     assert_eq!(send(&rig, "order/refuse", "first").await.0, 503);
-    for id in 0..300 {
+    for id in 0..1100 {
         assert_eq!(send(&rig, "order/run", &format!("other-{id}")).await.0, 200);
     }
     assert_eq!(send(&rig, "order/refuse", "first").await.0, 200);
     let record = record.lock().unwrap();
     assert_eq!((record.runs["first"], record.copies, record.connections), (1, 0, 2));
 }
+
+/// A caller that sent its id again and again had the connections closed that carried other requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_id_that_is_sent_again_closes_no_connection_but_the_one_that_it_replaces() {
+    let [address, _] = addresses(130);
+    let record = serve(&[address.clone()], REFUSING).await;
+    let rig = start_with(130, &[("u1", &address)]).await;
+    let send_together = async |name: &str| {
+        let ids: Vec<String> = (0..5).map(|number| format!("{name}-{number}")).collect();
+        join_all(ids.iter().map(|id| send(&rig, "order/slow", id))).await;
+    };
+    send_together("first").await;
+    for _ in 0..5 {
+        assert_eq!(send(&rig, "order/run", "again").await.0, 200);
+    }
+    let connections = record.lock().unwrap().connections;
+    send_together("second").await;
+    assert_eq!(record.lock().unwrap().connections, connections);
+}
