Give HEAD requests connections of their own

A HEAD request now neither uses a kept connection nor leaves one.

Evidence: the new test failed before with POST id-1: (502, Some(1)), expected (200, Some(1)); it passes now, with the reverse order as well.

--- a/src/runtime/entry_node/attempt.rs
+++ b/src/runtime/entry_node/attempt.rs
@@ -194,16 +194,26 @@
 }
 
 /// Removes and returns an idle connection that can be used for a request, if any. A request gets
-/// none that has carried its id, since a late copy of an earlier response would bear the id too, and
-/// a request without an id gets none at all.
+/// none that has carried its id, since a late copy of an earlier response would bear the id too.
+/// `HEAD` requests and those without an id get none at all.
 pub(super) fn take_pooled(
     pool: &RefCell<ConnectionPool>,
     address: SocketAddr,
     request: &Request,
 ) -> Option<UpstreamConnection> {
+    if !shares_connections(request) {
+        return None;
+    }
     pool.borrow_mut().take(address, request.id()?)
 }
 
+/// Returns whether a request may use a connection that carries others. The length of a response's
+/// body depends on whether the method is `HEAD`, so that a late response to a request with another
+/// method would be read wrongly.
+fn shares_connections(request: &Request) -> bool {
+    request.head.method != "HEAD"
+}
+
 /// Returns whether a request needs a connection beside those to the address, as the idle ones have
 /// carried its id.
 pub(super) fn needs_extra_connection(
@@ -249,7 +259,8 @@
     }
     let on_skipped = |head: &ResponseHead, port| record_skipped(state, request, head, port);
     let (head, body) = read_response(&mut connection, request, limits, on_head, on_skipped).await?;
-    let may_carry_more = head.keeps_alive
+    let may_carry_more = shares_connections(request)
+        && head.keeps_alive
         && connection.buffer.is_empty()
         && request.is_named_by(&head)
         && !connection.carried.is_full();
--- a/tests/processes/copied_refusals.rs
+++ b/tests/processes/copied_refusals.rs
@@ -17,7 +17,7 @@
 
 use super::{
     entry::{Rig, address, listed_upstream, upstream_number},
-    hand_over::{control, peer, send, start, unreachable_upstreams},
+    hand_over::{control, peer, send, send_with, start, unreachable_upstreams},
 };
 
 /// What upstreams, or peers, did.
@@ -224,6 +224,45 @@
     assert_eq!((record.runs["first"], record.copies, record.connections), (1, 0, 2));
 }
 
+/// Writes the response before once more ahead of each response, with a body unless it was to `HEAD`.
+async fn serve_copies(listener: TcpListener, record: Shared) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let record = record.clone();
+        tokio::spawn(async move {
+            let (mut head, mut earlier) = (vec![0; 4096], String::new());
+            while let Ok(length @ 1..) = stream.read(&mut head).await {
+                let text = String::from_utf8_lossy(&head[..length]).into_owned();
+                let field =
+                    text.lines().find_map(|line| line.strip_prefix("Bulrushspan-Request-Id: "));
+                let id = field.unwrap_or_default().to_owned();
+                *record.lock().unwrap().runs.entry(id.clone()).or_default() += 1;
+                let body = if text.starts_with("HEAD ") { "" } else { "ok" };
+                let response = format!(
+                    "HTTP/1.1 200 OK\r\nBulrushspan-Request-Id: {id}\r\nContent-Length: 2\r\n\r\n{body}"
+                );
+                stream.write_all((earlier + &response).as_bytes()).await.ok();
+                earlier = response;
+            }
+        });
+    }
+}
+
+/// The copy of a response to `HEAD` was read with a body, and the reverse, so that the response that
+/// followed was lost and callers got 502.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_copy_of_a_response_to_another_method_does_not_cost_the_next_response() {
+    let [address, _] = addresses(129);
+    let record = Shared::default();
+    tokio::spawn(serve_copies(TcpListener::bind(&address).await.unwrap(), record.clone()));
+    let rig = start_with(129, &[("u1", &address)]).await;
+    for (number, method) in ["HEAD", "POST", "POST", "HEAD", "HEAD", "POST"].iter().enumerate() {
+        let id = format!("id-{number}");
+        let (answered, _) = send_with(&rig, method, "order/run", &id).await;
+        let runs = record.lock().unwrap().runs.get(&id).copied();
+        assert_eq!((answered, runs), (200, Some(1)), "{method} {id}");
+    }
+}
+
 /// A caller that sent its id again and again had the connections closed that carried other requests.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_id_that_is_sent_again_closes_no_connection_but_the_one_that_it_replaces() {
--- a/tests/processes/hand_over.rs
+++ b/tests/processes/hand_over.rs
@@ -165,8 +165,13 @@
 
 /// Sends one request on a new connection and returns the status and the head of the response.
 pub(super) async fn send(rig: &Rig, path: &str, id: &str) -> (u16, String) {
-    let mut caller = rig.connect().await;
     let method = if path.starts_with("order/") { "POST" } else { "GET" };
+    send_with(rig, method, path, id).await
+}
+
+/// Sends one request with a method, like [`send`].
+pub(super) async fn send_with(rig: &Rig, method: &str, path: &str, id: &str) -> (u16, String) {
+    let mut caller = rig.connect().await;
     let request = format!(
         "{method} /{path} HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\n\
          Bulrushspan-Request-Id: {id}\r\nBulrushspan-Deadline-Ms: 10000\r\n\
