Soak: tell the attempts of a request apart

Found in review: the answer to an attempt was forgotten when the caller sent the id again, so that a refused attempt that ran later went unnoticed if the further attempt had no answer. Attempts are now numbered in the target, and each promise is checked against the runs of its own attempt. Runs of one id are still added up for TWICE.

--- a/tests/processes/soak.rs
+++ b/tests/processes/soak.rs
@@ -46,9 +46,9 @@
 /// What callers and upstreams saw of requests that may run once.
 #[derive(Default)]
 struct Record {
-    /// How often an upstream began to run each request.
+    /// How often an upstream began to run each attempt.
     runs: BTreeMap<String, u32>,
-    /// The status that the caller of each request got last, with the response.
+    /// The status that the caller got for each attempt, with the response.
     answers: BTreeMap<String, (u16, String)>,
 }
 
@@ -156,7 +156,9 @@
             return self.write(stream, id, 503, "Bulrushspan-Not-Run: 1\r\n").await;
         }
         *self.running.lock().unwrap() += 1;
-        *self.record.lock().unwrap().runs.entry(id.clone()).or_default() += 1;
+        let target = head.split(' ').nth(1).unwrap_or_default();
+        let number = target.split_once('=').map_or("", |(_, number)| number);
+        *self.record.lock().unwrap().runs.entry(format!("{id}#{number}")).or_default() += 1;
         if refused.contains(&id) && self.shows("copies", 1) {
             self.write(stream, &id, 503, "Bulrushspan-Not-Run: 1\r\n").await?;
         }
@@ -223,16 +225,10 @@
                 stream
             }
         };
-        let id = match refused_id.take() {
-            Some(id) => {
-                record.lock().unwrap().answers.remove(&id);
-                id
-            }
-            None => format!("s{seed}-{number}-{attempt}"),
-        };
+        let id = refused_id.take().unwrap_or_else(|| format!("s{seed}-{number}-{attempt}"));
         let body = "x".repeat(if rng.random_range(0..10) == 0 { 40_000 } else { 30 });
         let request = format!(
-            "POST /book/{number} HTTP/1.1\r\nHost: shop.example\r\n\
+            "POST /book/{number}?attempt={attempt} HTTP/1.1\r\nHost: shop.example\r\n\
              Bulrushspan-Request-Id: {id}\r\nBulrushspan-Deadline-Ms: {}\r\n\
              Content-Length: {}\r\n\r\n{body}",
             DEADLINE.as_millis(),
@@ -246,7 +242,7 @@
         let Ok(Some(head)) = timeout(patience, read_message(&mut stream)).await else { continue };
         let status = head[9..12].parse().unwrap();
         let is_closed = field(&head, "connection") == Some("close");
-        record.lock().unwrap().answers.insert(id.clone(), (status, head));
+        record.lock().unwrap().answers.insert(format!("{id}#{attempt}"), (status, head));
         // Some callers send a request again under the id that was refused.
         let is_repeated = is_promise(status) && rng.random_range(0..3) == 0;
         refused_id = is_repeated.then_some(id);
@@ -366,7 +362,12 @@
         (is_promise(*status) && has_run)
             .then(|| format!("REFUSED: {id} was refused and ran: {head}"))
     });
-    let twice = record.runs.iter().filter(|(_, count)| **count > 1);
+    let mut runs: BTreeMap<&str, u32> = BTreeMap::new();
+    for (attempt, count) in &record.runs {
+        let (id, _) = attempt.split_once('#').unwrap();
+        *runs.entry(id).or_default() += count;
+    }
+    let twice = runs.into_iter().filter(|(_, count)| *count > 1);
     refused.chain(twice.map(|(id, count)| format!("TWICE: {id} ran {count} times"))).collect()
 }
 
