Send followers the cheaper of the missing deltas and the whole policy

Cause: `ControlState::deltas_after` returned the missing deltas whenever all of them were kept, and 2,000 were kept, whatever their size; a follower without a policy asks for those since version 0. Together they were longer than the reply that an entry instance takes, an eighth of its memory, so it closed the connection and asked again without end. The log brings the deltas back after a restart of a control replica.

Failed before, on the code of:

control::a_follower_gets_the_cheaper_of_the_missing_deltas_and_the_whole_policy panicked at tests/it/control.rs: 1114973 bytes after version 0

Now the deltas are sent only if they are no longer, encoded, than the whole policy, so an update is never longer than the policy. The length of a delta is computed once, that of the policy at most once for each version. The deltas that are kept are limited in bytes, to a 64th of a control replica's memory, and the metric `delta_bytes` shows them. Applied state does not depend on the limit.

--- a/src/core/control/state/mod.rs
+++ b/src/core/control/state/mod.rs
@@ -1,12 +1,13 @@
 //! The replicated state machine, which applies committed commands.
 
 mod changes;
+mod deltas;
 
 use std::collections::{BTreeMap, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
-use self::changes::RecordedOutcome;
+use self::{changes::RecordedOutcome, deltas::RecentDeltas};
 use super::{
     Assignment, AssignmentAction, AuditRecord, ChangeId, Command, EvacuationOrders, Fingerprint,
     Holder, InitialPolicy, InstanceName, InstanceState, Outcome, OwnerEpoch, Ownership, Policy,
@@ -39,18 +40,19 @@
     evacuation_orders: BTreeMap<ZoneName, EvacuationOrders>,
     /// The newest deltas, for instances whose policy is a few versions old.
     #[serde(skip)]
-    recent_deltas: VecDeque<PolicyDelta>,
+    recent_deltas: RecentDeltas,
 }
 
-/// Limits what a [`ControlState`] keeps. All replicas must use the same limits.
+/// Limits what a [`ControlState`] keeps. All replicas must use the same limits, apart from that of
+/// the deltas, which are no part of the replicated state.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ControlLimits {
     /// The maximum number of changes whose outcome is kept for resent requests.
     pub outcomes_max: usize,
     /// The maximum number of records in the audit trail.
     pub audit_max: usize,
-    /// The maximum number of deltas kept for instances that are behind.
-    pub deltas_max: usize,
+    /// The maximum encoded length of the deltas kept for instances that are behind.
+    pub deltas_max_bytes: usize,
     /// The limits of the claims.
     pub claims: ClaimLimits,
 }
@@ -60,7 +62,7 @@
         Self {
             outcomes_max: 10_000,
             audit_max: 20_000,
-            deltas_max: 2_000,
+            deltas_max_bytes: 4 * 1024 * 1024,
             claims: ClaimLimits { epochs_kept: 3, claims_max: 200_000 },
         }
     }
@@ -98,16 +100,14 @@
     }
 
     /// Returns the deltas after `version`, or `None` if some of them are no longer
-    /// kept.
-    pub fn deltas_after(&self, version: Version) -> Option<Vec<PolicyDelta>> {
-        if version == self.policy.version {
-            return Some(Vec::new());
-        }
-        let oldest = self.recent_deltas.front()?.version;
-        if version + 1 < oldest || version > self.policy.version {
-            return None;
-        }
-        Some(self.recent_deltas.iter().filter(|delta| delta.version > version).cloned().collect())
+    /// kept or the whole policy is shorter when encoded.
+    pub fn deltas_after(&mut self, version: Version) -> Option<Vec<PolicyDelta>> {
+        self.recent_deltas.after(version, &self.policy)
+    }
+
+    /// Returns the encoded length of the deltas that are kept.
+    pub fn deltas_bytes(&self) -> usize {
+        self.recent_deltas.bytes()
     }
 
     /// Applies one committed command.
@@ -159,10 +159,7 @@
         }
         let delta = PolicyDelta { version: self.policy.version + 1, edits };
         self.policy.apply_delta(&delta);
-        self.recent_deltas.push_back(delta);
-        while self.recent_deltas.len() > limits.deltas_max {
-            self.recent_deltas.pop_front();
-        }
+        self.recent_deltas.push(delta, limits.deltas_max_bytes);
     }
 
     fn set_initial_policy(&mut self, initial: InitialPolicy, limits: &ControlLimits) {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,6 +9,7 @@
 mod carried_requests;
 pub mod claims;
 pub mod control;
+mod encoded_len;
 mod link_pacer;
 mod memory_budget;
 pub mod peers;
@@ -26,6 +27,7 @@
 
 pub use self::{
     carried_requests::CarriedRequests,
+    encoded_len::encoded_len,
     link_pacer::LinkPacer,
     memory_budget::MemoryBudget,
     recent_max::RecentMax,
--- a/src/runtime/control_node/mod.rs
+++ b/src/runtime/control_node/mod.rs
@@ -260,8 +260,9 @@
         let id = store.identity().replica;
         let (failure_sender, failure_receiver) = oneshot::channel();
         let peers = peers::peers(self.clone());
-        let setup =
-            ReplicaSetup::with_timing(TIMING).with_silent_member_timeout(SILENT_MEMBER_TIMEOUT);
+        let setup = ReplicaSetup::with_timing(TIMING)
+            .with_silent_member_timeout(SILENT_MEMBER_TIMEOUT)
+            .with_deltas_max_bytes(self.settings.deltas_max_bytes());
         let (clock, metrics) = (self.clock, self.metrics.clone());
         let replica = Replica::new(setup, clock, metrics, store, durable, peers, failure_sender)
             .map_err(NodeError::State)?;
--- a/src/runtime/metrics.rs
+++ b/src/runtime/metrics.rs
@@ -46,6 +46,8 @@
     pub(super) replica_version: IntGauge,
     /// The number of claims that the replica of this instance holds.
     pub(super) claims_held: IntGauge,
+    /// The encoded length of the deltas that the replica of this instance keeps.
+    pub(super) delta_bytes: IntGauge,
     /// The number of times the replica of this instance became leader.
     pub(super) elections: IntCounter,
 }
@@ -108,6 +110,10 @@
                 "The version applied by this instance's replica.",
             ))?,
             claims_held: IntGauge::with_opts(opts("claims_held", "Claims held."))?,
+            delta_bytes: IntGauge::with_opts(opts(
+                "delta_bytes",
+                "Bytes of the deltas that this instance's replica keeps for followers.",
+            ))?,
             elections: IntCounter::with_opts(opts("elections_total", "Elections won."))?,
             registry,
         };
@@ -138,6 +144,7 @@
             &self.leads,
             &self.replica_version,
             &self.claims_held,
+            &self.delta_bytes,
         ];
         for gauge in gauges {
             registry.register(Box::new(gauge.clone()))?;
--- a/src/runtime/replica/handlers.rs
+++ b/src/runtime/replica/handlers.rs
@@ -219,6 +219,7 @@
         let version = self.state.policy().version;
         self.metrics.replica_version.set(version as i64);
         self.metrics.claims_held.set(self.state.claims().len() as i64);
+        self.metrics.delta_bytes.set(self.state.deltas_bytes() as i64);
     }
 }
 
--- a/src/runtime/replica/mod.rs
+++ b/src/runtime/replica/mod.rs
@@ -47,7 +47,6 @@
     timers: Timers,
     peers: Peers,
     state: ControlState,
-    limits: ControlLimits,
     /// Inputs since the last flush, each with the sender of its reply if one is awaited.
     inputs: Vec<(Input<Command>, Option<oneshot::Sender<SubmitReply>>)>,
     flush_queued: bool,
@@ -80,6 +79,8 @@
     /// How long a member may not reply before the leader may remove it; `None` to keep all
     /// members, for replicas that don't ask to join again.
     pub(super) silent_member_timeout: Option<Duration>,
+    /// The limits of the control state.
+    pub(super) limits: ControlLimits,
 }
 
 impl ReplicaSetup {
@@ -90,6 +91,7 @@
             topology: Arc::new(settings.topology.clone()),
             initial_policy: Some(settings.initial_policy()),
             silent_member_timeout: None,
+            limits: ControlLimits::default(),
         }
     }
 
@@ -102,9 +104,16 @@
             topology: Arc::new(topology),
             initial_policy: None,
             silent_member_timeout: None,
+            limits: ControlLimits::default(),
         }
     }
 
+    /// Returns the setup with another limit on the encoded length of the deltas that are kept.
+    pub(super) fn with_deltas_max_bytes(mut self, max_bytes: usize) -> Self {
+        self.limits.deltas_max_bytes = max_bytes;
+        self
+    }
+
     /// Returns the setup with a timeout after which the leader may remove a member that does
     /// not reply. A replica that is removed has to ask to join again.
     pub(super) fn with_silent_member_timeout(mut self, timeout: Duration) -> Self {
@@ -185,7 +194,6 @@
             timers,
             peers,
             state,
-            limits: ControlLimits::default(),
             inputs: Vec::new(),
             flush_queued: false,
             pending_submits: BTreeMap::new(),
@@ -323,7 +331,7 @@
                 {
                     leadership.last_shift_at = self.clock.now();
                 }
-                self.state.apply(command, &self.setup.topology, &self.limits)
+                self.state.apply(command, &self.setup.topology, &self.setup.limits)
             }
             Payload::Noop | Payload::Members(_) => Outcome::Done,
         };
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -175,6 +175,9 @@
 /// The part of the memory that one reply of a control replica may take: 1 of this many. The
 /// largest replies hold a whole policy.
 const REPLIES_IN_MEMORY: u64 = 8;
+/// The part of the memory that the deltas kept for followers may take when encoded: 1 of this
+/// many.
+const DELTAS_IN_MEMORY: u64 = 64;
 /// The part of the memory that one page of the list of upstreams may take: 1 of this many. The
 /// pages of all availability zones are read at the same time.
 const LIST_PAGES_IN_MEMORY: u64 = 64;
@@ -193,6 +196,12 @@
         (self.resources.memory_mib * 1024 * 1024 / REPLIES_IN_MEMORY) as usize
     }
 
+    /// Returns the maximum size of the deltas of the policy that are kept for followers, in bytes
+    /// when encoded.
+    pub fn deltas_max_bytes(&self) -> usize {
+        (self.resources.memory_mib * 1024 * 1024 / DELTAS_IN_MEMORY) as usize
+    }
+
     /// Returns the maximum size of a page of the list of upstreams, in bytes.
     pub fn list_page_max_bytes(&self) -> usize {
         (self.resources.memory_mib * 1024 * 1024 / LIST_PAGES_IN_MEMORY) as usize
--- a/tests/it/control.rs
+++ b/tests/it/control.rs
@@ -2,12 +2,19 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use bulrushspan::core::control::{
-    AuditFilter, Change, ChangeMeta, ChangeOutcome, ChangeRequest, Command, ControlLimits,
-    ControlState, Holder, InitialPolicy, LoadReport, Outcome, Preset, Region, Session, Sessions,
-    SessionsConfig, ShiftRule, Topology,
+use bulrushspan::{
+    core::{
+        control::{
+            AuditFilter, Change, ChangeMeta, ChangeOutcome, ChangeRequest, Command, ControlLimits,
+            ControlState, Holder, InitialPolicy, LoadReport, Outcome, Policy, Preset, Region,
+            Session, Sessions, SessionsConfig, ShiftRule, Topology,
+        },
+        steering::Layout,
+    },
+    net::wire::{PolicyUpdate, encode},
+    platform::configuration,
 };
-use bulrushspan::core::steering::Layout;
+use serde_json::json;
 
 /// Returns a preset that sends `south_permille` of the callers of `north` to
 /// `south`.
@@ -194,3 +201,81 @@
     let outcome = state.apply(command, &topology(), &ControlLimits::default());
     assert_eq!(outcome, Outcome::Evacuation { accepted: true, orders: 1 });
 }
+
+/// Puts a configuration in force whose routes all have the same timeout.
+fn put_routes(
+    state: &mut ControlState,
+    limits: &ControlLimits,
+    version: u32,
+    routes: u32,
+    timeout_s: f64,
+) {
+    let mut resources = vec![json!({"type": "services", "meta": {"name": "desk"}, "spec": {
+        "health_path": "/health", "max_conns": 100, "cold_start_s": 0.0, "cold_per_s": 5.0}})];
+    resources.extend((0..routes).map(|route| {
+        json!({"type": "routes", "meta": {"name": format!("r-{route}")}, "spec": {
+            "host": "shop.example", "path_prefix": format!("/{route}/"), "kind": "safe",
+            "timeout_s": timeout_s, "slo_s": 0.6, "priority": 1, "service": "desk",
+            "max_attempts": 1}})
+    }));
+    let body = json!({"version": format!("r{version}"), "resources": resources}).to_string();
+    let table = configuration::decode(body.as_bytes()).unwrap();
+    state.apply(Command::Routing(Box::new(table)), &topology(), limits);
+}
+
+/// Returns the update that a follower with this policy gets, and applies it.
+fn update(state: &mut ControlState, follower: &mut Policy) -> PolicyUpdate {
+    let update = match state.deltas_after(follower.version) {
+        Some(deltas) => PolicyUpdate::Deltas(deltas),
+        None => PolicyUpdate::Whole(Box::new(state.policy().clone())),
+    };
+    match &update {
+        PolicyUpdate::Deltas(deltas) => deltas.iter().for_each(|delta| {
+            assert!(follower.apply_delta(delta));
+        }),
+        PolicyUpdate::Whole(whole) => follower.clone_from(whole),
+    }
+    update
+}
+
+/// A follower without a policy got every delta that was kept, 40 MB instead of 0.3 MB, which is
+/// more than it accepts, and so no configuration at all.
+#[test]
+fn a_follower_gets_the_cheaper_of_the_missing_deltas_and_the_whole_policy() {
+    let limits = ControlLimits::default();
+    let (mut state, mut followers) = (seeded_state(), vec![Policy::default()]);
+    for version in 1..=30 {
+        followers.push(state.policy().clone());
+        // At first, each configuration changes all routes; from the 21st on, one route.
+        let routes = if version > 20 { 300 - version % 2 } else { 300 };
+        put_routes(&mut state, &limits, version, routes, f64::from(version.min(20)));
+    }
+    let whole = PolicyUpdate::Whole(Box::new(state.policy().clone()));
+    let whole_bytes = encode(&whole).unwrap().len();
+    for mut follower in followers {
+        let version = follower.version;
+        let update = update(&mut state, &mut follower);
+        let update_bytes = encode(&update).unwrap().len();
+        assert!(update_bytes <= whole_bytes, "{update_bytes} bytes after version {version}");
+        let has_deltas = matches!(update, PolicyUpdate::Deltas(_));
+        assert_eq!(has_deltas, version >= 21, "after version {version}: {update_bytes} bytes");
+        assert_eq!(follower, *state.policy());
+    }
+}
+
+#[test]
+fn the_deltas_that_are_kept_have_a_limit_in_bytes() {
+    let limits = ControlLimits { deltas_max_bytes: 20_000, ..ControlLimits::default() };
+    let mut state = seeded_state();
+    put_routes(&mut state, &limits, 1, 50, 0.5);
+    for version in 2..400 {
+        let before = state.policy().version;
+        // Some configurations are longer than the limit.
+        let timeout_s = f64::from(version / 100 + 1);
+        put_routes(&mut state, &limits, version, 300 + version % 2, timeout_s);
+        let kept_bytes = state.deltas_bytes();
+        assert!(kept_bytes <= limits.deltas_max_bytes, "{kept_bytes} bytes");
+        assert_eq!(state.deltas_after(before).is_none(), version == 2 || version % 100 == 0);
+    }
+    assert!(state.deltas_bytes() > limits.deltas_max_bytes / 2);
+}
--- a/tests/models/ownership.rs
+++ b/tests/models/ownership.rs
@@ -29,7 +29,7 @@
 const LIMITS: ControlLimits = ControlLimits {
     outcomes_max: 0,
     audit_max: 0,
-    deltas_max: 0,
+    deltas_max_bytes: 0,
     claims: ClaimLimits { epochs_kept: 1, claims_max: 0 },
 };
 /// The time between two ticks of the model.
