Check the limits of configurations and messages on both sides

A configuration of 60,000 routes got 503 after some seconds, as if no quorum had answered, and nothing bounded it by what entry instances can take. A message beyond the receiver's limit was sent all the same; the receiver closed the connection without a log line, and with it ended all other calls on it.

Now a configuration of more than a 32nd of the control replica's memory, encoded as for entry instances, is refused at once with 413, both sizes and the remedy. What is in the log already is applied as before and stays readable. A call names the longest reply that its caller takes. The server checks it, logs both sizes and sends nothing; other calls on the connection go on. Calls beyond the frame limit fail with `MeshError::TooLong`, and both ends log a message beyond a limit. Instances of the version before ignore the new field and send none.

--- a/src/net/mesh.rs
+++ b/src/net/mesh.rs
@@ -16,7 +16,7 @@
     time::Duration,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::{
@@ -33,6 +33,9 @@
 struct MeshMessage<T> {
     #[serde(rename = "n")]
     id: u64,
+    /// The maximum length of the reply that the caller takes; calls only.
+    #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
+    reply_max_bytes: Option<usize>,
     #[serde(rename = "b")]
     body: T,
 }
@@ -47,6 +50,8 @@
     NoReply,
     /// The message can't be encoded.
     Encode,
+    /// The message is longer than a frame may be.
+    TooLong,
 }
 
 impl fmt::Display for MeshError {
@@ -55,6 +60,7 @@
             Self::Unreachable => "the instance is unreachable",
             Self::NoReply => "the instance did not reply",
             Self::Encode => "the message can't be encoded",
+            Self::TooLong => "the message is longer than a frame may be",
         })
     }
 }
@@ -142,7 +148,7 @@
     /// # Errors
     ///
     /// Returns an error if the instance is unreachable, the queue of calls is full,
-    /// the request can't be encoded or no reply was received within `timeout`.
+    /// the request can't be encoded or is too long, or no reply was received within `timeout`.
     pub async fn call(&self, request: Req, timeout: Duration) -> Result<Rep, MeshError> {
         let (reply, reply_receiver) = oneshot::channel();
         let call = Call { request, reply };
@@ -176,7 +182,7 @@
             continue;
         };
         configure_stream(&stream, UNACKNOWLEDGED_MAX);
-        run_connection(stream, limits, first_call, &mut queue, &mut last_id).await;
+        run_connection(stream, address, limits, first_call, &mut queue, &mut last_id).await;
     }
 }
 
@@ -184,6 +190,7 @@
 /// pending call stops waiting or all clients are dropped.
 async fn run_connection<Req, Rep>(
     stream: TcpStream,
+    address: SocketAddr,
     limits: ClientLimits,
     first_call: Call<Req, Rep>,
     queue: &mut mpsc::Receiver<Call<Req, Rep>>,
@@ -196,7 +203,7 @@
     let mut write = FramedWrite::new(write_half, codec(FRAME_MAX_BYTES));
     let replies = FramedRead::new(read_half, codec(limits.reply_max_bytes));
     let pending: PendingReplies<Rep> = Arc::default();
-    let mut reader = tokio::spawn(read_replies(replies, pending.clone()));
+    let mut reader = tokio::spawn(read_replies(replies, address, pending.clone()));
     let mut next_call = Some(first_call);
     loop {
         let call = match next_call.take() {
@@ -216,10 +223,16 @@
             next_call = Some(call);
             break;
         }
-        let Ok(frame) = encode(&MeshMessage { id: *last_id, body: &call.request }) else {
+        let reply_max_bytes = Some(limits.reply_max_bytes);
+        let Ok(frame) = encode(&MeshMessage { id: *last_id, reply_max_bytes, body: &call.request })
+        else {
             call.reply.send(Err(MeshError::Encode)).ok();
             continue;
         };
+        if !is_within_limit(&frame, FRAME_MAX_BYTES, address) {
+            call.reply.send(Err(MeshError::TooLong)).ok();
+            continue;
+        }
         lock(&pending).insert(*last_id, call.reply);
         if write.send(Bytes::from(frame)).await.is_err() {
             break;
@@ -236,19 +249,50 @@
 
 async fn read_replies<R, Rep>(
     mut read: FramedRead<R, LengthDelimitedCodec>,
+    address: SocketAddr,
     pending: PendingReplies<Rep>,
 ) where
     R: tokio::io::AsyncRead + Unpin,
     Rep: DeserializeOwned,
 {
-    while let Some(Ok(frame)) = read.next().await {
-        let Ok(MeshMessage { id, body }) = decode::<MeshMessage<Rep>>(&frame) else { return };
+    while let Some(frame) = next_frame(&mut read, address).await {
+        let Ok(MeshMessage { id, body, .. }) = decode::<MeshMessage<Rep>>(&frame) else { return };
         if let Some(reply) = lock(&pending).remove(&id) {
             reply.send(Ok(body)).ok();
         }
     }
 }
 
+/// Returns the next frame, or `None` at the end of the connection or if the frame is too long.
+async fn next_frame<R>(
+    read: &mut FramedRead<R, LengthDelimitedCodec>,
+    peer: SocketAddr,
+) -> Option<BytesMut>
+where
+    R: tokio::io::AsyncRead + Unpin,
+{
+    match read.next().await? {
+        Ok(frame) => Some(frame),
+        Err(error) => {
+            if error.kind() == io::ErrorKind::InvalidData {
+                let max_bytes = read.decoder().max_frame_length();
+                tracing::warn!(%peer, max_bytes, "a message is too long to be read; disconnecting");
+            }
+            None
+        }
+    }
+}
+
+/// Returns whether a frame may be sent, and logs a warning otherwise. The receiver would close
+/// the connection, and with it end all other calls.
+fn is_within_limit(frame: &[u8], max_bytes: usize, peer: SocketAddr) -> bool {
+    let frame_bytes = frame.len();
+    if frame_bytes > max_bytes {
+        tracing::warn!(%peer, frame_bytes, max_bytes, "a message is too long for its receiver; not sent");
+    }
+    frame_bytes <= max_bytes
+}
+
 /// Returns whether the caller of a pending call no longer waits for its reply.
 fn has_abandoned_call<Rep>(pending: &PendingReplies<Rep>) -> bool {
     lock(pending).values().any(oneshot::Sender::is_closed)
@@ -313,15 +357,19 @@
     let mut read = FramedRead::new(read_half, codec(FRAME_MAX_BYTES));
     let (replies, queue) = mpsc::channel::<Bytes>(QUEUE_LEN);
     tokio::spawn(write_replies(FramedWrite::new(write_half, codec(FRAME_MAX_BYTES)), queue));
-    while let Some(Ok(frame)) = read.next().await {
-        let Ok(MeshMessage { id, body }) = decode::<MeshMessage<Req>>(&frame) else {
+    while let Some(frame) = next_frame(&mut read, peer).await {
+        let Ok(MeshMessage { id, reply_max_bytes, body }) = decode::<MeshMessage<Req>>(&frame)
+        else {
             tracing::warn!(%peer, "can't decode a call from another instance; disconnecting it");
             return;
         };
         let (replies, reply) = (replies.clone(), handler(body, peer));
         tokio::spawn(async move {
             let Some(body) = reply.await else { return };
-            if let Ok(frame) = encode(&MeshMessage { id, body }) {
+            let max_bytes = reply_max_bytes.unwrap_or(FRAME_MAX_BYTES).min(FRAME_MAX_BYTES);
+            if let Ok(frame) = encode(&MeshMessage { id, reply_max_bytes: None, body })
+                && is_within_limit(&frame, max_bytes, peer)
+            {
                 replies.send(Bytes::from(frame)).await.ok();
             }
         });
--- a/src/runtime/control_node/operators.rs
+++ b/src/runtime/control_node/operators.rs
@@ -14,6 +14,7 @@
 use crate::{
     core::{
         control::{Command, EvacuationOrders, Outcome, ZoneName},
+        encoded_len,
         routing::RoutingTable,
     },
     net::wire::{QueryReply, QueryRequest, SubmitReply, SubmitRequest},
@@ -66,6 +67,15 @@
     if !findings.is_empty() {
         return reject(findings);
     }
+    let (table_bytes, max_bytes) = (encoded_len(&table), state.settings.configuration_max_bytes());
+    if table_bytes > max_bytes {
+        let text = format!(
+            "the configuration takes {table_bytes} bytes when encoded for entry instances, and at \
+             most {max_bytes} are accepted, a 32nd of `memory_mb`; deliver fewer or shorter routes"
+        );
+        warn!(version = table.version, table_bytes, max_bytes, "configuration too large; refused");
+        return HttpResponse::text(StatusCode::PAYLOAD_TOO_LARGE, &text);
+    }
     let version = table.version;
     let response = submit_command(state, Command::Routing(Box::new(table))).await;
     info!(version, status = response.status.as_u16(), "configuration delivered");
--- a/src/runtime/entry_node/replica_search.rs
+++ b/src/runtime/entry_node/replica_search.rs
@@ -191,7 +191,7 @@
     fn record_error(&mut self, error: MeshError) {
         match error {
             MeshError::Unreachable => self.unreachable += 1,
-            MeshError::NoReply | MeshError::Encode => self.no_reply += 1,
+            MeshError::NoReply | MeshError::Encode | MeshError::TooLong => self.no_reply += 1,
         }
     }
 
--- a/src/runtime/http_handler.rs
+++ b/src/runtime/http_handler.rs
@@ -124,7 +124,9 @@
     let body = match Limited::new(body, BODY_MAX_BYTES).collect().await {
         Ok(body) => body.to_bytes().to_vec(),
         Err(error) => {
-            return HttpResponse::text(StatusCode::BAD_REQUEST, &format!("the body: {error}"));
+            let text =
+                format!("the body, of which {BODY_MAX_BYTES} bytes are read at most: {error}");
+            return HttpResponse::text(StatusCode::BAD_REQUEST, &text);
         }
     };
     handler(HttpRequest {
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -23,3 +23,4 @@
 mod stop_plan;
 mod storage;
 mod suspects;
+mod wire;
--- a/tests/processes/platform.rs
+++ b/tests/processes/platform.rs
@@ -13,6 +13,7 @@
         wire::{FollowRequest, NodeReply, NodeRequest, PolicyUpdate},
     },
 };
+use serde_json::{Value, json};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -43,6 +44,57 @@
     assert!(text.starts_with("HTTP/1.1 200"), "{text}");
 }
 
+/// Returns a configuration with this many routes.
+fn large_configuration(version: &str, routes: usize) -> String {
+    let mut table: Value = serde_json::from_str(&configuration(version, "/book/")).unwrap();
+    let resources = table["resources"].as_array_mut().unwrap();
+    let route = resources.pop().unwrap();
+    resources.extend((0..routes).map(|number| {
+        let mut route = route.clone();
+        route["meta"]["name"] = json!(format!("r-{number}"));
+        route["spec"]["path_prefix"] = json!(format!("/{number}/"));
+        route
+    }));
+    table.to_string()
+}
+
+/// A configuration beyond the limit got 503 as if no quorum had answered, and one whose changes
+/// were longer than a reply may be was lost to entry instances in a kill of all processes.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_configurations_are_refused_or_in_force_after_a_kill_of_all_processes() {
+    let mut fleet = Fleet::start(7).await;
+    fleet.configure("r2", "/book/").await;
+    let url = format!("http://{}:8146/api/config", fleet.ip("c1"));
+    // 260 MiB / 32
+    let max_bytes = 8_519_680;
+    let body = large_configuration("r3", 60_000);
+    let response = fleet.http.put(&url).body(body).timeout(WAIT_TIMEOUT).send().await.unwrap();
+    assert_eq!(response.status().as_u16(), 413);
+    let text = response.text().await.unwrap();
+    assert!(text.contains(&format!("at most {max_bytes} are accepted")), "{text}");
+    fleet.wait_for(&url, 200, "\"r2\"").await;
+
+    for version in ["r4", "r5"] {
+        let body = large_configuration(version, 20_000);
+        let started_at = Instant::now();
+        loop {
+            let call = fleet.http.put(&url).body(body.clone()).timeout(Duration::from_secs(10));
+            if call.send().await.is_ok_and(|response| response.status().is_success()) {
+                break;
+            }
+            assert!(started_at.elapsed() < WAIT_TIMEOUT, "{version} was not acknowledged");
+        }
+    }
+    let processes = ["c1", "c2", "c3", "e1", "e2"];
+    processes.iter().for_each(|name| fleet.kill(name));
+    processes.iter().for_each(|name| fleet.start_process(name, false));
+    for entry in ["e1", "e2"] {
+        let metrics_url = format!("http://{}:9464/metrics", fleet.ip(entry));
+        fleet.wait_for(&metrics_url, 200, "bulrushspan_config_version 5").await;
+        fleet.wait_for(&format!("http://{}:8140/api/readyz", fleet.ip(entry)), 200, "").await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn bookings_run_once_while_instances_stop_and_replicas_are_killed() {
     let mut fleet = Fleet::start(0).await;
