Route the data folder's file operations through one function

Tests can then let any operation fail and end the process between two of them. The operations and their order are the same. The file that was written last stays open, as the log did, and `sync_data` now also serves replaced files: it covers a file's content and length.

--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -7,12 +7,14 @@
 //! confirmed that the data is on the disk.
 
 mod error;
+mod files;
 mod identity;
 mod record;
 mod store;
 
 pub use self::{
     error::StoreError,
+    files::{FileOp, Files},
     identity::Identity,
-    store::{Store, move_damaged_files},
+    store::{Store, move_damaged_files, move_damaged_files_with},
 };
--- a/src/storage/store.rs
+++ b/src/storage/store.rs
@@ -1,17 +1,11 @@
 //! The data folder: its files, and how they are written and recovered.
 
-use std::{
-    fs::{self, File, OpenOptions},
-    io::{self, Write},
-    marker::PhantomData,
-    path::{Path, PathBuf},
-};
+use std::{fmt, io, marker::PhantomData, path::Path};
 
-use fs4::fs_std::FileExt;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use super::{
-    Identity, StoreError,
+    FileOp, Files, Identity, StoreError,
     record::{self, Parsed},
 };
 use crate::core::replication::{
@@ -21,17 +15,23 @@
 /// Represents an open data folder, which it locks against other processes.
 ///
 /// `C` is the type of the commands in the log.
-#[derive(Debug)]
 pub struct Store<C> {
-    folder: PathBuf,
+    files: Files,
     identity: Identity,
-    log: Option<File>,
-    log_bytes: u64,
-    /// Keeps the data folder locked while the store is open.
-    _lock: File,
+    /// The length of the log file in bytes; `None` while the replica has no log.
+    log_bytes: Option<u64>,
     command: PhantomData<fn() -> C>,
 }
 
+impl<C> fmt::Debug for Store<C> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Store")
+            .field("identity", &self.identity)
+            .field("log_bytes", &self.log_bytes)
+            .finish_non_exhaustive()
+    }
+}
+
 /// Represents an item of the log. Each record of the log file holds the items of
 /// one save; a rewritten file begins with a record of its whole state.
 #[derive(Deserialize, Serialize)]
@@ -60,17 +60,20 @@
         folder: &Path,
         new_identity: Identity,
     ) -> Result<(Self, Option<DurableState<C>>), StoreError> {
-        fs::create_dir_all(folder).map_err(StoreError::io(folder))?;
-        let lock = lock_folder(folder)?;
-        let identity = read_identity(folder, new_identity)?;
-        let mut store = Self {
-            folder: folder.to_owned(),
-            identity,
-            log: None,
-            log_bytes: 0,
-            _lock: lock,
-            command: PhantomData,
-        };
+        Self::open_with(Files::lock(folder)?, new_identity)
+    }
+
+    /// Opens the data folder of `files` like [`Store::open`], without a lock.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`Store::open`] except [`StoreError::Locked`].
+    pub fn open_with(
+        mut files: Files,
+        new_identity: Identity,
+    ) -> Result<(Self, Option<DurableState<C>>), StoreError> {
+        let identity = read_identity(&mut files, new_identity)?;
+        let mut store = Self { files, identity, log_bytes: None, command: PhantomData };
         let durable = store.recover()?;
         Ok((store, durable))
     }
@@ -82,7 +85,7 @@
 
     /// Returns the length of the log file in bytes.
     pub fn log_bytes(&self) -> u64 {
-        self.log_bytes
+        self.log_bytes.unwrap_or_default()
     }
 
     /// Creates the log with the initial state of the replica.
@@ -93,7 +96,7 @@
     pub fn create_log(&mut self, durable: &DurableState<C>) -> Result<(), StoreError> {
         self.rewrite_log(durable)?;
         self.identity.log_created = true;
-        write_identity(&self.folder, &self.identity)
+        write_identity(&mut self.files, &self.identity)
     }
 
     /// Writes the parts of a step's outputs that have to be durable, and syncs
@@ -141,14 +144,12 @@
     }
 
     fn append(&mut self, buffer: &[u8]) -> Result<(), StoreError> {
-        let path = self.log_path();
-        let Some(log) = &mut self.log else {
+        let Some(log_bytes) = &mut self.log_bytes else {
             let source = io::Error::other("the replica has no log yet");
-            return Err(StoreError::Io { path, source });
+            return Err(StoreError::Io { path: self.files.path(LOG), source });
         };
-        log.write_all(buffer).map_err(StoreError::io(&path))?;
-        log.sync_data().map_err(StoreError::io(&path))?;
-        self.log_bytes += buffer.len() as u64;
+        self.files.append(LOG, buffer)?;
+        *log_bytes += buffer.len() as u64;
         Ok(())
     }
 
@@ -164,29 +165,22 @@
         let mut batch = vec![base, LogItem::Ballot(durable.ballot), committed];
         batch.extend(durable.entries.iter().cloned().map(LogItem::Entry));
         let buffer = encode_batch(&batch)?;
-        replace_file(&self.folder, LOG, &buffer)?;
-        self.open_log(buffer.len() as u64)
-    }
-
-    fn open_log(&mut self, log_bytes: u64) -> Result<(), StoreError> {
-        let path = self.log_path();
-        let log = OpenOptions::new().append(true).open(&path).map_err(StoreError::io(&path))?;
-        self.log = Some(log);
-        self.log_bytes = log_bytes;
+        self.files.replace(LOG, &buffer)?;
+        self.log_bytes = Some(buffer.len() as u64);
         Ok(())
     }
 
-    fn write_snapshot(&self, snapshot: &Snapshot) -> Result<(), StoreError> {
+    fn write_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), StoreError> {
         let mut buffer = Vec::new();
         record::append(&mut buffer, snapshot).map_err(|reason| StoreError::Encode { reason })?;
-        replace_file(&self.folder, SNAPSHOT, &buffer)
+        self.files.replace(SNAPSHOT, &buffer)
     }
 
     /// Reads the state from the log and the snapshot, and removes an interrupted
     /// last write. Returns `None` if the replica has no log yet.
     fn recover(&mut self) -> Result<Option<DurableState<C>>, StoreError> {
-        let path = self.log_path();
-        let Some(bytes) = read_if_exists(&path)? else {
+        let path = self.files.path(LOG);
+        let Some(bytes) = self.files.read_if_exists(LOG)? else {
             if self.identity.log_created {
                 return Err(StoreError::damaged(
                     path,
@@ -198,7 +192,8 @@
         };
         let (mut durable, length) = replay(&path, &bytes)?;
         if length < bytes.len() {
-            truncate(&path, length)?;
+            self.files.run(FileOp::Truncate(LOG, length as u64))?;
+            self.files.run(FileOp::Sync(LOG))?;
         }
         // After a crash between writing a snapshot and rewriting the log to
         // begin at it, the older log still exists. It is compacted to the
@@ -213,18 +208,16 @@
             let reason = "the log begins at a snapshot, but the snapshot file is missing";
             return Err(StoreError::damaged(path, 0, reason));
         }
-        self.open_log(length as u64)?;
         // A killed process may have written to the log without syncing it.
-        if let Some(log) = &self.log {
-            log.sync_all().map_err(StoreError::io(&path))?;
-        }
-        sync_folder(&self.folder)?;
+        self.files.run(FileOp::Sync(LOG))?;
+        self.files.run(FileOp::SyncFolder)?;
+        self.log_bytes = Some(length as u64);
         Ok(Some(durable))
     }
 
-    fn read_snapshot(&self) -> Result<Option<Snapshot>, StoreError> {
-        let path = self.folder.join(SNAPSHOT);
-        let Some(bytes) = read_if_exists(&path)? else { return Ok(None) };
+    fn read_snapshot(&mut self) -> Result<Option<Snapshot>, StoreError> {
+        let path = self.files.path(SNAPSHOT);
+        let Some(bytes) = self.files.read_if_exists(SNAPSHOT)? else { return Ok(None) };
         let Parsed::Record { body, .. } = record::parse(&bytes, 0) else {
             return Err(StoreError::damaged(
                 path,
@@ -235,32 +228,16 @@
         let decode_result = record::decode(body);
         decode_result.map(Some).map_err(|reason| StoreError::damaged(path, 0, reason))
     }
-
-    fn log_path(&self) -> PathBuf {
-        self.folder.join(LOG)
-    }
 }
 
-const LOCK: &str = "LOCK";
 const IDENTITY: &str = "identity";
 const SNAPSHOT: &str = "snapshot";
 const LOG: &str = "log";
 
-fn lock_folder(folder: &Path) -> Result<File, StoreError> {
-    let path = folder.join(LOCK);
-    let open_result = OpenOptions::new().create(true).truncate(false).write(true).open(&path);
-    let file = open_result.map_err(StoreError::io(&path))?;
-    let is_locked = FileExt::try_lock_exclusive(&file).map_err(StoreError::io(&path))?;
-    if !is_locked {
-        return Err(StoreError::Locked { path });
-    }
-    Ok(file)
-}
-
-fn read_identity(folder: &Path, new_identity: Identity) -> Result<Identity, StoreError> {
-    let path = folder.join(IDENTITY);
-    let Some(bytes) = read_if_exists(&path)? else {
-        write_identity(folder, &new_identity)?;
+fn read_identity(files: &mut Files, new_identity: Identity) -> Result<Identity, StoreError> {
+    let path = files.path(IDENTITY);
+    let Some(bytes) = files.read_if_exists(IDENTITY)? else {
+        write_identity(files, &new_identity)?;
         return Ok(new_identity);
     };
     let Parsed::Record { body, .. } = record::parse(&bytes, 0) else {
@@ -273,10 +250,10 @@
     record::decode(body).map_err(|reason| StoreError::damaged(path, 0, reason))
 }
 
-fn write_identity(folder: &Path, identity: &Identity) -> Result<(), StoreError> {
+fn write_identity(files: &mut Files, identity: &Identity) -> Result<(), StoreError> {
     let mut buffer = Vec::new();
     record::append(&mut buffer, identity).map_err(|reason| StoreError::Encode { reason })?;
-    replace_file(folder, IDENTITY, &buffer)
+    files.replace(IDENTITY, &buffer)
 }
 
 /// Replays the log. Returns the state and the length of the log's intact part
@@ -334,37 +311,6 @@
     }
 }
 
-fn read_if_exists(path: &Path) -> Result<Option<Vec<u8>>, StoreError> {
-    match fs::read(path) {
-        Ok(bytes) => Ok(Some(bytes)),
-        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
-        Err(error) => Err(StoreError::io(path)(error)),
-    }
-}
-
-fn truncate(path: &Path, length_bytes: usize) -> Result<(), StoreError> {
-    let file = OpenOptions::new().write(true).open(path).map_err(StoreError::io(path))?;
-    file.set_len(length_bytes as u64).map_err(StoreError::io(path))?;
-    file.sync_all().map_err(StoreError::io(path))
-}
-
-/// Replaces a file atomically: a crash leaves either the old or the new one.
-fn replace_file(folder: &Path, name: &str, bytes: &[u8]) -> Result<(), StoreError> {
-    let path = folder.join(name);
-    let temp_path = folder.join(format!("{name}.new"));
-    let mut file = File::create(&temp_path).map_err(StoreError::io(&temp_path))?;
-    file.write_all(bytes).map_err(StoreError::io(&temp_path))?;
-    file.sync_all().map_err(StoreError::io(&temp_path))?;
-    fs::rename(&temp_path, &path).map_err(StoreError::io(&path))?;
-    sync_folder(folder)
-}
-
-/// Syncs a folder, so that the creation and renaming of its files is durable.
-fn sync_folder(folder: &Path) -> Result<(), StoreError> {
-    let directory = File::open(folder).map_err(StoreError::io(folder))?;
-    directory.sync_all().map_err(StoreError::io(folder))
-}
-
 /// Renames the files of a damaged data folder to `*.damaged`, so that a replica
 /// can start in that folder under a new id, without a log. The lock file stays. Files
 /// that were renamed earlier are overwritten.
@@ -373,15 +319,21 @@
 ///
 /// Returns an error when the files can't be moved.
 pub fn move_damaged_files(folder: &Path) -> Result<(), StoreError> {
+    move_damaged_files_with(&mut Files::lock(folder)?)
+}
+
+/// Renames the files of a damaged data folder like [`move_damaged_files`], without a lock.
+///
+/// # Errors
+///
+/// Returns an error when the files can't be moved.
+pub fn move_damaged_files_with(files: &mut Files) -> Result<(), StoreError> {
     for name in [IDENTITY, SNAPSHOT, LOG] {
-        let path = folder.join(name);
-        let damaged_path = folder.join(format!("{name}.damaged"));
-        match fs::rename(&path, &damaged_path) {
-            Err(error) if error.kind() != io::ErrorKind::NotFound => {
-                return Err(StoreError::io(path)(error));
-            }
-            _ => {}
+        match files.run(FileOp::Rename(name, &format!("{name}.damaged"))) {
+            Err(StoreError::Io { source, .. }) if source.kind() == io::ErrorKind::NotFound => {}
+            result => drop(result?),
         }
     }
-    sync_folder(folder)
+    files.run(FileOp::SyncFolder)?;
+    Ok(())
 }
