--- a/src/storage/files.rs
+++ b/src/storage/files.rs
@@ -19,8 +19,6 @@
     Write(&'a str, &'a [u8]),
     /// Writes at the end of a file.
     Append(&'a str, &'a [u8]),
-    /// Cuts a file to a length in bytes.
-    Truncate(&'a str, u64),
     /// Syncs the content and the length of a file to the disk.
     Sync(&'a str),
     /// Renames the first file to the second name, which may exist.
@@ -38,7 +36,6 @@
             Self::Read(name)
             | Self::Write(name, _)
             | Self::Append(name, _)
-            | Self::Truncate(name, _)
             | Self::Sync(name)
             | Self::Rename(_, name)
             | Self::Remove(name) => Some(name),
@@ -144,9 +141,6 @@
             open_file.insert((name.to_owned(), file)).1.write_all(bytes)?;
         }
         FileOp::Append(name, bytes) => reopen(folder, open_file, name)?.write_all(bytes)?,
-        FileOp::Truncate(name, length_bytes) => {
-            reopen(folder, open_file, name)?.set_len(length_bytes)?;
-        }
         FileOp::Sync(name) => reopen(folder, open_file, name)?.sync_data()?,
         FileOp::Rename(from, to) => {
             fs::rename(folder.join(from), folder.join(to))?;
--- a/src/storage/store.rs
+++ b/src/storage/store.rs
@@ -2,15 +2,14 @@
 
 use std::{fmt, io, marker::PhantomData, path::Path};
 
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde::{Serialize, de::DeserializeOwned};
 
 use super::{
     FileOp, Files, Identity, StoreError,
     record::{self, Parsed},
+    replay::{LogItem, replay},
 };
-use crate::core::replication::{
-    Ballot, DurableState, Entry, LogIndex, Members, Outputs, Snapshot, Term,
-};
+use crate::core::replication::{DurableState, Outputs, Snapshot};
 
 /// Represents an open data folder, which it locks against other processes.
 ///
@@ -32,20 +31,6 @@
     }
 }
 
-/// Represents an item of the log. Each record of the log file holds the items of
-/// one save; a rewritten file begins with a record of its whole state.
-#[derive(Deserialize, Serialize)]
-enum LogItem<C> {
-    /// The snapshot at which the log begins. Its data is in the snapshot file.
-    Base { index: LogIndex, term: Term, members: Members },
-    /// The current term and vote.
-    Ballot(Ballot),
-    /// An entry, which replaces any entries from its index on.
-    Entry(Entry<C>),
-    /// The commit index.
-    Committed(LogIndex),
-}
-
 impl<C: Clone + Serialize + DeserializeOwned> Store<C> {
     /// Opens a data folder, creating it if needed, and recovers its state.
     ///
@@ -72,6 +57,9 @@
         mut files: Files,
         new_identity: Identity,
     ) -> Result<(Self, Option<DurableState<C>>), StoreError> {
+        // The files that are read next may have been renamed by a process that ended before it
+        // synced the folder. A loss of power must not undo that once they are relied on.
+        files.run(FileOp::SyncFolder)?;
         let identity = read_identity(&mut files, new_identity)?;
         let mut store = Self { files, identity, log_bytes: None, command: PhantomData };
         let durable = store.recover()?;
@@ -176,8 +164,12 @@
         self.files.replace(SNAPSHOT, &buffer)
     }
 
-    /// Reads the state from the log and the snapshot, and removes an interrupted
-    /// last write. Returns `None` if the replica has no log yet.
+    /// Reads the state from the log and the snapshot, and rewrites the log. Returns `None` if the
+    /// replica has no log yet.
+    ///
+    /// The log is rewritten at each start because the file may end in an incomplete record, may
+    /// begin before the snapshot if a crash came between the writes of the two, and may hold data
+    /// that a failed sync left only in the operating system's page cache.
     fn recover(&mut self) -> Result<Option<DurableState<C>>, StoreError> {
         let path = self.files.path(LOG);
         let Some(bytes) = self.files.read_if_exists(LOG)? else {
@@ -190,28 +182,9 @@
             }
             return Ok(None);
         };
-        let (mut durable, length) = replay(&path, &bytes)?;
-        if length < bytes.len() {
-            self.files.run(FileOp::Truncate(LOG, length as u64))?;
-            self.files.run(FileOp::Sync(LOG))?;
-        }
-        // After a crash between writing a snapshot and rewriting the log to
-        // begin at it, the older log still exists. It is compacted to the
-        // snapshot, as the running replica would have done.
-        if let Some(snapshot) = self.read_snapshot()? {
-            if snapshot.index > durable.snapshot.index {
-                durable.compact(snapshot);
-            } else {
-                durable.snapshot.data = snapshot.data;
-            }
-        } else if durable.snapshot.index > 0 {
-            let reason = "the log begins at a snapshot, but the snapshot file is missing";
-            return Err(StoreError::damaged(path, 0, reason));
-        }
-        // A killed process may have written to the log without syncing it.
-        self.files.run(FileOp::Sync(LOG))?;
-        self.files.run(FileOp::SyncFolder)?;
-        self.log_bytes = Some(length as u64);
+        let snapshot = self.read_snapshot()?;
+        let durable = replay(&path, &bytes, snapshot)?;
+        self.rewrite_log(&durable)?;
         Ok(Some(durable))
     }
 
@@ -256,42 +229,6 @@
     files.replace(IDENTITY, &buffer)
 }
 
-/// Replays the log. Returns the state and the length of the log's intact part
-/// in bytes.
-fn replay<C>(path: &Path, bytes: &[u8]) -> Result<(DurableState<C>, usize), StoreError>
-where
-    C: Clone + DeserializeOwned,
-{
-    let mut durable = DurableState::new(Members::default());
-    let mut offset = 0;
-    loop {
-        match record::parse(bytes, offset) {
-            Parsed::Record { body, next } => {
-                let batch: Vec<LogItem<C>> = record::decode(body)
-                    .map_err(|reason| StoreError::damaged(path, offset as u64, reason))?;
-                batch.into_iter().for_each(|item| replay_item(&mut durable, item));
-                offset = next;
-            }
-            // The file is renamed into place with its first record, so a crash
-            // never leaves that record incomplete.
-            Parsed::Incomplete | Parsed::End if offset == 0 => {
-                return Err(StoreError::damaged(
-                    path,
-                    0,
-                    "the first record of the log is missing or incomplete",
-                ));
-            }
-            Parsed::End | Parsed::Incomplete => return Ok((durable, offset)),
-            Parsed::Damaged(_) if offset > 0 && !record::has_record_after(bytes, offset) => {
-                return Ok((durable, offset));
-            }
-            Parsed::Damaged(reason) => {
-                return Err(StoreError::damaged(path, offset as u64, reason));
-            }
-        }
-    }
-}
-
 /// Encodes the items of one save as a single record, so that only the last
 /// record of the file can be incomplete after a crash.
 fn encode_batch<C: Serialize>(batch: &Vec<LogItem<C>>) -> Result<Vec<u8>, StoreError> {
@@ -300,17 +237,6 @@
     Ok(buffer)
 }
 
-fn replay_item<C: Clone>(durable: &mut DurableState<C>, item: LogItem<C>) {
-    match item {
-        LogItem::Base { index, term, members } => {
-            durable.snapshot = Snapshot { index, term, members, data: Vec::new() };
-        }
-        LogItem::Ballot(ballot) => durable.ballot = ballot,
-        LogItem::Entry(entry) => durable.truncate_and_push(entry),
-        LogItem::Committed(index) => durable.commit_index = index,
-    }
-}
-
 /// Renames the files of a damaged data folder to `*.damaged`, so that a replica
 /// can start in that folder under a new id, without a log. The lock file stays. Files
 /// that were renamed earlier are overwritten.
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -22,5 +22,6 @@
 mod steering;
 mod stop_plan;
 mod storage;
+mod storage_crash;
 mod suspects;
 mod wire;
--- a/tests/it/storage.rs
+++ b/tests/it/storage.rs
@@ -59,10 +59,11 @@
     assert_eq!(open(&folder).unwrap(), Some(durable));
 }
 
-/// Saves another entry and returns the offset of its record in the log.
+/// Saves the ballot again and another entry. Returns the offset of the entry's record in the log.
 fn save_another_entry(folder: &TempFolder, durable: &mut DurableState<u8>) -> usize {
-    let offset = fs::read(folder.0.join("log")).unwrap().len();
     let (mut store, _) = Store::<u8>::open(&folder.0, Identity::new(9)).unwrap();
+    store.save(&Outputs { ballot: Some(durable.ballot), ..Outputs::default() }, durable).unwrap();
+    let offset = fs::read(folder.0.join("log")).unwrap().len();
     let entry_3 = entry(3, 2);
     durable.truncate_and_push(entry_3.clone());
     store.save(&Outputs { entries: vec![entry_3], ..Outputs::default() }, durable).unwrap();
@@ -98,6 +99,14 @@
     }
 }
 
+/// Returns the bytes of a log that holds just this state.
+fn rewritten_log(durable: &DurableState<u8>) -> Vec<u8> {
+    let folder = TempFolder::new("expected");
+    let (mut store, _) = Store::<u8>::open(&folder.0, Identity::new(9)).unwrap();
+    store.create_log(durable).unwrap();
+    fs::read(folder.0.join("log")).unwrap()
+}
+
 #[test]
 fn a_last_record_damaged_at_any_byte_is_discarded() {
     let folder = TempFolder::new("torn-anywhere");
@@ -106,12 +115,13 @@
     let last_offset = save_another_entry(&folder, &mut durable);
     let log = folder.0.join("log");
     let intact_log = fs::read(&log).unwrap();
+    let rewritten_log = rewritten_log(&durable_before);
     for offset in last_offset..intact_log.len() {
         let mut damaged_log = intact_log.clone();
         damaged_log[offset] ^= 0x10;
         fs::write(&log, &damaged_log).unwrap();
         assert_eq!(open(&folder).unwrap(), Some(durable_before.clone()), "byte {offset}");
-        assert_eq!(fs::read(&log).unwrap().len(), last_offset, "byte {offset}");
+        assert_eq!(fs::read(&log).unwrap(), rewritten_log, "byte {offset}");
     }
 }
 
@@ -164,3 +174,58 @@
     fs::write(folder.0.join("log"), old_log).unwrap();
     assert_eq!(open(&folder).unwrap(), Some(durable));
 }
+
+/// Returns the files of a log of one entry with a snapshot at index 10 and an entry after it that
+/// was appended to the old log file, and the state that was saved.
+fn write_unreached_snapshot(folder: &TempFolder) -> DurableState<u8> {
+    let mut durable = write_sample(folder);
+    let old_log = fs::read(folder.0.join("log")).unwrap();
+    let (mut store, _) = Store::<u8>::open(&folder.0, Identity::new(9)).unwrap();
+    let members = durable.members().1.clone();
+    let snapshot = Snapshot { index: 10, term: 2, members, data: vec![7] };
+    durable.compact(snapshot.clone());
+    let outputs = Outputs { snapshot: Some(snapshot), ..Outputs::default() };
+    store.save(&outputs, &durable).unwrap();
+    let offset = fs::read(folder.0.join("log")).unwrap().len();
+    durable.truncate_and_push(entry(11, 2));
+    store.save(&Outputs { entries: vec![entry(11, 2)], ..Outputs::default() }, &durable).unwrap();
+    let new_log = fs::read(folder.0.join("log")).unwrap();
+    fs::write(folder.0.join("log"), [&old_log, &new_log[offset..]].concat()).unwrap();
+    durable
+}
+
+// Guards against the loss of what an earlier version saved after such a crash (review/6).
+#[test]
+fn entries_that_an_earlier_version_appended_to_a_log_that_ends_before_the_snapshot_are_kept() {
+    let folder = TempFolder::new("unreached");
+    let durable = write_unreached_snapshot(&folder);
+    assert_eq!(open(&folder).unwrap(), Some(durable.clone()));
+    assert_eq!(open(&folder).unwrap(), Some(durable));
+}
+
+// Guards against a log that goes on from a snapshot that it doesn't belong to.
+#[test]
+fn a_log_and_a_snapshot_that_do_not_belong_together_are_refused() {
+    let folder = TempFolder::new("apart");
+    write_sample(&folder);
+    let (mut store, durable) = Store::<u8>::open(&folder.0, Identity::new(9)).unwrap();
+    let mut durable = durable.unwrap();
+    for (index, term) in [(10, 2), (20, 2), (20, 3)] {
+        let members = durable.members().1.clone();
+        let snapshot = Snapshot { index, term, members, data: vec![7] };
+        durable.compact(snapshot.clone());
+        store.save(&Outputs { snapshot: Some(snapshot), ..Outputs::default() }, &durable).unwrap();
+        let name = format!("snapshot-{index}-{term}");
+        fs::copy(folder.0.join("snapshot"), folder.0.join(name)).unwrap();
+    }
+    drop(store);
+    for name in ["snapshot-10-2", "snapshot-20-2"] {
+        fs::copy(folder.0.join(name), folder.0.join("snapshot")).unwrap();
+        assert!(matches!(open(&folder), Err(StoreError::Damaged { .. })), "{name}");
+    }
+    // Another snapshot doesn't close the gap in the log.
+    let folder = TempFolder::new("gap");
+    write_unreached_snapshot(&folder);
+    fs::remove_file(folder.0.join("snapshot")).unwrap();
+    assert!(matches!(open(&folder), Err(StoreError::Damaged { .. })));
+}
