Note a log that was created before a crash in the replica's identity

A replica that was killed between the writes of its first log and of its identity ran on with an identity that says that it has no log yet, for good. If its log file got lost later, it would have started anew under the same id, under which it may have voted.

Cause: only the creation of the log wrote the note; a start that found a log did not look at it.

The crash test, which now checks the note, fails without the change:

A start that finds a log now writes the note before it returns.

--- a/src/storage/store.rs
+++ b/src/storage/store.rs
@@ -185,6 +185,11 @@
         let snapshot = self.read_snapshot()?;
         let durable = replay(&path, &bytes, snapshot)?;
         self.rewrite_log(&durable)?;
+        // A crash may have come between the writes of the log and of the identity.
+        if !self.identity.log_created {
+            self.identity.log_created = true;
+            write_identity(&mut self.files, &self.identity)?;
+        }
         Ok(Some(durable))
     }
 
--- a/tests/it/storage_crash/mod.rs
+++ b/tests/it/storage_crash/mod.rs
@@ -107,6 +107,9 @@
             return Err(Stop::Wrong(format!("id {id}, expected {:?}", self.model.id)));
         }
         self.model.id = Some(id);
+        if found.is_some() && !store.identity().log_created {
+            return Err(Stop::Wrong("a later loss of the log would not be noticed".to_owned()));
+        }
         if !self.model.allowed.contains(&found) {
             let allowed = &self.model.allowed;
             return Err(Stop::Wrong(format!("found {found:?}\nallowed {allowed:?}")));
