Replace the identity of a damaged data folder last

A control process that ended while it moved the files of a damaged folder could create a new log at its next start under the first id of the replica, which may have voted: with settings that still say that this is the first start, an empty folder gets the id that is derived from the address.

Cause: the identity was moved first and not replaced, and the new random id was written only by the next opening of the folder.

The new test ends the process at each file operation, twice in a row.

Until then each start finds the folder damaged. A log without an identity is damage, too. The test of moved files passes its new id to the call that moves them.

--- a/src/runtime/control_node/mod.rs
+++ b/src/runtime/control_node/mod.rs
@@ -220,7 +220,7 @@
                 error = %damaged,
                 "data folder is damaged; setting its files aside and joining with a new replica id"
             );
-            move_damaged_files(folder)?;
+            move_damaged_files(folder, Identity::new(rand::random()))?;
             Store::open(folder, Identity::new(rand::random()))
         }
         result => result,
--- a/src/storage/store.rs
+++ b/src/storage/store.rs
@@ -215,6 +215,13 @@
 fn read_identity(files: &mut Files, new_identity: Identity) -> Result<Identity, StoreError> {
     let path = files.path(IDENTITY);
     let Some(bytes) = files.read_if_exists(IDENTITY)? else {
+        if files.read_if_exists(LOG)?.is_some() {
+            return Err(StoreError::damaged(
+                path,
+                0,
+                "the identity is missing, but there is a log",
+            ));
+        }
         write_identity(files, &new_identity)?;
         return Ok(new_identity);
     };
@@ -242,15 +249,18 @@
     Ok(buffer)
 }
 
-/// Renames the files of a damaged data folder to `*.damaged`, so that a replica
-/// can start in that folder under a new id, without a log. The lock file stays. Files
-/// that were renamed earlier are overwritten.
+/// Renames the log and the snapshot of a damaged data folder to `*.damaged`, keeps a copy of the
+/// identity under such a name, and replaces the identity, so that a replica can start in that
+/// folder under a new id, without a log. Files that were renamed earlier are overwritten.
+///
+/// The identity is replaced last: until then each start finds the folder damaged, and never
+/// creates a log under an id that may have voted.
 ///
 /// # Errors
 ///
-/// Returns an error when the files can't be moved.
-pub fn move_damaged_files(folder: &Path) -> Result<(), StoreError> {
-    move_damaged_files_with(&mut Files::lock(folder)?)
+/// Returns an error when the folder is in use or the files can't be moved.
+pub fn move_damaged_files(folder: &Path, new_identity: Identity) -> Result<(), StoreError> {
+    move_damaged_files_with(&mut Files::lock(folder)?, new_identity)
 }
 
 /// Renames the files of a damaged data folder like [`move_damaged_files`], without a lock.
@@ -258,13 +268,19 @@
 /// # Errors
 ///
 /// Returns an error when the files can't be moved.
-pub fn move_damaged_files_with(files: &mut Files) -> Result<(), StoreError> {
-    for name in [IDENTITY, SNAPSHOT, LOG] {
+pub fn move_damaged_files_with(
+    files: &mut Files,
+    new_identity: Identity,
+) -> Result<(), StoreError> {
+    for name in [LOG, SNAPSHOT] {
         match files.run(FileOp::Rename(name, &format!("{name}.damaged"))) {
             Err(StoreError::Io { source, .. }) if source.kind() == io::ErrorKind::NotFound => {}
             result => drop(result?),
         }
+        files.run(FileOp::SyncFolder)?;
+    }
+    if let Some(bytes) = files.read_if_exists(IDENTITY)? {
+        files.replace(&format!("{IDENTITY}.damaged"), &bytes)?;
     }
-    files.run(FileOp::SyncFolder)?;
-    Ok(())
+    write_identity(files, &new_identity)
 }
--- a/tests/it/storage.rs
+++ b/tests/it/storage.rs
@@ -129,8 +129,8 @@
 fn a_damaged_folder_is_moved_aside_and_replaced_under_a_new_id() {
     let folder = TempFolder::new("aside");
     write_sample(&folder);
-    bulrushspan::storage::move_damaged_files(&folder.0).unwrap();
-    let (store, durable) = Store::<u8>::open(&folder.0, Identity::new(9)).unwrap();
+    bulrushspan::storage::move_damaged_files(&folder.0, Identity::new(9)).unwrap();
+    let (store, durable) = Store::<u8>::open(&folder.0, Identity::new(10)).unwrap();
     assert!(durable.is_none());
     assert_eq!(store.identity().replica, 9);
 }
--- a/tests/it/storage_crash/disk.rs
+++ b/tests/it/storage_crash/disk.rs
@@ -133,6 +133,15 @@
         ops.collect::<Vec<_>>().join(", ")
     }
 
+    /// Changes a byte of a file, on the disk as well.
+    pub fn damage(&self, name: &str, offset: usize) {
+        let mut content = self.content.lock().unwrap();
+        let id = content.names[name];
+        let file = content.files.get_mut(&id).unwrap();
+        file.bytes[offset] ^= 0x10;
+        file.synced_bytes[offset] ^= 0x10;
+    }
+
     /// Returns each state that the end of the process, or a loss of power, may leave now.
     pub fn states_after_crash(&self) -> BTreeSet<Content> {
         let content = self.content.lock().unwrap();
--- a/tests/it/storage_crash/mod.rs
+++ b/tests/it/storage_crash/mod.rs
@@ -9,7 +9,7 @@
     core::replication::{
         Ballot, DurableState, Entry, LogIndex, Members, Outputs, Payload, ReplicaId, Snapshot, Term,
     },
-    storage::{Identity, Store, StoreError},
+    storage::{Identity, Store, StoreError, move_damaged_files_with},
 };
 
 use self::disk::{Content, Disk, FAULTS};
@@ -290,3 +290,53 @@
         "{first_crashes} states after one crash and {last_crashes} after two"
     );
 }
+
+/// Opens a data folder like a control process: the files of a damaged one are moved first.
+fn open_or_move(disk: &Disk) -> Result<(ReplicaId, Option<DurableState<u8>>), StoreError> {
+    let mut open_result = Store::open_with(disk.files(), Identity::new(FIRST_ID));
+    if let Err(StoreError::Damaged { .. }) = open_result {
+        move_damaged_files_with(&mut disk.files(), Identity::new(NEW_ID))?;
+        open_result = Store::open_with(disk.files(), Identity::new(NEW_ID));
+    }
+    open_result.map(|(store, durable)| (store.identity().replica, durable))
+}
+
+/// The id that each process starts with in an empty folder, as at the first start of a system.
+const FIRST_ID: ReplicaId = 1;
+const NEW_ID: ReplicaId = 2;
+
+/// Checks what a start finds in a damaged folder, also after further crashes.
+fn check_damaged(content: &Content, crashes: usize) {
+    for fault in FAULTS {
+        for position in 0.. {
+            let disk = Disk::new(content.clone());
+            disk.set_fault(position, fault);
+            match open_or_move(&disk) {
+                Ok(found) => assert_eq!(found, (NEW_ID, None), "{}", disk.trace()),
+                Err(error) => assert!(disk.has_failed(), "{error}: {}", disk.trace()),
+            }
+            if !disk.has_failed() {
+                break;
+            }
+            if crashes > 1 {
+                disk.states_after_crash().iter().for_each(|c| check_damaged(c, crashes - 1));
+            }
+        }
+    }
+}
+
+// Guards against a replica that votes again under the id of a damaged folder.
+#[test]
+fn a_damaged_folder_gets_a_new_id_although_processes_crash_while_they_move_its_files() {
+    for name in ["identity", "snapshot", "log"] {
+        let mut replica = Replica::new(Content::default(), empty().1);
+        let (mut store, _) =
+            Store::<u8>::open_with(replica.disk.files(), Identity::new(FIRST_ID)).unwrap();
+        store.create_log(&DurableState::new(Members::default())).unwrap();
+        replica.model =
+            Model { allowed: vec![Some(DurableState::new(Members::default()))], ..replica.model };
+        replica.run(&[Action::Append, Action::InstallAhead, Action::Append]).unwrap();
+        replica.disk.damage(name, 20);
+        replica.disk.states_after_crash().iter().for_each(|content| check_damaged(content, 2));
+    }
+}
