Refuse writes to a store that has failed, and name a remedy

An operator whose disk is full saw the file and the system's words, but not what to do. A store whose write had failed took further ones; only its one caller kept it from appending behind an incomplete record.

Cause: the store did not record a failure, and errors of the system had no remedy.

Now a store refuses all writes after a failed one, a file that could not be written in full is removed, and errors name a remedy by their kind.

--- a/src/storage/error.rs
+++ b/src/storage/error.rs
@@ -13,6 +13,8 @@
         /// The error of the operating system.
         source: io::Error,
     },
+    /// An earlier operation of this store failed, with an error of its own.
+    Failed,
     /// Another process uses the data folder.
     Locked {
         /// The lock file.
@@ -43,8 +45,7 @@
     /// Returns the error for an operation on a store that has failed before.
     /// The first failure was reported with its cause.
     pub(crate) fn earlier_failure() -> Self {
-        let source = io::Error::other("an earlier write to the data folder failed");
-        Self::Io { path: PathBuf::new(), source }
+        Self::Failed
     }
 
     pub(super) fn damaged(
@@ -59,7 +60,13 @@
 impl fmt::Display for StoreError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Io { path, source } => write!(f, "{}: {source}", path.display()),
+            Self::Io { path, source } => {
+                write!(f, "{}: {source}; {}", path.display(), remedy(source.kind()))
+            }
+            Self::Failed => write!(
+                f,
+                "an earlier write to the data folder failed; follow the advice of the first error"
+            ),
             Self::Locked { path } => write!(
                 f,
                 "{}: another process uses this data folder; stop it or choose another folder",
@@ -78,6 +85,24 @@
     }
 }
 
+fn remedy(kind: io::ErrorKind) -> &'static str {
+    match kind {
+        io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded => {
+            "free space for the data folder; nothing that was acknowledged is lost"
+        }
+        io::ErrorKind::PermissionDenied
+        | io::ErrorKind::ReadOnlyFilesystem
+        | io::ErrorKind::NotADirectory => {
+            "make the data folder writable for this process, or choose another folder"
+        }
+        _ => {
+            "check the disk and its file system; if the disk is lost, start with an empty data \
+             folder and settings that say that this is not the first start, and the replica \
+             rejoins as a new member"
+        }
+    }
+}
+
 impl Error for StoreError {
     fn source(&self) -> Option<&(dyn Error + 'static)> {
         match self {
--- a/src/storage/files.rs
+++ b/src/storage/files.rs
@@ -106,8 +106,14 @@
     /// Replaces a file atomically: a crash leaves either the old or the new one.
     pub(super) fn replace(&mut self, name: &str, bytes: &[u8]) -> Result<(), StoreError> {
         let temp_name = format!("{name}.new");
-        self.run(FileOp::Write(&temp_name, bytes))?;
-        self.run(FileOp::Sync(&temp_name))?;
+        let write_result = self
+            .run(FileOp::Write(&temp_name, bytes))
+            .and_then(|_| self.run(FileOp::Sync(&temp_name)));
+        if let Err(error) = write_result {
+            // On a full disk the log may need the space. The first error is the one to report.
+            self.run(FileOp::Remove(&temp_name)).ok();
+            return Err(error);
+        }
         self.run(FileOp::Rename(&temp_name, name))?;
         self.run(FileOp::SyncFolder)?;
         Ok(())
--- a/src/storage/store.rs
+++ b/src/storage/store.rs
@@ -19,6 +19,8 @@
     identity: Identity,
     /// The length of the log file in bytes; `None` while the replica has no log.
     log_bytes: Option<u64>,
+    /// Whether an operation has failed, so that the end of the log file is not known.
+    has_failed: bool,
     command: PhantomData<fn() -> C>,
 }
 
@@ -61,7 +63,8 @@
         // synced the folder. A loss of power must not undo that once they are relied on.
         files.run(FileOp::SyncFolder)?;
         let identity = read_identity(&mut files, new_identity)?;
-        let mut store = Self { files, identity, log_bytes: None, command: PhantomData };
+        let mut store =
+            Self { files, identity, log_bytes: None, has_failed: false, command: PhantomData };
         let durable = store.recover()?;
         Ok((store, durable))
     }
@@ -82,9 +85,11 @@
     ///
     /// Returns an error when the state can't be made durable.
     pub fn create_log(&mut self, durable: &DurableState<C>) -> Result<(), StoreError> {
-        self.rewrite_log(durable)?;
-        self.identity.log_created = true;
-        write_identity(&mut self.files, &self.identity)
+        self.write(|store| {
+            store.rewrite_log(durable)?;
+            store.identity.log_created = true;
+            write_identity(&mut store.files, &store.identity)
+        })
     }
 
     /// Writes the parts of a step's outputs that have to be durable, and syncs
@@ -93,18 +98,20 @@
     ///
     /// # Errors
     ///
-    /// Returns an error when writing or syncing fails. The store must then be
-    /// opened again and rewritten with [`Store::rewrite_all`]: after a failed
-    /// sync the operating system may drop the written data although reads
-    /// still return it.
+    /// Returns an error when writing or syncing fails, and [`StoreError::Failed`]
+    /// at each later call. The store must then be opened again and rewritten with
+    /// [`Store::rewrite_all`]: after a failed sync the operating system may drop
+    /// the written data although reads still return it.
     pub fn save(
         &mut self,
         outputs: &Outputs<C>,
         durable: &DurableState<C>,
     ) -> Result<(), StoreError> {
         if let Some(snapshot) = &outputs.snapshot {
-            self.write_snapshot(snapshot)?;
-            return self.rewrite_log(durable);
+            return self.write(|store| {
+                store.write_snapshot(snapshot)?;
+                store.rewrite_log(durable)
+            });
         }
         let ballot = outputs.ballot.map(LogItem::Ballot);
         let entries = outputs.entries.iter().cloned().map(LogItem::Entry);
@@ -114,7 +121,7 @@
             return Ok(());
         }
         let buffer = encode_batch(&batch)?;
-        self.append(&buffer)
+        self.write(|store| store.append(&buffer))
     }
 
     /// Rewrites the snapshot and the log, so that nothing depends on data that
@@ -125,10 +132,25 @@
     ///
     /// Returns an error when the state can't be made durable.
     pub fn rewrite_all(&mut self, durable: &DurableState<C>) -> Result<(), StoreError> {
-        if durable.snapshot.index > 0 {
-            self.write_snapshot(&durable.snapshot)?;
+        self.write(|store| {
+            if durable.snapshot.index > 0 {
+                store.write_snapshot(&durable.snapshot)?;
+            }
+            store.rewrite_log(durable)
+        })
+    }
+
+    /// Calls `write` unless an earlier write failed.
+    fn write(
+        &mut self,
+        write: impl FnOnce(&mut Self) -> Result<(), StoreError>,
+    ) -> Result<(), StoreError> {
+        if self.has_failed {
+            return Err(StoreError::earlier_failure());
         }
-        self.rewrite_log(durable)
+        let result = write(self);
+        self.has_failed = result.is_err();
+        result
     }
 
     fn append(&mut self, buffer: &[u8]) -> Result<(), StoreError> {
--- a/tests/it/storage_crash/disk.rs
+++ b/tests/it/storage_crash/disk.rs
@@ -133,6 +133,11 @@
         ops.collect::<Vec<_>>().join(", ")
     }
 
+    /// Returns whether a process finds a file with this name.
+    pub fn has_file(&self, name: &str) -> bool {
+        self.content.lock().unwrap().names.contains_key(name)
+    }
+
     /// Changes a byte of a file, on the disk as well.
     pub fn damage(&self, name: &str, offset: usize) {
         let mut content = self.content.lock().unwrap();
--- a/tests/it/storage_crash/mod.rs
+++ b/tests/it/storage_crash/mod.rs
@@ -12,7 +12,7 @@
     storage::{Identity, Store, StoreError, move_damaged_files_with},
 };
 
-use self::disk::{Content, Disk, FAULTS};
+use self::disk::{Content, Disk, FAULTS, Fault};
 
 /// What the driver of a replica does with the data folder.
 #[derive(Clone, Copy, Debug)]
@@ -340,3 +340,30 @@
         replica.disk.states_after_crash().iter().for_each(|content| check_damaged(content, 2));
     }
 }
+
+// Guards against an operator who can't tell what to do, and a store that goes on after a failure.
+#[test]
+fn the_error_of_a_full_disk_names_the_file_and_the_remedy_and_no_write_follows() {
+    let mut replica = Replica::new(Content::default(), empty().1);
+    replica.run(&[Action::Append]).unwrap();
+    let before = replica.durable.clone();
+    replica.disk.set_fault(0, Fault::Full);
+    let Err(Stop::Failed(error)) = replica.perform(Action::Append) else { panic!("no error") };
+    let text = error.to_string();
+    assert!(text.starts_with("/data/log: ") && text.contains("free space"), "{text}");
+    replica.disk.make_room();
+    replica.durable = before;
+    let later_result = replica.perform(Action::Append);
+    assert!(matches!(later_result, Err(Stop::Failed(StoreError::Failed))));
+    assert_eq!(replica.run(&[Action::Restart, Action::Append, Action::Restart]), Ok(()));
+}
+
+// Guards against a disk that stays full because of a snapshot that could not be written.
+#[test]
+fn a_snapshot_that_could_not_be_written_leaves_no_file() {
+    let mut replica = Replica::new(Content::default(), empty().1);
+    replica.run(&[Action::Append]).unwrap();
+    replica.disk.set_fault(0, Fault::Fail);
+    assert!(matches!(replica.perform(Action::InstallAhead), Err(Stop::Failed(_))));
+    assert!(!replica.disk.has_file("snapshot.new"));
+}
