Start a control process whose disk is full without its replica

Since a start rewrites the log, a control process whose disk is full would have ended at its start, and served no directory until there was room.

Cause: only a replica that fails later is started again; an error of the first opening ended the process.

In a folder without an identity the process still ends, so that a wrong path in the settings shows at once.

Tried by hand with the release build, with a folder in the place of `log.new`: the process ran and its directory port answered, the error with file and remedy was logged, and when the folder was gone the replica was restarted and led. There is no automated test of it.

--- a/src/runtime/control_node/mod.rs
+++ b/src/runtime/control_node/mod.rs
@@ -51,7 +51,7 @@
     },
     net::{HttpLimits, mesh::serve_mesh},
     settings::{NodeSettings, Timing},
-    storage::{Identity, Store, StoreError, move_damaged_files},
+    storage::{Identity, Store, StoreError, has_identity, move_damaged_files},
 };
 
 /// Represents the process of a control replica.
@@ -136,9 +136,17 @@
             stalls: Mutex::new(StallDetector::new(STALL_MIN, clock.now())),
         });
         tokio::spawn(record_beats(state.clone()));
-        let open_result = open_store(&folder, membership::initial_id(&state.settings));
-        let (store, durable) = open_result.map_err(NodeError::Store)?;
-        let failure_receiver = state.clone().start_replica(store, durable)?;
+        let start_result = open_store(&folder, membership::initial_id(&state.settings))
+            .map_err(NodeError::Store)
+            .and_then(|(store, durable)| state.clone().start_replica(store, durable));
+        let failure_receiver = match start_result {
+            // A disk that is full or fails at a restart is treated like one that does later.
+            Err(NodeError::Store(error @ StoreError::Io { .. })) if has_identity(&folder) => {
+                error!(%error, "can't use the data folder; starting without a replica");
+                oneshot::channel().1
+            }
+            start_result => start_result?,
+        };
         tokio::spawn(state.clone().supervise_replica(folder, failure_receiver));
         tokio::spawn(serve_mesh(cluster, calls::handler(state.clone())));
         tokio::spawn(calls::receive_announcements(state.clone(), announcement_socket));
--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -19,5 +19,5 @@
     error::StoreError,
     files::{FileOp, Files},
     identity::Identity,
-    store::{Store, move_damaged_files, move_damaged_files_with},
+    store::{Store, has_identity, move_damaged_files, move_damaged_files_with},
 };
--- a/src/storage/store.rs
+++ b/src/storage/store.rs
@@ -271,6 +271,11 @@
     Ok(buffer)
 }
 
+/// Returns whether a replica has used the data folder before.
+pub fn has_identity(folder: &Path) -> bool {
+    folder.join(IDENTITY).exists()
+}
+
 /// Renames the log and the snapshot of a damaged data folder to `*.damaged`, keeps a copy of the
 /// identity under such a name, and replaces the identity, so that a replica can start in that
 /// folder under a new id, without a log. Files that were renamed earlier are overwritten.
