Tell apart entries of the list that have the same id

Cause: missing fields were filled in, so that such an entry named a server; and a reading was collected by id, its last entry counting, whatever that one said. An entry of a service that no configuration names took a ready upstream out of use in the same way. Evidence, on: the new process test fails with left: ["stamp-0", "stamp-2"], right: ["stamp-1", "stamp-2"] (upstream 0 drains, upstream 1 is ready), and platform::an_entry_with_a_field_missing_or_of_another_type_names_no_upstream takes entries without `version` and without `cold_left_s`, with a `born` that is null and with an id that has a line break for entries of upstreams. Change: an entry without a field, with one of another type (null and arrays too), with an id that can't be sent in a header field, or with a name of more than 255 bytes, which all instances would get, is passed over. Of several with one id, the rule in docs/PLATFORM.md selects one: a named service, then what the last list has, then the later start; a copy never hides that the upstream drains. What is passed over is logged once for as long as it stays and counted in passed_over_entries_total. Findings of a page are at most 100. Tests changed: the sound entries of two tests in tests/it/platform.rs lacked `version`, and one of them `cold_left_s`, which PROTOCOL.md says that each entry has; they have both now and expect the same.

--- a/src/core/upstreams/list.rs
+++ b/src/core/upstreams/list.rs
@@ -48,6 +48,12 @@
         self.entries.is_empty()
     }
 
+    /// Returns the upstream with this id as it was listed, with the cold time that it had when its
+    /// entry last changed.
+    pub fn get(&self, id: &UpstreamId) -> Option<&ListedUpstream> {
+        self.entries.get(id).map(|entry| &entry.upstream)
+    }
+
     /// Returns an iterator over the upstreams and whether each is cold at `now`.
     pub fn iter(&self, now: Duration) -> impl Iterator<Item = (&ListedUpstream, bool)> {
         self.entries.iter().map(move |(_, entry)| (&entry.upstream, now < entry.cold_until))
--- a/src/runtime/control_node/list_pages.rs
+++ b/src/runtime/control_node/list_pages.rs
@@ -3,10 +3,9 @@
 use std::time::Duration;
 
 use futures_util::future::try_join_all;
-use tracing::warn;
 
 use crate::{
-    core::{control::ZoneName, upstreams::ListedUpstreams},
+    core::{control::ZoneName, upstreams::ListedUpstream},
     platform::listing::{decode_page, page_target},
     runtime::http_client::HttpClient,
     settings::UpstreamListSource,
@@ -27,6 +26,17 @@
     is_long: bool,
 }
 
+/// Represents what was read at once of the list, or of one availability zone's part of it.
+#[derive(Default)]
+pub(super) struct ListReading {
+    /// The upstreams, in the order of the list. Several may have one id.
+    pub(super) upstreams: Vec<ListedUpstream>,
+    /// The number of entries that could not be decoded.
+    pub(super) undecodable_count: usize,
+    /// Descriptions of the entries that could not be decoded; there may be fewer of them.
+    pub(super) findings: Vec<String>,
+}
+
 /// The timeout for reading one page.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(1000);
 /// The maximum number of pages of one list.
@@ -55,13 +65,13 @@
     /// # Errors
     ///
     /// Returns a description of the error if a page can't be read.
-    pub(super) async fn read(&mut self) -> Result<ListedUpstreams, String> {
+    pub(super) async fn read(&mut self) -> Result<ListReading, String> {
         let calls_per_s_max = self.source.calls_per_s * CALLS_FRACTION_MAX;
         let may_read_by_zone = self.zone_clients.len() as f64 <= calls_per_s_max;
         if !self.is_long || !may_read_by_zone {
             let pages_max = if may_read_by_zone { SEQUENTIAL_PAGES_MAX } else { PAGES_MAX };
-            if let Some(upstreams) = read_pages(&mut self.client, None, pages_max).await? {
-                return Ok(upstreams);
+            if let Some(reading) = read_pages(&mut self.client, None, pages_max).await? {
+                return Ok(reading);
             }
             if !may_read_by_zone {
                 return Err(format!("the list has more than {PAGES_MAX} pages"));
@@ -69,15 +79,24 @@
             self.is_long = true;
         }
         let parts = self.zone_clients.iter_mut().map(|(zone, client)| read_zone(client, zone));
-        let parts = try_join_all(parts).await?;
-        Ok(parts.into_iter().flatten().collect())
+        let mut reading = ListReading::default();
+        try_join_all(parts).await?.into_iter().for_each(|part| reading.add(part));
+        Ok(reading)
+    }
+}
+
+impl ListReading {
+    fn add(&mut self, other: Self) {
+        self.upstreams.extend(other.upstreams);
+        self.undecodable_count += other.undecodable_count;
+        self.findings.extend(other.findings);
     }
 }
 
 /// Reads the part of the list that is in one availability zone.
-async fn read_zone(client: &mut HttpClient, zone: &str) -> Result<ListedUpstreams, String> {
-    let upstreams = read_pages(client, Some(zone), PAGES_MAX).await?;
-    upstreams.ok_or_else(|| format!("the list of zone {zone} has more than {PAGES_MAX} pages"))
+async fn read_zone(client: &mut HttpClient, zone: &str) -> Result<ListReading, String> {
+    let reading = read_pages(client, Some(zone), PAGES_MAX).await?;
+    reading.ok_or_else(|| format!("the list of zone {zone} has more than {PAGES_MAX} pages"))
 }
 
 /// Reads the pages of the list, or of one availability zone's part of it, one
@@ -86,8 +105,8 @@
     client: &mut HttpClient,
     zone: Option<&str>,
     pages_max: usize,
-) -> Result<Option<ListedUpstreams>, String> {
-    let mut upstreams = ListedUpstreams::new();
+) -> Result<Option<ListReading>, String> {
+    let mut reading = ListReading::default();
     let mut token = None;
     for page_number in 1..=pages_max {
         let response = client.get(&page_target(zone, token.as_deref()), PAGE_TIMEOUT).await;
@@ -96,17 +115,14 @@
             Ok((status, _)) => return Err(format!("page {page_number} has HTTP status {status}")),
             Err(error) => return Err(error.to_string()),
         };
-        if !page.findings.is_empty() {
-            warn!(
-                findings = ?page.findings,
-                "skipped entries of the list of upstreams that can't be decoded"
-            );
-        }
-        upstreams
-            .extend(page.upstreams.into_iter().map(|upstream| (upstream.id.clone(), upstream)));
+        reading.add(ListReading {
+            upstreams: page.upstreams,
+            undecodable_count: page.undecodable_count,
+            findings: page.findings,
+        });
         token = page.next;
         if token.is_none() {
-            return Ok(Some(upstreams));
+            return Ok(Some(reading));
         }
     }
     Ok(None)
--- a/src/runtime/control_node/list_reader.rs
+++ b/src/runtime/control_node/list_reader.rs
@@ -8,14 +8,16 @@
 use super::{
     ControlNodeState,
     calls::{current_policy, leader, submit_local},
+    list_entries::PassedOverEntries,
     list_pages::PageReader,
     lock,
     peers::address_of,
 };
 use crate::{
     core::{
-        control::Command,
+        control::{Command, Policy},
         placement::{DemandReport, PlannerInputs},
+        upstreams::{has_repeated_ids, select_entries},
     },
     net::wire::{Cursor, FollowRequest, NodeReply, NodeRequest, SubmitRequest},
 };
@@ -37,7 +39,7 @@
     let zones = state.settings.regions_of_zones.keys().cloned();
     let page_max_bytes = state.settings.list_page_max_bytes();
     let mut reader = PageReader::new(source, zones, page_max_bytes);
-    let mut cursor = Cursor::default();
+    let (mut cursor, mut passed_over) = (Cursor::default(), PassedOverEntries::default());
     loop {
         let started_at = state.clock.now();
         match leader(&state).await {
@@ -45,7 +47,7 @@
                 follow_leader(&state, &leader, &mut cursor).await;
             }
             known_leader => {
-                read_from_platform(&state, &mut reader).await;
+                read_from_platform(&state, &mut reader, &mut passed_over).await;
                 if known_leader.is_some_and(|(_, is_leader)| is_leader) {
                     plan_placement(&state).await;
                 }
@@ -117,16 +119,29 @@
 }
 
 /// Reads the list from the platform and replaces the current one.
-async fn read_from_platform(state: &ControlNodeState, reader: &mut PageReader) {
+async fn read_from_platform(
+    state: &ControlNodeState,
+    reader: &mut PageReader,
+    passed_over: &mut PassedOverEntries,
+) {
     let started_at = state.clock.now();
-    let upstreams = match reader.read().await {
-        Ok(upstreams) => upstreams,
+    let mut reading = match reader.read().await {
+        Ok(reading) => reading,
         Err(error) => {
             warn!(error, "can't read the list of upstreams; keeping the last one");
             return;
         }
     };
+    let entries = std::mem::take(&mut reading.upstreams);
+    let policy = match has_repeated_ids(&entries) {
+        true => current_policy(state).await.unwrap_or_default(),
+        false => Policy::default(),
+    };
     let mut list = lock(&state.list);
+    let services = &policy.routing.services;
+    let (upstreams, repeated) =
+        select_entries(entries, &list, |service| services.contains_key(service));
+    passed_over.record(&state.list_counters, &reading, &repeated);
     if list.replace(upstreams, started_at) {
         info!(upstreams = list.len(), count = list.version(), "the list of upstreams changed");
     }
--- a/src/runtime/control_node/metrics.rs
+++ b/src/runtime/control_node/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use prometheus::{IntGauge, IntGaugeVec, Registry};
+use prometheus::{IntCounterVec, IntGauge, IntGaugeVec, Registry};
 
 use super::{
     ControlNodeState,
@@ -77,6 +77,35 @@
         self.listed_upstreams.set(lock(&state.list).len() as i64);
         self.entry_instances.set(lock(&state.roster).up_count(now) as i64);
         dropped_lines.set_gauges(&self.dropped_lines);
-        state.metrics.text() + &encode_registry(&self.registry)
+        let list_text = encode_registry(&state.list_counters.registry);
+        state.metrics.text() + &encode_registry(&self.registry) + &list_text
+    }
+}
+
+/// The counters of a control replica's readings of the list of upstreams.
+#[derive(Clone, Debug)]
+pub(super) struct ListCounters {
+    registry: Registry,
+    /// Entries that were passed over, by reason.
+    pub(super) passed_over: IntCounterVec,
+}
+
+impl ListCounters {
+    /// Creates counters with a registry of their own.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if two metrics share a name.
+    pub(super) fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let passed_over = IntCounterVec::new(
+            opts("passed_over_entries_total", "Entries of the list passed over, by reason."),
+            &["reason"],
+        );
+        let passed_over = register_metric(&registry, passed_over)?;
+        for reason in ["undecodable", "repeated_id"] {
+            passed_over.with_label_values(&[reason]);
+        }
+        Ok(Self { registry, passed_over })
     }
 }
--- a/src/runtime/control_node/mod.rs
+++ b/src/runtime/control_node/mod.rs
@@ -6,6 +6,7 @@
 
 mod calls;
 mod directory;
+mod list_entries;
 mod list_pages;
 mod list_reader;
 mod membership;
@@ -75,6 +76,7 @@
     /// The entry instances that announced themselves.
     roster: Mutex<Roster>,
     list: Mutex<UpstreamList>,
+    list_counters: metrics::ListCounters,
     planner: Mutex<Planner>,
     /// The last demand report of each entry instance, to be sent to the leader.
     demand: Mutex<BTreeMap<InstanceName, DemandReport>>,
@@ -121,6 +123,7 @@
         let state = Arc::new(ControlNodeState {
             roster: Mutex::new(Roster::new(settings.regions_of_zones.clone(), clock.now())),
             list: Mutex::default(),
+            list_counters: metrics::ListCounters::new().map_err(NodeError::Metrics)?,
             planner: Mutex::new(Planner::new(
                 settings.regions_of_zones.clone(),
                 settings.bounds.shift_max,
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -24,4 +24,5 @@
 mod storage;
 mod storage_crash;
 mod suspects;
+mod upstream_list;
 mod wire;
--- a/tests/it/platform.rs
+++ b/tests/it/platform.rs
@@ -7,15 +7,15 @@
 #[test]
 fn invalid_list_entries_are_reported_and_the_others_are_kept() {
     let page = br#"{"instances": [
-        {"id": "i-1", "service": "s", "addr": "10.0.0.1:80", "zone": "a", "slots": 4,
-         "state": "ready", "cold_left_s": 1.5, "born": 7, "unheard": {}},
-        {"id": "i-2", "service": "s", "addr": "10.0.0.2:80", "zone": "a", "slots": "4",
-         "state": "ready", "cold_left_s": 0},
-        {"id": "i-3", "service": "s", "addr": "10.0.0.3:80", "zone": "a", "slots": 4,
-         "state": "asleep", "cold_left_s": 0},
+        {"id": "i-1", "service": "s", "addr": "10.0.0.1:80", "zone": "a", "version": "v1",
+         "slots": 4, "state": "ready", "cold_left_s": 1.5, "born": 7, "unheard": {}},
+        {"id": "i-2", "service": "s", "addr": "10.0.0.2:80", "zone": "a", "version": "v1",
+         "slots": "4", "state": "ready", "cold_left_s": 0},
+        {"id": "i-3", "service": "s", "addr": "10.0.0.3:80", "zone": "a", "version": "v1",
+         "slots": 4, "state": "asleep", "cold_left_s": 0},
         17,
-        {"id": "i-5", "service": "s", "addr": "10.0.0.5:80", "zone": "b", "slots": 4,
-         "state": "draining", "cold_left_s": -1}
+        {"id": "i-5", "service": "s", "addr": "10.0.0.5:80", "zone": "b", "version": "v1",
+         "slots": 4, "state": "draining", "cold_left_s": -1}
     ], "next_token": "p 2"}"#;
     let page = listing::decode_page(page).unwrap();
     insta::assert_debug_snapshot!("listing_page", page);
@@ -25,15 +25,66 @@
     assert_eq!(listing::page_target(None, None), "/instances");
 }
 
+/// Returns an entry that has all fields; `more` is added to it.
+fn sound(id: u32, more: &str) -> String {
+    format!(
+        r#"{{"id": "i-{id}", "service": "s", "addr": "10.0.0.1:80", "zone": "a", "version": "v1",
+        "slots": 4, "state": "ready", "cold_left_s": 0{more}}}"#
+    )
+}
+
+/// Returns the ids on a page with these entries, and the number of findings.
+fn decode_entries(entries: &[&[u8]]) -> (Vec<String>, usize) {
+    let body = [br#"{"instances": ["#, entries.join(&b", "[..]).as_slice(), b"]}"].concat();
+    let text = String::from_utf8_lossy(&body);
+    let page = listing::decode_page(&body).unwrap_or_else(|error| panic!("{error}: {text}"));
+    (page.upstreams.into_iter().map(|upstream| upstream.id).collect(), page.findings.len())
+}
+
+/// An entry of another writer without two of the fields replaced a draining upstream's own entry,
+/// so that the upstream got requests until it ended (review/10).
+#[test]
+fn an_entry_with_a_field_missing_or_of_another_type_names_no_upstream() {
+    let whole: serde_json::Value = serde_json::from_str(&sound(1, r#", "born": 7"#)).unwrap();
+    let kept = sound(2, "");
+    let mut wrong_entries = vec![sound(1, r#", "born": null"#)];
+    for field in whole.as_object().unwrap().keys() {
+        let mut missing = whole.clone();
+        missing.as_object_mut().unwrap().remove(field);
+        if field != "born" {
+            wrong_entries.push(missing.to_string());
+        }
+        for value in [serde_json::Value::Null, serde_json::json!([]), serde_json::json!(true)] {
+            let mut other_type = whole.clone();
+            other_type[field] = value;
+            wrong_entries.push(other_type.to_string());
+        }
+        if whole[field].is_string() && field != "version" {
+            let mut empty = whole.clone();
+            empty[field] = "".into();
+            wrong_entries.push(empty.to_string());
+        }
+        if matches!(field.as_str(), "id" | "service" | "zone" | "version") {
+            let mut long = whole.clone();
+            long[field] = "n".repeat(300).into();
+            wrong_entries.push(long.to_string());
+        }
+    }
+    // The id is sent in a header field.
+    wrong_entries.push(sound(1, "").replace("i-1", "i-1\\r\\nHost: b"));
+    let accepted: Vec<&String> = wrong_entries
+        .iter()
+        .filter(|wrong| {
+            let decoded = decode_entries(&[wrong.as_bytes(), kept.as_bytes()]);
+            decoded != (vec!["i-2".to_owned()], 1)
+        })
+        .collect();
+    assert!(accepted.is_empty(), "taken for entries of upstreams: {accepted:#?}");
+}
+
 /// One odd entry of another writer made the whole list unreadable, so that it was followed no more.
 #[test]
 fn a_list_is_read_whatever_one_entry_holds() {
-    let sound = |id: u32, more: &str| {
-        format!(
-            r#"{{"id": "i-{id}", "service": "s", "addr": "10.0.0.1:80", "zone": "a", "slots": 4,
-            "state": "ready"{more}}}"#
-        )
-    };
     let nested = format!("{}{}", "[".repeat(20_000), "]".repeat(20_000));
     let odd_entries = [
         nested.clone(),
@@ -41,7 +92,7 @@
         r#"{"id": "i-9", "born": 1e999}"#.to_owned(),
         sound(9, r#", "born": 99999999999999999999999999"#),
         sound(9, "").replace(":80", ":65536"),
-        sound(9, r#", "cold_left_s": 1e999"#),
+        sound(9, "").replace("\"cold_left_s\": 0", "\"cold_left_s\": 1e999"),
     ];
     for odd in odd_entries {
         let text = format!(r#"{{"instances": [{odd}, {}]}}"#, sound(1, ""));
@@ -52,7 +103,8 @@
         assert!(page.findings[0].len() < 200);
     }
     // The time is added to that of the reading.
-    let text = format!(r#"{{"instances": [{}]}}"#, sound(1, r#", "cold_left_s": 1.8446744e19"#));
+    let long = sound(1, "").replace("\"cold_left_s\": 0", "\"cold_left_s\": 1.8446744e19");
+    let text = format!(r#"{{"instances": [{long}]}}"#);
     let page = listing::decode_page(text.as_bytes()).unwrap();
     assert!(page.upstreams[0].cold_left <= Duration::from_secs(24 * 60 * 60));
 }
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -91,7 +91,7 @@
     }
 
     /// Starts upstreams, and returns their entries in the list.
-    fn start_upstreams(&self) -> Vec<Value> {
+    pub(super) fn start_upstreams(&self) -> Vec<Value> {
         let mut entries = Vec::new();
         for number in 0..UPSTREAMS {
             let address = self.upstream_address(number);
--- a/tests/processes/platform.rs
+++ b/tests/processes/platform.rs
@@ -2,7 +2,7 @@
 //! its upstreams.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
 
@@ -227,3 +227,46 @@
         tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
+
+/// Entries of another writer with the ids of sound upstreams replaced these: one that drained got
+/// requests until it ended (review/10), and one that was ready got none.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_of_another_writer_do_not_replace_those_of_sound_upstreams() {
+    let mut fleet = Fleet::new(7);
+    let mut entries = fleet.start_upstreams();
+    let ready = entries[0].clone();
+    entries[0]["state"] = json!("draining");
+    let mut partial = ready.clone();
+    partial
+        .as_object_mut()
+        .unwrap()
+        .retain(|field, _| field != "version" && field != "cold_left_s");
+    let mut unnamed = entries[1].clone();
+    unnamed["service"] = json!("unnamed");
+    entries.extend([partial, ready, unnamed]);
+    fleet.launch(entries, &["c1", "c2", "c3", "e1", "e2"]);
+    fleet.configure("r2", "/book/").await;
+    fleet.wait_for(&format!("http://{}:8140/api/readyz", fleet.ip("e1")), 200, "").await;
+
+    let (started_at, mut stamps) = (Instant::now(), BTreeSet::new());
+    let url = format!("http://{}:8144/book/1", fleet.ip("e1"));
+    for number in 0.. {
+        let request = fleet.http.post(&url).header("Host", "shop.example").body("plates");
+        let request = request
+            .header("Bulrushspan-Request-Id", format!("booking-{number}"))
+            .header("Cookie", format!("Bulrushspan-Affinity-Key={number}"));
+        let response = request.timeout(Duration::from_secs(5)).send().await.unwrap();
+        if let Some(stamp) = response.headers().get("Bulrushspan-Server-Stamp") {
+            stamps.insert(stamp.to_str().unwrap().to_owned());
+        }
+        if number >= 40 && stamps.len() >= 2 {
+            break;
+        }
+        assert!(started_at.elapsed() < WAIT_TIMEOUT, "served by {stamps:?} only");
+    }
+    assert_eq!(stamps.iter().collect::<Vec<_>>(), ["stamp-1", "stamp-2"]);
+    for control in ["c1", "c2", "c3"] {
+        let url = format!("http://{}:9464/metrics", fleet.ip(control));
+        fleet.wait_for(&url, 200, "bulrushspan_listed_upstreams 3").await;
+    }
+}
