--- a/src/runtime/control_node/list_pages.rs
+++ b/src/runtime/control_node/list_pages.rs
@@ -1,6 +1,6 @@
 //! Fetches the platform's list of upstreams, page by page.
 
-use std::time::Duration;
+use std::{fmt::Display, time::Duration};
 
 use futures_util::future::try_join_all;
 
@@ -37,6 +37,14 @@
     pub(super) findings: Vec<String>,
 }
 
+/// Represents the reason why the list could not be read.
+#[derive(Clone, Debug)]
+pub(super) struct ReadError {
+    /// The kind of error, for metrics: one of [`ReadError::REASONS`].
+    pub(super) reason: &'static str,
+    pub(super) message: String,
+}
+
 /// The timeout for reading one page.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(1000);
 /// The maximum number of pages of one list.
@@ -64,8 +72,8 @@
     ///
     /// # Errors
     ///
-    /// Returns a description of the error if a page can't be read.
-    pub(super) async fn read(&mut self) -> Result<ListReading, String> {
+    /// Returns an error if a page can't be read.
+    pub(super) async fn read(&mut self) -> Result<ListReading, ReadError> {
         let calls_per_s_max = self.source.calls_per_s * CALLS_FRACTION_MAX;
         let may_read_by_zone = self.zone_clients.len() as f64 <= calls_per_s_max;
         if !self.is_long || !may_read_by_zone {
@@ -74,7 +82,7 @@
                 return Ok(reading);
             }
             if !may_read_by_zone {
-                return Err(format!("the list has more than {PAGES_MAX} pages"));
+                return Err(ReadError::too_long("the list"));
             }
             self.is_long = true;
         }
@@ -85,6 +93,20 @@
     }
 }
 
+impl ReadError {
+    /// The kinds of errors.
+    pub(super) const REASONS: [&'static str; 4] =
+        ["no_response", "status", "undecodable", "too_long"];
+
+    fn new(reason: &'static str, page: usize, error: impl Display) -> Self {
+        Self { reason, message: format!("page {page}: {error}") }
+    }
+
+    fn too_long(list: &str) -> Self {
+        Self { reason: "too_long", message: format!("{list} has more than {PAGES_MAX} pages") }
+    }
+}
+
 impl ListReading {
     fn add(&mut self, other: Self) {
         self.upstreams.extend(other.upstreams);
@@ -94,9 +116,9 @@
 }
 
 /// Reads the part of the list that is in one availability zone.
-async fn read_zone(client: &mut HttpClient, zone: &str) -> Result<ListReading, String> {
+async fn read_zone(client: &mut HttpClient, zone: &str) -> Result<ListReading, ReadError> {
     let reading = read_pages(client, Some(zone), PAGES_MAX).await?;
-    reading.ok_or_else(|| format!("the list of zone {zone} has more than {PAGES_MAX} pages"))
+    reading.ok_or_else(|| ReadError::too_long(&format!("the list of zone {zone}")))
 }
 
 /// Reads the pages of the list, or of one availability zone's part of it, one
@@ -105,15 +127,18 @@
     client: &mut HttpClient,
     zone: Option<&str>,
     pages_max: usize,
-) -> Result<Option<ListReading>, String> {
+) -> Result<Option<ListReading>, ReadError> {
     let mut reading = ListReading::default();
     let mut token = None;
     for page_number in 1..=pages_max {
         let response = client.get(&page_target(zone, token.as_deref()), PAGE_TIMEOUT).await;
         let page = match response {
-            Ok((200, body)) => decode_page(&body).map_err(|error| error.to_string())?,
-            Ok((status, _)) => return Err(format!("page {page_number} has HTTP status {status}")),
-            Err(error) => return Err(error.to_string()),
+            Ok((200, body)) => decode_page(&body)
+                .map_err(|error| ReadError::new("undecodable", page_number, error))?,
+            Ok((status, _)) => {
+                return Err(ReadError::new("status", page_number, format!("HTTP status {status}")));
+            }
+            Err(error) => return Err(ReadError::new("no_response", page_number, error)),
         };
         reading.add(ListReading {
             upstreams: page.upstreams,
--- a/src/runtime/control_node/list_reader.rs
+++ b/src/runtime/control_node/list_reader.rs
@@ -9,7 +9,7 @@
     ControlNodeState,
     calls::{current_policy, leader, submit_local},
     list_entries::PassedOverEntries,
-    list_pages::PageReader,
+    list_pages::{PageReader, ReadError},
     lock,
     peers::address_of,
 };
@@ -118,6 +118,24 @@
     submit_local(state, SubmitRequest::Command(Command::Place(change))).await;
 }
 
+/// Logs and counts a reading that failed, with the age of the list that stays in use.
+fn report_unread(state: &ControlNodeState, ReadError { reason, message }: &ReadError) {
+    state.list_counters.failed_readings.with_label_values(&[reason]).inc();
+    match lock(&state.list).read_at() {
+        Some(read_at) => {
+            let list_age_ms = state.clock.now().saturating_sub(read_at).as_millis() as u64;
+            let error = message;
+            warn!(
+                error,
+                reason, list_age_ms, "can't read the list of upstreams; keeping the last one"
+            );
+        }
+        None => {
+            warn!(error = message, reason, "can't read the list of upstreams; there is no last one")
+        }
+    }
+}
+
 /// Reads the list from the platform and replaces the current one.
 async fn read_from_platform(
     state: &ControlNodeState,
@@ -127,10 +145,7 @@
     let started_at = state.clock.now();
     let mut reading = match reader.read().await {
         Ok(reading) => reading,
-        Err(error) => {
-            warn!(error, "can't read the list of upstreams; keeping the last one");
-            return;
-        }
+        Err(error) => return report_unread(state, &error),
     };
     let entries = std::mem::take(&mut reading.upstreams);
     let policy = match has_repeated_ids(&entries) {
--- a/src/runtime/control_node/metrics.rs
+++ b/src/runtime/control_node/metrics.rs
@@ -7,6 +7,7 @@
 use super::{
     ControlNodeState,
     calls::{current_policy, voter_count},
+    list_pages::ReadError,
     lock,
 };
 use crate::runtime::{
@@ -88,6 +89,8 @@
     registry: Registry,
     /// Entries that were passed over, by reason.
     pub(super) passed_over: IntCounterVec,
+    /// Readings of the list that failed, by reason.
+    pub(super) failed_readings: IntCounterVec,
 }
 
 impl ListCounters {
@@ -106,6 +109,14 @@
         for reason in ["undecodable", "repeated_id"] {
             passed_over.with_label_values(&[reason]);
         }
-        Ok(Self { registry, passed_over })
+        let failed_readings = IntCounterVec::new(
+            opts("failed_list_readings_total", "Readings of the list that failed, by reason."),
+            &["reason"],
+        );
+        let failed_readings = register_metric(&registry, failed_readings)?;
+        for reason in ReadError::REASONS {
+            failed_readings.with_label_values(&[reason]);
+        }
+        Ok(Self { registry, passed_over, failed_readings })
     }
 }
--- a/tests/it/platform.rs
+++ b/tests/it/platform.rs
@@ -82,6 +82,33 @@
     assert!(accepted.is_empty(), "taken for entries of upstreams: {accepted:#?}");
 }
 
+/// One entry with bytes that are no UTF-8 made the whole list unreadable, so that a draining
+/// upstream got requests and nothing was served after a restart (review/2).
+#[test]
+fn an_entry_that_is_no_text_or_no_json_does_not_hide_the_others() {
+    let (first, last) = (sound(1, ""), sound(2, ""));
+    let odd_entries: [&[u8]; 9] = [
+        b"{\"service\":\"\xff\xfe\x80\",\"addr\":\"\xc3\x28\",\"zone\":\"a\",\"id\":\"\xa0\xa1\",\"slots\":4}",
+        b"{\"id\": \"i-9\", \"more\": \"\xed\xa0\x80 \\\" ]},\"}",
+        b"\xff\xfe\x80",
+        b"{\"id\": \"i-9\", \"slots\": nine}",
+        b"{\"id\": \"i-9\", \"slots\": }",
+        b"{\"id\": \"line\nbreak\", \"\x00\": 1}",
+        b"{\"id\": \"\\ud800\"}",
+        b"{\"instances\": [], \"next_token\": \"p-9\"}",
+        b"",
+    ];
+    for odd in odd_entries {
+        for order in [[0, 1, 2], [1, 0, 2], [0, 2, 1]] {
+            let entries = [first.as_bytes(), odd, last.as_bytes()];
+            let (mut ids, findings) = decode_entries(&order.map(|index: usize| entries[index]));
+            ids.sort();
+            let text = String::from_utf8_lossy(odd);
+            assert_eq!((ids, findings), (vec!["i-1".into(), "i-2".into()], 1), "{text}");
+        }
+    }
+}
+
 /// One odd entry of another writer made the whole list unreadable, so that it was followed no more.
 #[test]
 fn a_list_is_read_whatever_one_entry_holds() {
@@ -111,7 +138,24 @@
 
 #[test]
 fn a_truncated_list_is_refused() {
-    assert!(listing::decode_page(br#"{"instances": [{"id": "i-1""#).is_err());
+    let page =
+        format!(r#"{{"instances": [{}, {}], "next_token": "p"}}"#, sound(1, ""), sound(2, ""));
+    for end in 0..page.len() {
+        assert!(listing::decode_page(&page.as_bytes()[..end]).is_err(), "truncated at byte {end}");
+    }
+    let others: [&[u8]; 7] = [
+        b"{\"instances\": []} {",
+        b"{\"instances\": [], \"instances\": []}",
+        b"{\"instances\": [], \"next_token\": null, \"next_token\": null}",
+        b"{\"instances\": {}}",
+        b"{\"next_token\": null}",
+        b"{\"instances\": [], \"next_token\": 7}",
+        b"{\"instances\": [], \"next_token\": \"\xff\"}",
+    ];
+    for other in others {
+        let text = String::from_utf8_lossy(other);
+        assert!(listing::decode_page(other).is_err(), "{text}");
+    }
 }
 
 const SERVICE: &str = r#"{"type": "services", "meta": {"name": "s"}, "spec":
