--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -13,6 +13,7 @@
 mod notices;
 mod placement;
 mod platform;
+mod platform_fuzz;
 mod replication;
 mod roster;
 mod routing;
