--- a/src/runtime/replica/mod.rs
+++ b/src/runtime/replica/mod.rs
@@ -1,38 +1,43 @@
 //! Runs a control replica as one actor, which holds the replicated log, the control state and, on
 //! the leader, the instances' sessions.
 
+mod compact;
 mod disk;
+mod flush;
 mod handlers;
 mod join;
 mod pending;
 mod queries;
+mod setup;
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 use tokio::sync::{oneshot, watch};
-use tracing::{error, info};
+use tracing::info;
 use xtra::prelude::*;
 
-pub(super) use self::handlers::{
-    CatchUp, CurrentPolicy, Deliver, GetEvacuationOrders, GetPolicyUpdate, PolicyUpdateReply,
-    Probe, Query, Submit, Subscribe, Tick, Watch,
+use self::disk::DiskWriter;
+pub(super) use self::{
+    handlers::{
+        CatchUp, CurrentPolicy, Deliver, GetEvacuationOrders, GetPolicyUpdate, PolicyUpdateReply,
+        Probe, Query, Submit, Subscribe, Tick, Watch,
+    },
+    setup::ReplicaSetup,
 };
-use self::{disk::DiskWriter, handlers::Flush};
 use super::{clock::Clock, metrics::InstanceMetrics, peers::Peers};
 use crate::{
     core::{
         control::{
-            Command, ControlLimits, ControlState, InitialPolicy, InstanceName, Outcome, PlanInputs,
-            Sessions, SessionsConfig, Topology, Version, plan,
+            Command, ControlState, InstanceName, PlanInputs, Sessions, SessionsConfig, Version,
+            plan,
         },
         replication::{
-            DurableState, Entry, Envelope, Input, LogIndex, Outputs, Payload, RaftNode, ReplyTimes,
-            RoundTimes, Snapshot, Term, Timers, TimersConfig,
+            DurableState, Input, LogIndex, RaftNode, ReplyTimes, RoundTimes, Snapshot, Term,
+            Timers, TimersConfig,
         },
-        suspects::CRASH_RETENTION,
     },
-    net::wire::{QueryReply, QueryRequest, SubmitReply, WatchReply, WatchRequest, decode, encode},
-    settings::{Settings, Timing},
+    net::wire::{QueryReply, QueryRequest, SubmitReply, WatchReply, WatchRequest, decode},
+    settings::Timing,
     storage::Store,
 };
 
@@ -67,61 +72,6 @@
     failure: Option<oneshot::Sender<()>>,
 }
 
-/// Holds the configuration of a replica, which is the same for all replicas.
-#[derive(Clone, Debug)]
-pub(super) struct ReplicaSetup {
-    /// Durations and intervals from the settings.
-    pub(super) timing: Timing,
-    /// The regions, services and upstreams in the settings.
-    pub(super) topology: Arc<Topology>,
-    /// The policy of a new deployment, if the settings have one.
-    pub(super) initial_policy: Option<InitialPolicy>,
-    /// How long a member may not reply before the leader may remove it; `None` to keep all
-    /// members, for replicas that don't ask to join again.
-    pub(super) silent_member_timeout: Option<Duration>,
-    /// The limits of the control state.
-    pub(super) limits: ControlLimits,
-}
-
-impl ReplicaSetup {
-    /// Creates the setup from the settings of a whole deployment.
-    pub(super) fn new(settings: &Settings) -> Self {
-        Self {
-            timing: settings.timing,
-            topology: Arc::new(settings.topology.clone()),
-            initial_policy: Some(settings.initial_policy()),
-            silent_member_timeout: None,
-            limits: ControlLimits::default(),
-        }
-    }
-
-    /// Creates a setup without a topology or an initial policy, for instances whose settings don't
-    /// describe the other instances.
-    pub(super) fn with_timing(timing: Timing) -> Self {
-        let topology = Topology { suspect_retention: CRASH_RETENTION, ..Topology::default() };
-        Self {
-            timing,
-            topology: Arc::new(topology),
-            initial_policy: None,
-            silent_member_timeout: None,
-            limits: ControlLimits::default(),
-        }
-    }
-
-    /// Returns the setup with another limit on the encoded length of the deltas that are kept.
-    pub(super) fn with_deltas_max_bytes(mut self, max_bytes: usize) -> Self {
-        self.limits.deltas_max_bytes = max_bytes;
-        self
-    }
-
-    /// Returns the setup with a timeout after which the leader may remove a member that does
-    /// not reply. A replica that is removed has to ask to join again.
-    pub(super) fn with_silent_member_timeout(mut self, timeout: Duration) -> Self {
-        self.silent_member_timeout = Some(timeout);
-        self
-    }
-}
-
 /// Holds the state that a replica has only while it leads.
 struct Leadership {
     sessions: Sessions,
@@ -154,12 +104,6 @@
 
 /// The interval between two [`Tick`]s.
 pub(super) const TICK_INTERVAL: Duration = Duration::from_millis(20);
-/// The number of log entries at which a snapshot is always taken.
-const COMPACT_ENTRIES_MAX: usize = 100_000;
-/// The number of log entries up to which no snapshot is taken, however long the log is.
-const COMPACT_ENTRIES_MIN: usize = 200;
-/// The log length in bytes up to which its length alone causes no snapshot.
-const COMPACT_BYTES_MIN: u64 = 4 * 1024 * 1024;
 /// The timeout of a query, which waits for a quorum to confirm the leadership.
 const QUERY_TIMEOUT: Duration = Duration::from_secs(3);
 /// The interval at which a new commit index is made durable.
@@ -218,133 +162,6 @@
         committed_entries.into_iter().for_each(|entry| self.apply_entry(entry));
     }
 
-    /// Queues an input. All inputs in the mailbox by the next [`Flush`] are processed together,
-    /// with one sync to disk.
-    fn queue(
-        &mut self,
-        input: Input<Command>,
-        reply: Option<oneshot::Sender<SubmitReply>>,
-        ctx: &Context<Self>,
-    ) {
-        self.inputs.push((input, reply));
-        if self.flush_queued {
-            return;
-        }
-        self.flush_queued = true;
-        if let Some(address) = ctx.mailbox().address().try_upgrade() {
-            tokio::spawn(async move { address.send(Flush).await.ok() });
-        }
-    }
-
-    /// Processes the queued inputs, and the inputs that result from them.
-    async fn flush(&mut self, ctx: &mut Context<Self>) {
-        self.flush_queued = false;
-        while !self.inputs.is_empty() && self.failure.is_some() {
-            self.flush_once(ctx).await;
-            self.compact_if_needed();
-        }
-    }
-
-    async fn flush_once(&mut self, ctx: &mut Context<Self>) {
-        let mut merged_outputs = Outputs::default();
-        for (input, reply) in std::mem::take(&mut self.inputs) {
-            let outputs = self.node.step(input);
-            self.record_proposal(&outputs, reply);
-            self.record_rounds();
-            self.timers.update(&self.node, &outputs, self.clock.now());
-            merge(&mut merged_outputs, outputs);
-        }
-        if let Err(error) = self.disk.save(&mut merged_outputs, self.node.durable()).await {
-            error!(%error, "could not write to the data folder; this replica stops");
-            return self.fail(ctx);
-        }
-        let is_current = merged_outputs.is_current;
-        for message in std::mem::take(&mut merged_outputs.messages) {
-            self.send(message);
-        }
-        self.apply(merged_outputs, ctx);
-        self.update_role();
-        if is_current {
-            self.follower_current_at = Some(self.clock.now());
-        }
-        self.reply_to_pending();
-        self.notify_applied();
-    }
-
-    fn send(&self, message: Envelope<Command>) {
-        if let Some(member) = self.node.members().get(message.to) {
-            return self.peers.send(&member.instance, message);
-        }
-        // The receiver is not a member yet, or no longer, but still gets its reply.
-        self.peers.broadcast(message);
-    }
-
-    fn record_proposal(
-        &mut self,
-        outputs: &Outputs<Command>,
-        reply: Option<oneshot::Sender<SubmitReply>>,
-    ) {
-        let Some(reply) = reply else { return };
-        match outputs.proposed {
-            Some((index, term)) => {
-                self.pending_submits.insert(index, (term, reply));
-            }
-            None => {
-                reply.send(SubmitReply::NotLeader { leader: self.leader_name() }).ok();
-            }
-        }
-    }
-
-    fn record_rounds(&mut self) {
-        if let (Some(leadership), Some((latest, confirmed))) =
-            (&mut self.leadership, self.node.rounds())
-        {
-            leadership.round_times.record(latest, confirmed, self.clock.now());
-        }
-    }
-
-    /// Stops the replica and signals its failure.
-    fn fail(&mut self, ctx: &mut Context<Self>) {
-        ctx.stop_self();
-        self.failure.take().map(|failure| failure.send(()).ok());
-    }
-
-    fn apply(&mut self, outputs: Outputs<Command>, ctx: &mut Context<Self>) {
-        if let Some(snapshot) = outputs.restore {
-            match decode_state(&snapshot) {
-                Ok(state) => self.state = state,
-                Err(error) => {
-                    error!(%error, "could not decode a snapshot; this replica stops");
-                    return self.fail(ctx);
-                }
-            }
-        }
-        for entry in outputs.committed {
-            self.apply_entry(entry);
-        }
-    }
-
-    fn apply_entry(&mut self, entry: Entry<Command>) {
-        let outcome = match entry.payload {
-            Payload::Command(command) => {
-                if let (Command::Shift { .. }, Some(leadership)) = (&command, &mut self.leadership)
-                {
-                    leadership.last_shift_at = self.clock.now();
-                }
-                self.state.apply(command, &self.setup.topology, &self.setup.limits)
-            }
-            Payload::Noop | Payload::Members(_) => Outcome::Done,
-        };
-        if let Some((term, reply)) = self.pending_submits.remove(&entry.index) {
-            let submit_reply = if term == entry.term {
-                SubmitReply::Committed(outcome)
-            } else {
-                SubmitReply::Unknown
-            };
-            reply.send(submit_reply).ok();
-        }
-    }
-
     /// Begins or ends the leadership when the role of the node has changed.
     fn update_role(&mut self) {
         let is_leader = self.node.is_leader();
@@ -375,22 +192,6 @@
         self.metrics.leads.set(i64::from(is_leader));
     }
 
-    fn compact_if_needed(&mut self) {
-        let durable = self.node.durable();
-        let applied_index = self.node.commit_index();
-        let entries = applied_index.saturating_sub(durable.snapshot.index) as usize;
-        // The cost of a snapshot grows with the size of the state, so the log may grow to the size
-        // of the last snapshot before it is compacted.
-        let bytes_max = COMPACT_BYTES_MIN.max(durable.snapshot.data.len() as u64);
-        let is_long = self.disk.log_bytes() > bytes_max && entries > COMPACT_ENTRIES_MIN;
-        if entries < COMPACT_ENTRIES_MAX && !is_long {
-            return;
-        }
-        if let Ok(data) = encode(&self.state) {
-            self.inputs.push((Input::Compact { index: applied_index, data }, None));
-        }
-    }
-
     /// Returns how long ago this replica's state was last known to be current, or `None` if it
     /// never was.
     fn staleness(&self) -> Option<Duration> {
@@ -474,20 +275,3 @@
     }
     decode(&snapshot.data)
 }
-
-fn merge(into: &mut Outputs<Command>, outputs: Outputs<Command>) {
-    into.ballot = outputs.ballot.or(into.ballot);
-    // Saving a snapshot rewrites the log as it is after the last step, so the entries merged so
-    // far need not be written again.
-    into.snapshot = outputs.snapshot.or(into.snapshot.take());
-    into.entries.extend(outputs.entries);
-    into.messages.extend(outputs.messages);
-    if outputs.restore.is_some() {
-        into.restore = outputs.restore;
-        into.committed.clear();
-    }
-    into.committed.extend(outputs.committed);
-    into.reset_election_timeout |= outputs.reset_election_timeout;
-    into.is_current |= outputs.is_current;
-    into.commit_index = outputs.commit_index.or(into.commit_index);
-}
