Compact the replicated log by its bytes

Operators saw all control processes pass their memory after some 175 changes of a configuration of 3,812 routes, end, and pass it again at each start as they read their log back: no change was acknowledged and no read answered any more.

At the start, the committed entries were also copied as a whole before they were applied.

At the start, entries are applied one by one.

--- /dev/null
+++ b/src/core/replication/budget.rs
@@ -0,0 +1,50 @@
+//! Limits the bytes that the replicated state takes in memory and on the disk.
+
+/// Limits the bytes that the replicated log, its messages and its snapshots take.
+///
+/// All sizes are those of the encoded form. An entry that holds a configuration takes two to three
+/// times as much in memory.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StateBudget {
+    /// The length of the log file from which on the log is replaced by a snapshot, unless the last
+    /// snapshot is longer.
+    pub log_bytes: u64,
+    /// The length of the log file from which on the log is always replaced by a snapshot.
+    pub log_max_bytes: u64,
+}
+
+/// The part of the memory that the log may take: 1 of this many.
+const LOG_IN_MEMORY: u64 = 32;
+/// The part of the disk that the log may take: 1 of this many. While a log and a snapshot are
+/// replaced, the disk holds two of each.
+const LOG_ON_DISK: u64 = 16;
+/// The default of [`StateBudget::log_bytes`].
+const LOG_BYTES: u64 = 4 * 1024 * 1024;
+
+impl Default for StateBudget {
+    fn default() -> Self {
+        Self { log_bytes: LOG_BYTES, log_max_bytes: u64::MAX }
+    }
+}
+
+impl StateBudget {
+    /// Creates the budget of a process with this much memory and disk space; 0 if the disk space
+    /// is not limited.
+    pub fn new(memory_bytes: u64, disk_bytes: u64) -> Self {
+        let mut log_max_bytes = memory_bytes / LOG_IN_MEMORY;
+        if disk_bytes > 0 {
+            log_max_bytes = log_max_bytes.min(disk_bytes / LOG_ON_DISK);
+        }
+        Self { log_bytes: LOG_BYTES.min(log_max_bytes), log_max_bytes }
+    }
+
+    /// Returns whether the log is to be replaced by a snapshot. `log_bytes` is the number of bytes
+    /// that were appended to the log file since it was last replaced, `snapshot_bytes` the size
+    /// of the last snapshot.
+    ///
+    /// The cost of a snapshot grows with the size of the state, so the log may grow to the size
+    /// of the last snapshot before it is replaced.
+    pub fn needs_compaction(&self, log_bytes: u64, snapshot_bytes: u64) -> bool {
+        log_bytes > self.log_bytes.max(snapshot_bytes).min(self.log_max_bytes)
+    }
+}
--- a/src/core/replication/mod.rs
+++ b/src/core/replication/mod.rs
@@ -5,6 +5,7 @@
 //! before it sends messages. [`Timers`] generates the timeout
 //! inputs.
 
+mod budget;
 mod leader;
 mod log;
 mod members;
@@ -17,6 +18,7 @@
 mod vote;
 
 pub use self::{
+    budget::StateBudget,
     leader::LeaderState,
     log::{Ballot, DurableState, Entry, Payload, Snapshot},
     members::{Member, Members, MembersError},
--- a/src/runtime/control_node/mod.rs
+++ b/src/runtime/control_node/mod.rs
@@ -273,7 +273,8 @@
         let peers = peers::peers(self.clone());
         let setup = ReplicaSetup::with_timing(TIMING)
             .with_silent_member_timeout(SILENT_MEMBER_TIMEOUT)
-            .with_deltas_max_bytes(self.settings.deltas_max_bytes());
+            .with_deltas_max_bytes(self.settings.deltas_max_bytes())
+            .with_budget(self.settings.state_budget());
         let (clock, metrics) = (self.clock, self.metrics.clone());
         let replica = Replica::new(setup, clock, metrics, store, durable, peers, failure_sender)
             .map_err(NodeError::State)?;
--- a/src/runtime/replica/disk.rs
+++ b/src/runtime/replica/disk.rs
@@ -17,6 +17,8 @@
 pub(super) struct DiskWriter {
     replica: ReplicaId,
     log_bytes: u64,
+    /// The length of the log when it was last rewritten, or 0 if it was not since the start.
+    rewritten_log_bytes: u64,
     jobs: mpsc::Sender<Job>,
 }
 
@@ -32,7 +34,7 @@
         let (jobs, receiver) = mpsc::channel();
         let (replica, log_bytes) = (store.identity().replica, store.log_bytes());
         thread::spawn(move || run_writer(store, &receiver));
-        Self { replica, log_bytes, jobs }
+        Self { replica, log_bytes, rewritten_log_bytes: 0, jobs }
     }
 
     /// Returns the replica's id.
@@ -45,6 +47,12 @@
         self.log_bytes
     }
 
+    /// Returns the number of bytes that were appended to the log since it was last rewritten; its
+    /// whole length if it was not since the start.
+    pub(super) fn appended_bytes(&self) -> u64 {
+        self.log_bytes.saturating_sub(self.rewritten_log_bytes)
+    }
+
     /// Writes the durable part of a step's outputs and removes it from `outputs`. `durable` is the
     /// state after the step.
     ///
@@ -66,6 +74,7 @@
         if durable_part == Outputs::default() {
             return Ok(());
         }
+        let is_rewritten = durable_part.snapshot.is_some();
         // The whole state is written only with a snapshot.
         let durable = match &durable_part.snapshot {
             Some(_) => durable.clone(),
@@ -75,6 +84,9 @@
         self.jobs.send(Job { outputs: durable_part, durable, result_sender }).ok();
         self.log_bytes =
             result_receiver.await.unwrap_or_else(|_| Err(StoreError::earlier_failure()))?;
+        if is_rewritten {
+            self.rewritten_log_bytes = self.log_bytes;
+        }
         Ok(())
     }
 }
--- a/src/runtime/replica/mod.rs
+++ b/src/runtime/replica/mod.rs
@@ -156,10 +156,11 @@
 
     /// Applies the entries that were known to be committed before the process started.
     fn apply_committed(&mut self) {
-        let durable = self.node.durable();
-        let count = self.node.commit_index().saturating_sub(durable.snapshot.index);
-        let committed_entries = durable.slice(durable.snapshot.index + 1, count as usize).to_vec();
-        committed_entries.into_iter().for_each(|entry| self.apply_entry(entry));
+        let first_index = self.node.durable().snapshot.index + 1;
+        for index in first_index..=self.node.commit_index() {
+            let entry = self.node.durable().get(index).cloned();
+            entry.into_iter().for_each(|entry| self.apply_entry(entry));
+        }
     }
 
     /// Begins or ends the leadership when the role of the node has changed.
--- a/src/runtime/replica/setup.rs
+++ b/src/runtime/replica/setup.rs
@@ -5,6 +5,7 @@
 use crate::{
     core::{
         control::{ControlLimits, InitialPolicy, Topology},
+        replication::StateBudget,
         suspects::CRASH_RETENTION,
     },
     settings::{Settings, Timing},
@@ -24,6 +25,8 @@
     pub(in crate::runtime) silent_member_timeout: Option<Duration>,
     /// The limits of the control state.
     pub(in crate::runtime) limits: ControlLimits,
+    /// The limits on the size of the log.
+    pub(in crate::runtime) budget: StateBudget,
 }
 
 impl ReplicaSetup {
@@ -35,6 +38,7 @@
             initial_policy: Some(settings.initial_policy()),
             silent_member_timeout: None,
             limits: ControlLimits::default(),
+            budget: StateBudget::default(),
         }
     }
 
@@ -48,6 +52,7 @@
             initial_policy: None,
             silent_member_timeout: None,
             limits: ControlLimits::default(),
+            budget: StateBudget::default(),
         }
     }
 
@@ -63,4 +68,10 @@
         self.silent_member_timeout = Some(timeout);
         self
     }
+
+    /// Returns the setup with other limits on the size of the log.
+    pub(in crate::runtime) fn with_budget(mut self, budget: StateBudget) -> Self {
+        self.budget = budget;
+        self
+    }
 }
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -8,7 +8,10 @@
     time::Duration,
 };
 
-use crate::core::control::{InstanceName, RegionName, ZoneName};
+use crate::core::{
+    control::{InstanceName, RegionName, ZoneName},
+    replication::StateBudget,
+};
 
 /// Represents the settings of one process.
 #[derive(Clone, Debug, PartialEq)]
@@ -221,6 +224,12 @@
         (self.resources.memory_mib * 1024 * 1024 / MESSAGES_MEMORY_PART) as usize
     }
 
+    /// Returns the limits on the size of the replicated state.
+    pub fn state_budget(&self) -> StateBudget {
+        let mib = 1024 * 1024;
+        StateBudget::new(self.resources.memory_mib * mib, self.resources.disk_mib * mib)
+    }
+
     /// Returns the bandwidth of the instance's own network link in bytes per second; 0 if it
     /// is not limited.
     pub fn link_bytes_per_s(&self) -> f64 {
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -163,12 +163,21 @@
 
     /// Sends a configuration to the replicas in turn until one acknowledges it.
     pub(super) async fn configure(&self, version: &str, prefix: &str) {
-        let body = configuration(version, prefix);
+        self.put_configuration(version, &configuration(version, prefix)).await;
+    }
+
+    /// Sends this configuration to the replicas in turn until one acknowledges it.
+    pub(super) async fn put_configuration(&self, version: &str, body: &str) {
         let started_at = Instant::now();
         for attempt in 0.. {
             let url = format!("http://{}:8146/api/config", self.ip(self.seeds[attempt % 3]));
-            let result =
-                self.http.put(url).body(body.clone()).timeout(Duration::from_secs(3)).send().await;
+            let result = self
+                .http
+                .put(url)
+                .body(body.to_owned())
+                .timeout(Duration::from_secs(3))
+                .send()
+                .await;
             if result.is_ok_and(|response| response.status().is_success()) {
                 return;
             }
@@ -231,6 +240,11 @@
         }
     }
 
+    /// Returns the length of a control replica's log file, in bytes.
+    pub(super) fn log_file_bytes(&self, control: &str) -> u64 {
+        fs::metadata(self.folder.join(control).join("log")).unwrap().len()
+    }
+
     /// Waits until a control replica counts this many voters.
     pub(super) async fn wait_for_voters(&self, control: &str, count: usize) {
         let url = format!("http://{}:9464/metrics", self.ip(control));
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -12,6 +12,7 @@
 mod follow;
 mod guide;
 mod hand_over;
+mod large_configurations;
 mod late_refusals;
 mod late_requests;
 mod limits;
