--- a/src/core/replication/budget.rs
+++ b/src/core/replication/budget.rs
@@ -1,5 +1,7 @@
 //! Limits the bytes that the replicated state takes in memory and on the disk.
 
+use super::MessageLimits;
+
 /// Limits the bytes that the replicated log, its messages and its snapshots take.
 ///
 /// All sizes are those of the encoded form. An entry that holds a configuration takes two to three
@@ -11,6 +13,8 @@
     pub log_bytes: u64,
     /// The length of the log file from which on the log is always replaced by a snapshot.
     pub log_max_bytes: u64,
+    /// The limits on messages.
+    pub messages: MessageLimits,
 }
 
 /// The part of the memory that the log may take: 1 of this many.
@@ -18,12 +22,21 @@
 /// The part of the disk that the log may take: 1 of this many. While a log and a snapshot are
 /// replaced, the disk holds two of each.
 const LOG_ON_DISK: u64 = 16;
+/// The part of the memory that the windows of all replicas together may take: 1 of this many. The
+/// sender holds what is in a window up to four times: as entries, and encoded in a call, a frame
+/// and the buffer of the connection.
+const WINDOWS_IN_MEMORY: u64 = 64;
+/// How many times a second the instance's own link can carry all windows. A call that takes more
+/// than 1.2 s is given up.
+const WINDOWS_PER_S: u64 = 2;
+/// The size of a window that is not reduced any further, in bytes.
+const WINDOW_MIN_BYTES: u64 = 64 * 1024;
 /// The default of [`StateBudget::log_bytes`].
 const LOG_BYTES: u64 = 4 * 1024 * 1024;
 
 impl Default for StateBudget {
     fn default() -> Self {
-        Self { log_bytes: LOG_BYTES, log_max_bytes: u64::MAX }
+        Self { log_bytes: LOG_BYTES, log_max_bytes: u64::MAX, messages: MessageLimits::default() }
     }
 }
 
@@ -35,7 +48,25 @@
         if disk_bytes > 0 {
             log_max_bytes = log_max_bytes.min(disk_bytes / LOG_ON_DISK);
         }
-        Self { log_bytes: LOG_BYTES.min(log_max_bytes), log_max_bytes }
+        let messages = MessageLimits {
+            windows_bytes: memory_bytes / WINDOWS_IN_MEMORY,
+            ..MessageLimits::default()
+        };
+        Self { log_bytes: LOG_BYTES.min(log_max_bytes), log_max_bytes, messages }
+    }
+
+    /// Returns the budget for an instance with this bandwidth in bytes per second; 0 if it is not
+    /// limited.
+    pub fn with_link(mut self, bytes_per_s: f64) -> Self {
+        let messages = &mut self.messages;
+        if bytes_per_s > 0.0 {
+            let windows_bytes = bytes_per_s as u64 / WINDOWS_PER_S;
+            messages.windows_bytes = messages.windows_bytes.min(windows_bytes);
+        }
+        messages.windows_bytes = messages.windows_bytes.max(WINDOW_MIN_BYTES);
+        messages.window_bytes = messages.window_bytes.min(messages.windows_bytes);
+        messages.chunk_bytes = messages.chunk_bytes.min(messages.window_bytes as usize);
+        self
     }
 
     /// Returns whether the log is to be replaced by a snapshot. `log_bytes` is the number of bytes
--- a/src/core/replication/leader.rs
+++ b/src/core/replication/leader.rs
@@ -3,9 +3,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use serde::Serialize;
+
 use super::{
     Entry, LogIndex, Members, Message, Outputs, Payload, ProposalError, RaftNode, ReplicaId, Role,
-    Round,
+    Round, encoded_bytes,
+    progress::{Install, Progress},
 };
 
 /// Holds a leader's state about the other members.
@@ -17,22 +20,6 @@
     recently_active: BTreeSet<ReplicaId>,
 }
 
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-struct Progress {
-    next_index: LogIndex,
-    match_index: LogIndex,
-    last_acked_round: Round,
-    /// The index of the snapshot that is being sent, if any, and the byte offset
-    /// of the next chunk.
-    install: Option<(LogIndex, u64)>,
-}
-
-impl Progress {
-    fn new(last_index: LogIndex) -> Self {
-        Self { next_index: last_index + 1, match_index: 0, last_acked_round: 0, install: None }
-    }
-}
-
 impl LeaderState {
     pub(super) fn new(other_members: Vec<ReplicaId>, last_index: LogIndex) -> Self {
         let progress =
@@ -56,6 +43,12 @@
         self.progress.get(&id).map_or(0, |progress| progress.match_index)
     }
 
+    /// Returns the encoded size of the entries that were sent to all replicas together and are not
+    /// acknowledged.
+    pub fn in_flight_bytes(&self) -> u64 {
+        self.progress.values().map(Progress::in_flight_bytes).sum()
+    }
+
     fn record_reply(&mut self, from: ReplicaId, round: Round) -> Option<&mut Progress> {
         self.recently_active.insert(from);
         let progress = self.progress.get_mut(&from)?;
@@ -71,7 +64,7 @@
     }
 }
 
-impl<C: Clone> RaftNode<C> {
+impl<C: Clone + Serialize> RaftNode<C> {
     pub(super) fn heartbeat(&mut self, out: &mut Outputs<C>) {
         let Role::Leader(leader_state) = &mut self.role else { return };
         leader_state.round += 1;
@@ -127,10 +120,12 @@
         }
     }
 
-    /// Sends a replica the entries it lacks, or a chunk of the snapshot if they
-    /// are no longer in the log.
+    /// Sends a replica the entries that it lacks, as far as its window has room for them, or a
+    /// chunk of the snapshot if they are no longer in the log. Without room, the message is a
+    /// heartbeat; its reply shows whether the entries before it have arrived.
     pub(super) fn send_log(&mut self, to: ReplicaId, out: &mut Outputs<C>) {
         let Role::Leader(leader_state) = &mut self.role else { return };
+        let window_bytes = self.limits.window_bytes_of_each(leader_state.progress.len());
         let round = leader_state.round;
         let Some(progress) = leader_state.progress.get_mut(&to) else { return };
         let prev_index = progress.next_index - 1;
@@ -138,33 +133,42 @@
             return self.send_snapshot_chunk(to, out);
         };
         progress.install = None;
-        let entries = self.durable.slice(progress.next_index, self.limits.entries_max).to_vec();
-        progress.next_index += entries.len() as u64;
+        let entries = self.durable.slice(progress.next_index, self.limits.entries_max);
+        let (count, bytes) = entries_in_window(entries, window_bytes, progress.in_flight_bytes());
+        let entries = entries[..count].to_vec();
+        if count > 0 {
+            progress.record_sent(progress.next_index + count as u64, bytes);
+        }
         let commit = self.commit_index;
         let append = Message::Append { prev_index, prev_term, entries, commit, round };
         self.send(to, append, out);
     }
 
+    /// Sends a replica the next chunk of the snapshot or, while that is on its way, an empty one:
+    /// a heartbeat, whose reply shows whether the chunk has arrived.
     fn send_snapshot_chunk(&mut self, to: ReplicaId, out: &mut Outputs<C>) {
         let chunk_bytes = self.limits.chunk_bytes;
         let Role::Leader(leader_state) = &mut self.role else { return };
         let round = leader_state.round;
         let Some(progress) = leader_state.progress.get_mut(&to) else { return };
         let snapshot = &self.durable.snapshot;
-        let offset = match progress.install {
-            Some((index, offset)) if index == snapshot.index => offset,
-            _ => 0,
+        let current = progress.install.filter(|install| install.index == snapshot.index);
+        let install =
+            current.unwrap_or(Install { index: snapshot.index, offset: 0, sent_in: None });
+        let is_on_its_way = install.sent_in.is_some();
+        progress.install = Some(Install { sent_in: install.sent_in.or(Some(round)), ..install });
+        let start = usize::try_from(install.offset).unwrap_or(usize::MAX).min(snapshot.data.len());
+        let end = match is_on_its_way {
+            true => start,
+            false => (start + chunk_bytes).min(snapshot.data.len()),
         };
-        progress.install = Some((snapshot.index, offset));
-        let start = usize::try_from(offset).unwrap_or(usize::MAX).min(snapshot.data.len());
-        let end = (start + chunk_bytes).min(snapshot.data.len());
         let chunk = Message::Install {
             index: snapshot.index,
             snapshot_term: snapshot.term,
             members: snapshot.members.clone(),
             offset: start as u64,
             data: snapshot.data[start..end].to_vec(),
-            done: end == snapshot.data.len(),
+            done: !is_on_its_way && end == snapshot.data.len(),
             round,
         };
         self.send(to, chunk, out);
@@ -180,11 +184,8 @@
     ) {
         let Role::Leader(leader_state) = &mut self.role else { return };
         let Some(progress) = leader_state.record_reply(from, round) else { return };
-        let has_progressed = progress.install.is_some_and(|(current_index, current_offset)| {
-            current_index == index && offset != current_offset
-        });
-        if has_progressed {
-            progress.install = Some((index, offset));
+        let current = progress.install.as_mut().filter(|install| install.index == index);
+        if current.is_some_and(|install| install.handle_request(offset, round)) {
             self.send_snapshot_chunk(from, out);
         }
     }
@@ -199,8 +200,7 @@
         let last_index = self.durable.last_index();
         let Role::Leader(leader_state) = &mut self.role else { return };
         let Some(progress) = leader_state.record_reply(from, round) else { return };
-        progress.match_index = progress.match_index.max(matched);
-        progress.next_index = progress.next_index.max(matched + 1);
+        progress.record_match(matched);
         let is_behind = progress.next_index <= last_index;
         self.advance_commit(out);
         if is_behind {
@@ -216,12 +216,10 @@
         out: &mut Outputs<C>,
     ) {
         let Role::Leader(leader_state) = &mut self.role else { return };
+        let leader_round = leader_state.round;
         let Some(progress) = leader_state.record_reply(from, round) else { return };
         let next_index = last_index.max(progress.match_index) + 1;
-        // A conflict reply that arrives late must not cause the same entries to be
-        // sent repeatedly.
-        if next_index < progress.next_index {
-            progress.next_index = next_index;
+        if progress.rewind(next_index, round, leader_round) {
             self.send_log(from, out);
         }
     }
@@ -248,3 +246,25 @@
         }
     }
 }
+
+/// Returns how many of the entries fit into a window of which `in_flight_bytes` are taken, and
+/// their encoded size. The first one always fits into an empty window.
+fn entries_in_window<C: Serialize>(
+    entries: &[Entry<C>],
+    window_bytes: u64,
+    in_flight_bytes: u64,
+) -> (usize, u64) {
+    let (mut count, mut bytes) = (0, 0);
+    for entry in entries {
+        if in_flight_bytes + bytes >= window_bytes {
+            break;
+        }
+        let entry_bytes = encoded_bytes(entry);
+        let is_first = in_flight_bytes + bytes == 0;
+        if !is_first && in_flight_bytes + bytes + entry_bytes > window_bytes {
+            break;
+        }
+        (count, bytes) = (count + 1, bytes + entry_bytes);
+    }
+    (count, bytes)
+}
--- a/src/core/replication/mod.rs
+++ b/src/core/replication/mod.rs
@@ -6,11 +6,13 @@
 //! inputs.
 
 mod budget;
+mod encoded_size;
 mod leader;
 mod log;
 mod members;
 mod message;
 mod node;
+mod progress;
 mod reply_times;
 mod round_times;
 mod snapshot;
@@ -19,6 +21,7 @@
 
 pub use self::{
     budget::StateBudget,
+    encoded_size::encoded_bytes,
     leader::LeaderState,
     log::{Ballot, DurableState, Entry, Payload, Snapshot},
     members::{Member, Members, MembersError},
--- a/src/core/replication/node.rs
+++ b/src/core/replication/node.rs
@@ -1,5 +1,7 @@
 //! The protocol state machine of a replica, and the follower's part of the protocol.
 
+use serde::Serialize;
+
 use super::{
     Ballot, DurableState, Entry, Envelope, LeaderState, LogIndex, Members, MembersError, Message,
     Payload, ReplicaId, Round, Snapshot, Term, snapshot::PartialSnapshot, vote::Tally,
@@ -26,11 +28,28 @@
     pub entries_max: usize,
     /// The size of a chunk of a snapshot, in bytes.
     pub chunk_bytes: usize,
+    /// The maximum size of the entries that one replica was sent and has not acknowledged, in
+    /// encoded bytes. A larger entry is sent alone.
+    pub window_bytes: u64,
+    /// The maximum size of the windows of all replicas together, in encoded bytes.
+    pub windows_bytes: u64,
+}
+
+impl MessageLimits {
+    /// Returns the window of each of `followers` replicas, in bytes.
+    pub(super) fn window_bytes_of_each(&self, followers: usize) -> u64 {
+        self.window_bytes.min(self.windows_bytes / followers.max(1) as u64)
+    }
 }
 
 impl Default for MessageLimits {
     fn default() -> Self {
-        Self { entries_max: 256, chunk_bytes: 256 * 1024 }
+        Self {
+            entries_max: 256,
+            chunk_bytes: 256 * 1024,
+            window_bytes: 1024 * 1024,
+            windows_bytes: 4 * 1024 * 1024,
+        }
     }
 }
 
@@ -135,7 +154,7 @@
     Members(MembersError),
 }
 
-impl<C: Clone> RaftNode<C> {
+impl<C: Clone + Serialize> RaftNode<C> {
     /// Creates a follower with the given durable state.
     pub fn new(id: ReplicaId, durable: DurableState<C>) -> Self {
         // Entries that were committed before a restart may be applied before a
--- a/src/core/replication/reply_times.rs
+++ b/src/core/replication/reply_times.rs
@@ -5,6 +5,8 @@
     time::Duration,
 };
 
+use serde::Serialize;
+
 use super::{RaftNode, ReplicaId, Role, Round};
 
 /// Records when each other member last replied to a leader.
@@ -17,7 +19,7 @@
 
 impl ReplyTimes {
     /// Records the replies that a leader has received by `now`.
-    pub fn update<C: Clone>(&mut self, node: &RaftNode<C>, now: Duration) {
+    pub fn update<C: Clone + Serialize>(&mut self, node: &RaftNode<C>, now: Duration) {
         let Role::Leader(leader_state) = node.role() else { return };
         let members = node.members();
         self.last_replies.retain(|id, _| members.get(*id).is_some());
--- a/src/core/replication/snapshot.rs
+++ b/src/core/replication/snapshot.rs
@@ -1,5 +1,7 @@
 //! Compaction of the log and installation of a leader's snapshot.
 
+use serde::Serialize;
+
 use super::{
     LogIndex, Members, Message, Outputs, Payload, RaftNode, ReplicaId, Round, Snapshot, Term,
 };
@@ -12,7 +14,7 @@
     data: Vec<u8>,
 }
 
-impl<C: Clone> RaftNode<C> {
+impl<C: Clone + Serialize> RaftNode<C> {
     pub(super) fn compact(&mut self, index: LogIndex, data: Vec<u8>, out: &mut Outputs<C>) {
         let can_compact = index > self.durable.snapshot.index && index <= self.commit_index;
         let Some(term) = self.durable.term_at(index).filter(|_| can_compact) else { return };
--- a/src/core/replication/timers.rs
+++ b/src/core/replication/timers.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use serde::Serialize;
+
 use super::{Input, Outputs, RaftNode};
 
 /// Holds the deadlines of one replica's timeouts, all measured from one origin,
@@ -43,7 +45,12 @@
     }
 
     /// Updates the timers after a step of the node.
-    pub fn update<C: Clone>(&mut self, node: &RaftNode<C>, outputs: &Outputs<C>, now: Duration) {
+    pub fn update<C: Clone + Serialize>(
+        &mut self,
+        node: &RaftNode<C>,
+        outputs: &Outputs<C>,
+        now: Duration,
+    ) {
         let is_leader = node.is_leader();
         if is_leader && !self.was_leader {
             self.heartbeat_deadline = now;
@@ -56,7 +63,11 @@
     }
 
     /// Returns the inputs that are due and restarts their timers.
-    pub fn take_due<C: Clone>(&mut self, node: &RaftNode<C>, now: Duration) -> Vec<Input<C>> {
+    pub fn take_due<C: Clone + Serialize>(
+        &mut self,
+        node: &RaftNode<C>,
+        now: Duration,
+    ) -> Vec<Input<C>> {
         let mut inputs = Vec::new();
         if !node.is_leader() {
             if now >= self.election_deadline {
@@ -79,7 +90,7 @@
     /// Returns a delay that differs between replicas, so that usually only one of
     /// them starts an election at a time. It depends only on the id, the term and
     /// the previous deadline, so that runs are reproducible.
-    fn jitter<C: Clone>(&self, node: &RaftNode<C>) -> Duration {
+    fn jitter<C: Clone + Serialize>(&self, node: &RaftNode<C>) -> Duration {
         let mut hasher = crc32fast::Hasher::new();
         hasher.update(&node.id().to_le_bytes());
         hasher.update(&node.term().to_le_bytes());
--- a/src/core/replication/vote.rs
+++ b/src/core/replication/vote.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeSet;
 
+use serde::Serialize;
+
 use super::{
     Ballot, LeaderState, LogIndex, Message, Outputs, Payload, RaftNode, ReplicaId, Role, Term,
 };
@@ -12,7 +14,7 @@
     granted_by: BTreeSet<ReplicaId>,
 }
 
-impl<C: Clone> RaftNode<C> {
+impl<C: Clone + Serialize> RaftNode<C> {
     /// Requests pre-votes, to find out whether this replica could win an election.
     /// No term changes, so a replica that returns after a network partition does not
     /// depose the leader.
--- a/src/net/mesh.rs
+++ b/src/net/mesh.rs
@@ -333,12 +333,25 @@
 where
     Req: DeserializeOwned + Send + 'static,
     Rep: Serialize + Send + 'static,
+{
+    serve_mesh_with_limit(listener, handler, FRAME_MAX_BYTES).await;
+}
+
+/// Serves calls like [`serve_mesh`] with another limit on the size of a call. A connection on
+/// which a larger one arrives is closed before the call is read.
+pub async fn serve_mesh_with_limit<Req, Rep>(
+    listener: TcpListener,
+    handler: MeshHandler<Req, Rep>,
+    call_max_bytes: usize,
+) where
+    Req: DeserializeOwned + Send + 'static,
+    Rep: Serialize + Send + 'static,
 {
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
                 configure_stream(&stream, UNACKNOWLEDGED_MAX);
-                tokio::spawn(serve_peer(stream, peer, handler.clone()));
+                tokio::spawn(serve_peer(stream, peer, handler.clone(), call_max_bytes));
             }
             Err(error) => {
                 tracing::warn!(%error, "can't accept a connection from another instance; retrying");
@@ -348,13 +361,17 @@
     }
 }
 
-async fn serve_peer<Req, Rep>(stream: TcpStream, peer: SocketAddr, handler: MeshHandler<Req, Rep>)
-where
+async fn serve_peer<Req, Rep>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    handler: MeshHandler<Req, Rep>,
+    call_max_bytes: usize,
+) where
     Req: DeserializeOwned + Send + 'static,
     Rep: Serialize + Send + 'static,
 {
     let (read_half, write_half) = stream.into_split();
-    let mut read = FramedRead::new(read_half, codec(FRAME_MAX_BYTES));
+    let mut read = FramedRead::new(read_half, codec(call_max_bytes));
     let (replies, queue) = mpsc::channel::<Bytes>(QUEUE_LEN);
     tokio::spawn(write_replies(FramedWrite::new(write_half, codec(FRAME_MAX_BYTES)), queue));
     while let Some(frame) = next_frame(&mut read, peer).await {
--- a/src/runtime/control_node/mod.rs
+++ b/src/runtime/control_node/mod.rs
@@ -50,7 +50,7 @@
         roster::Roster,
         upstreams::UpstreamList,
     },
-    net::{HttpLimits, mesh::serve_mesh},
+    net::{HttpLimits, mesh::serve_mesh_with_limit},
     settings::{NodeSettings, Timing},
     storage::{Identity, Store, StoreError, has_identity, move_damaged_files},
 };
@@ -151,7 +151,9 @@
             start_result => start_result?,
         };
         tokio::spawn(state.clone().supervise_replica(folder, failure_receiver));
-        tokio::spawn(serve_mesh(cluster, calls::handler(state.clone())));
+        let call_max_bytes = state.settings.call_max_bytes();
+        let handler = calls::handler(state.clone());
+        tokio::spawn(serve_mesh_with_limit(cluster, handler, call_max_bytes));
         tokio::spawn(calls::receive_announcements(state.clone(), announcement_socket));
         tokio::spawn(list_reader::maintain_list(state.clone()));
         let listen_addresses = state.settings.listen;
--- a/src/runtime/replica/mod.rs
+++ b/src/runtime/replica/mod.rs
@@ -126,7 +126,7 @@
     ) -> Result<Self, rmp_serde::decode::Error> {
         let state = decode_state(&durable.snapshot)?;
         let disk = DiskWriter::new(store);
-        let node = RaftNode::new(disk.replica(), durable);
+        let node = RaftNode::new(disk.replica(), durable).with_limits(setup.budget.messages);
         let jitter_fraction = rand::random();
         let timers = Timers::new(timers_config(&setup.timing), jitter_fraction, clock.now());
         let mut replica = Self {
--- a/src/runtime/replica/setup.rs
+++ b/src/runtime/replica/setup.rs
@@ -25,7 +25,7 @@
     pub(in crate::runtime) silent_member_timeout: Option<Duration>,
     /// The limits of the control state.
     pub(in crate::runtime) limits: ControlLimits,
-    /// The limits on the size of the log.
+    /// The limits on the size of the log and of messages.
     pub(in crate::runtime) budget: StateBudget,
 }
 
@@ -69,7 +69,7 @@
         self
     }
 
-    /// Returns the setup with other limits on the size of the log.
+    /// Returns the setup with other limits on the size of the log and of messages.
     pub(in crate::runtime) fn with_budget(mut self, budget: StateBudget) -> Self {
         self.budget = budget;
         self
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -185,6 +185,9 @@
 /// The part of the memory that the deltas kept for followers may take when encoded: 1 of this
 /// many.
 const DELTAS_IN_MEMORY: u64 = 64;
+/// The part of the memory that one call to a control replica may take: 1 of this many. The largest
+/// calls hold the entries of a window, or a configuration.
+const CALLS_IN_MEMORY: u64 = 8;
 /// The part of the memory that one page of the list of upstreams may take: 1 of this many. The
 /// pages of all availability zones are read at the same time.
 const LIST_PAGES_IN_MEMORY: u64 = 64;
@@ -214,6 +217,12 @@
         (self.resources.memory_mib * 1024 * 1024 / DELTAS_IN_MEMORY) as usize
     }
 
+    /// Returns the maximum size of a call that a control replica takes from another process, in
+    /// bytes.
+    pub fn call_max_bytes(&self) -> usize {
+        (self.resources.memory_mib * 1024 * 1024 / CALLS_IN_MEMORY) as usize
+    }
+
     /// Returns the maximum size of a page of the list of upstreams, in bytes.
     pub fn list_page_max_bytes(&self) -> usize {
         (self.resources.memory_mib * 1024 * 1024 / LIST_PAGES_IN_MEMORY) as usize
@@ -228,6 +237,7 @@
     pub fn state_budget(&self) -> StateBudget {
         let mib = 1024 * 1024;
         StateBudget::new(self.resources.memory_mib * mib, self.resources.disk_mib * mib)
+            .with_link(self.link_bytes_per_s())
     }
 
     /// Returns the bandwidth of the instance's own network link in bytes per second; 0 if it
--- a/tests/it/replication.rs
+++ b/tests/it/replication.rs
@@ -135,3 +135,88 @@
     assert_eq!(silent_at(12), BTreeSet::from([2]));
     assert_eq!(silent_at(13), BTreeSet::from([2, 3]));
 }
+
+const ENTRY_BYTES: usize = 100_000;
+
+/// Returns a replica that leads three members, with a log of 150 large entries.
+fn leader_of_large_log() -> RaftNode<Vec<u8>> {
+    let members = Members::new([(1, "a".to_owned()), (2, "b".to_owned()), (3, "c".to_owned())]);
+    let mut durable = DurableState::new(members);
+    for index in 1..=150 {
+        let payload = Payload::Command(vec![7; ENTRY_BYTES]);
+        durable.truncate_and_push(Entry { index, term: 1, payload });
+    }
+    durable.ballot.term = 1;
+    let mut node = RaftNode::new(1, durable);
+    node.step(Input::ElectionTimeout);
+    receive(&mut node, 2, 2, Message::PreVoteReply { granted: true });
+    receive(&mut node, 2, 2, Message::VoteReply { granted: true });
+    assert!(node.is_leader());
+    node
+}
+
+/// Lets a leader receive a message, and returns the messages that it sends.
+fn receive<C: Clone + serde::Serialize>(
+    node: &mut RaftNode<C>,
+    from: ReplicaId,
+    term: u64,
+    message: Message<C>,
+) -> Vec<Envelope<C>> {
+    node.step(Input::Receive(Envelope { from, to: 1, term, message })).messages
+}
+
+/// Returns the number of bytes in the entries and in the chunks of messages.
+fn payload_bytes<C: serde::Serialize>(messages: &[Envelope<C>]) -> usize {
+    let payload = |message: &Message<C>| match message {
+        Message::Append { entries, .. } => rmp_serde::to_vec(entries).unwrap().len() - 1,
+        Message::Install { data, .. } => data.len(),
+        _ => 0,
+    };
+    messages.iter().map(|envelope| payload(&envelope.message)).sum()
+}
+
+/// A leader put up to 256 entries into one message, however large they were, and sent them again
+/// for each reply of a follower that had lost its disk: two replicas exceeded their memory in turn.
+#[test]
+fn the_bytes_sent_to_a_follower_that_does_not_acknowledge_them_are_bounded() {
+    let mut leader = leader_of_large_log();
+    let window_bytes = 1024 * 1024 + ENTRY_BYTES;
+    let mut sent_bytes = 0;
+    for round in 1..=20 {
+        let mut messages = leader.step(Input::HeartbeatTimeout).messages;
+        // The follower's disk is empty, and its replies to three earlier heartbeats arrive late.
+        for _ in 0..3 {
+            let conflict = Message::AppendConflict { last_index: 0, round: 1 };
+            messages.extend(receive(&mut leader, 3, 2, conflict));
+        }
+        assert!(messages.iter().any(|envelope| envelope.to == 3), "no heartbeat in round {round}");
+        sent_bytes += payload_bytes(&messages);
+    }
+    assert!(sent_bytes <= window_bytes, "{sent_bytes} bytes, {window_bytes} allowed");
+}
+
+/// A leader sent a chunk of its snapshot again with each heartbeat, also while the first one was
+/// on its way.
+#[test]
+fn a_chunk_of_a_snapshot_is_sent_once_until_a_reply_shows_that_it_is_lost() {
+    let mut leader = leader_of_large_log();
+    leader.step(Input::HeartbeatTimeout);
+    receive(&mut leader, 2, 2, Message::AppendReply { matched: 151, round: 1 });
+    let data = vec![7; 1_000_000];
+    leader.step(Input::Compact { index: 151, data });
+    let conflict = Message::AppendConflict { last_index: 0, round: 1 };
+    let chunk_bytes = payload_bytes(&receive(&mut leader, 3, 2, conflict));
+    assert!(chunk_bytes > 0);
+    for _ in 0..20 {
+        let messages = leader.step(Input::HeartbeatTimeout).messages;
+        assert!(messages.iter().any(|envelope| envelope.to == 3), "no heartbeat");
+        assert_eq!(payload_bytes(&messages), 0);
+    }
+    let mut reply = |offset, round| {
+        let reply = Message::InstallReply { index: 151, offset, round };
+        payload_bytes(&receive(&mut leader, 3, 2, reply))
+    };
+    assert_eq!(reply(0, 21), chunk_bytes, "the follower lacked the chunk in a later round");
+    assert_eq!(reply(0, 21), 0, "the chunk was sent again since");
+    assert_eq!(reply(chunk_bytes as u64, 21), chunk_bytes);
+}
--- a/tests/models/replication_world.rs
+++ b/tests/models/replication_world.rs
@@ -64,7 +64,8 @@
 
 /// In long runs, messages beyond this many are dropped.
 const IN_TRANSIT_MAX: usize = 12;
-const LIMITS: MessageLimits = MessageLimits { entries_max: 2, chunk_bytes: 1 };
+const LIMITS: MessageLimits =
+    MessageLimits { entries_max: 2, chunk_bytes: 1, window_bytes: 80, windows_bytes: 160 };
 
 impl World {
     pub fn new(replicas: u64, budget: Budget) -> Self {
