--- a/src/core/control/state/deltas.rs
+++ b/src/core/control/state/deltas.rs
@@ -26,7 +26,7 @@
 
     /// Adds the delta of the newest version, and discards the oldest ones beyond `max_bytes`.
     pub(super) fn push(&mut self, delta: PolicyDelta, max_bytes: usize) {
-        let delta_bytes = encoded_len(&delta);
+        let delta_bytes = encoded_len(&delta) as usize;
         if delta_bytes > max_bytes {
             // Without this one, the earlier ones lead to no version that is in force.
             self.deltas.clear();
@@ -65,7 +65,7 @@
         match self.whole {
             Some((version, whole_bytes)) if version == policy.version => whole_bytes,
             _ => {
-                let whole_bytes = encoded_len(policy);
+                let whole_bytes = encoded_len(policy) as usize;
                 self.whole = Some((policy.version, whole_bytes));
                 whole_bytes
             }
--- a/src/core/replication/budget.rs
+++ b/src/core/replication/budget.rs
@@ -13,6 +13,8 @@
     pub log_bytes: u64,
     /// The length of the log file from which on the log is always replaced by a snapshot.
     pub log_max_bytes: u64,
+    /// The maximum size of an entry that holds a configuration.
+    pub configuration_max_bytes: u64,
     /// The limits on messages.
     pub messages: MessageLimits,
 }
@@ -36,7 +38,12 @@
 
 impl Default for StateBudget {
     fn default() -> Self {
-        Self { log_bytes: LOG_BYTES, log_max_bytes: u64::MAX, messages: MessageLimits::default() }
+        Self {
+            log_bytes: LOG_BYTES,
+            log_max_bytes: u64::MAX,
+            configuration_max_bytes: u64::MAX,
+            messages: MessageLimits::default(),
+        }
     }
 }
 
@@ -52,7 +59,12 @@
             windows_bytes: memory_bytes / WINDOWS_IN_MEMORY,
             ..MessageLimits::default()
         };
-        Self { log_bytes: LOG_BYTES.min(log_max_bytes), log_max_bytes, messages }
+        Self {
+            log_bytes: LOG_BYTES.min(log_max_bytes),
+            log_max_bytes,
+            configuration_max_bytes: log_max_bytes,
+            messages,
+        }
     }
 
     /// Returns the budget for an instance with this bandwidth in bytes per second; 0 if it is not
@@ -76,6 +88,11 @@
     /// The cost of a snapshot grows with the size of the state, so the log may grow to the size
     /// of the last snapshot before it is replaced.
     pub fn needs_compaction(&self, log_bytes: u64, snapshot_bytes: u64) -> bool {
-        log_bytes > self.log_bytes.max(snapshot_bytes).min(self.log_max_bytes)
+        log_bytes > self.compaction_bytes(snapshot_bytes)
+    }
+
+    /// Returns the number of appended bytes from which on the log is replaced by a snapshot.
+    pub fn compaction_bytes(&self, snapshot_bytes: u64) -> u64 {
+        self.log_bytes.max(snapshot_bytes).min(self.log_max_bytes)
     }
 }
--- a/src/core/replication/leader.rs
+++ b/src/core/replication/leader.rs
@@ -6,8 +6,9 @@
 use serde::Serialize;
 
 use super::{
+    super::encoded_len,
     Entry, LogIndex, Members, Message, Outputs, Payload, ProposalError, RaftNode, ReplicaId, Role,
-    Round, encoded_bytes,
+    Round,
     progress::{Install, Progress},
 };
 
@@ -259,7 +260,7 @@
         if in_flight_bytes + bytes >= window_bytes {
             break;
         }
-        let entry_bytes = encoded_bytes(entry);
+        let entry_bytes = encoded_len(entry);
         let is_first = in_flight_bytes + bytes == 0;
         if !is_first && in_flight_bytes + bytes + entry_bytes > window_bytes {
             break;
--- a/src/core/replication/mod.rs
+++ b/src/core/replication/mod.rs
@@ -6,7 +6,6 @@
 //! inputs.
 
 mod budget;
-mod encoded_size;
 mod leader;
 mod log;
 mod members;
@@ -21,7 +20,6 @@
 
 pub use self::{
     budget::StateBudget,
-    encoded_size::encoded_bytes,
     leader::LeaderState,
     log::{Ballot, DurableState, Entry, Payload, Snapshot},
     members::{Member, Members, MembersError},
--- a/src/runtime/control_node/operators.rs
+++ b/src/runtime/control_node/operators.rs
@@ -67,17 +67,19 @@
     if !findings.is_empty() {
         return reject(findings);
     }
-    let (table_bytes, max_bytes) = (encoded_len(&table), state.settings.configuration_max_bytes());
-    if table_bytes > max_bytes {
+    let version = table.version;
+    let command = Command::Routing(Box::new(table));
+    let size_bytes = encoded_len(&command);
+    let max_bytes = state.settings.state_budget().configuration_max_bytes;
+    if size_bytes > max_bytes {
+        warn!(version, size_bytes, max_bytes, "configuration too large; refused");
         let text = format!(
-            "the configuration takes {table_bytes} bytes when encoded for entry instances, and at \
-             most {max_bytes} are accepted, a 32nd of `memory_mb`; deliver fewer or shorter routes"
+            "the configuration takes {size_bytes} bytes when encoded, and at most {max_bytes} are \
+             accepted with the memory and the disk of this instance; deliver fewer or shorter routes"
         );
-        warn!(version = table.version, table_bytes, max_bytes, "configuration too large; refused");
         return HttpResponse::text(StatusCode::PAYLOAD_TOO_LARGE, &text);
     }
-    let version = table.version;
-    let response = submit_command(state, Command::Routing(Box::new(table))).await;
+    let response = submit_command(state, command).await;
     info!(version, status = response.status.as_u16(), "configuration delivered");
     response
 }
--- a/src/runtime/metrics.rs
+++ b/src/runtime/metrics.rs
@@ -48,6 +48,10 @@
     pub(super) claims_held: IntGauge,
     /// The encoded length of the deltas that the replica of this instance keeps.
     pub(super) delta_bytes: IntGauge,
+    /// The encoded size of the state that the replica of this instance holds, by kind.
+    pub(super) state_bytes: IntGaugeVec,
+    /// The limits on these sizes, by kind.
+    pub(super) state_max_bytes: IntGaugeVec,
     /// The number of times the replica of this instance became leader.
     pub(super) elections: IntCounter,
 }
@@ -114,6 +118,14 @@
                 "delta_bytes",
                 "Bytes of the deltas that this instance's replica keeps for followers.",
             ))?,
+            state_bytes: IntGaugeVec::new(
+                opts("state_bytes", "Encoded bytes of the replicated state, by kind."),
+                &["kind"],
+            )?,
+            state_max_bytes: IntGaugeVec::new(
+                opts("state_max_bytes", "Limits on the bytes of the replicated state, by kind."),
+                &["kind"],
+            )?,
             elections: IntCounter::with_opts(opts("elections_total", "Elections won."))?,
             registry,
         };
@@ -134,7 +146,14 @@
         for counter in counters {
             registry.register(Box::new(counter.clone()))?;
         }
-        for gauge in [&self.slots_used, &self.slots_usable, &self.queued_requests] {
+        let gauges_by_label = [
+            &self.slots_used,
+            &self.slots_usable,
+            &self.queued_requests,
+            &self.state_bytes,
+            &self.state_max_bytes,
+        ];
+        for gauge in gauges_by_label {
             registry.register(Box::new(gauge.clone()))?;
         }
         let gauges = [
--- a/src/runtime/replica/compact.rs
+++ b/src/runtime/replica/compact.rs
@@ -1,7 +1,10 @@
 //! Replaces the log by a snapshot of the state once it is long.
 
 use super::Replica;
-use crate::{core::replication::Input, net::wire::encode};
+use crate::{
+    core::replication::{Input, Role},
+    net::wire::encode,
+};
 
 /// The number of log entries at which a snapshot is always taken.
 const COMPACT_ENTRIES_MAX: u64 = 100_000;
@@ -25,4 +28,26 @@
             self.inputs.push((Input::Compact { index: applied_index, data }, None));
         }
     }
+    /// Shows the sizes of the log, the snapshot and the messages that are not acknowledged, and
+    /// their limits.
+    pub(super) fn record_sizes(&self) {
+        let budget = &self.setup.budget;
+        let snapshot_bytes = self.node.durable().snapshot.data.len() as u64;
+        let in_flight_bytes = match self.node.role() {
+            Role::Leader(leader_state) => leader_state.in_flight_bytes(),
+            _ => 0,
+        };
+        let sizes = [
+            ("log", self.disk.log_bytes(), Some(budget.compaction_bytes(snapshot_bytes))),
+            ("snapshot", snapshot_bytes, None),
+            ("in_flight", in_flight_bytes, Some(budget.messages.windows_bytes)),
+        ];
+        for (kind, bytes, max_bytes) in sizes {
+            self.metrics.state_bytes.with_label_values(&[kind]).set(bytes as i64);
+            if let Some(max_bytes) = max_bytes {
+                let max_bytes = i64::try_from(max_bytes).unwrap_or(i64::MAX);
+                self.metrics.state_max_bytes.with_label_values(&[kind]).set(max_bytes);
+            }
+        }
+    }
 }
--- a/src/runtime/replica/handlers.rs
+++ b/src/runtime/replica/handlers.rs
@@ -220,6 +220,7 @@
         self.metrics.replica_version.set(version as i64);
         self.metrics.claims_held.set(self.state.claims().len() as i64);
         self.metrics.delta_bytes.set(self.state.deltas_bytes() as i64);
+        self.record_sizes();
     }
 }
 
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -178,10 +178,6 @@
 /// The part of the memory that one reply of a control replica may take: 1 of this many. The
 /// largest replies hold a whole policy.
 const REPLIES_IN_MEMORY: u64 = 8;
-/// The part of the memory that a configuration may take when encoded: 1 of this many. It leaves
-/// room for the rest of a reply that holds the whole policy, also at entry instances with a
-/// quarter of a control replica's memory.
-const CONFIGURATIONS_IN_MEMORY: u64 = 32;
 /// The part of the memory that the deltas kept for followers may take when encoded: 1 of this
 /// many.
 const DELTAS_IN_MEMORY: u64 = 64;
@@ -206,11 +202,6 @@
         (self.resources.memory_mib * 1024 * 1024 / REPLIES_IN_MEMORY) as usize
     }
 
-    /// Returns the maximum size of a configuration, in bytes when encoded for followers.
-    pub fn configuration_max_bytes(&self) -> usize {
-        (self.resources.memory_mib * 1024 * 1024 / CONFIGURATIONS_IN_MEMORY) as usize
-    }
-
     /// Returns the maximum size of the deltas of the policy that are kept for followers, in bytes
     /// when encoded.
     pub fn deltas_max_bytes(&self) -> usize {
--- a/tests/it/wire.rs
+++ b/tests/it/wire.rs
@@ -167,7 +167,7 @@
     ) {
         prop_assert_eq!(&encode(&decode::<NodeReply>(&reply).unwrap()).unwrap(), &reply);
         prop_assert_eq!(&encode(&decode::<NodeRequest>(&request).unwrap()).unwrap(), &request);
-        prop_assert_eq!(encoded_len(&update), encode(&update).unwrap().len());
+        prop_assert_eq!(encoded_len(&update), encode(&update).unwrap().len() as u64);
     }
 
     /// Bytes that are no message, and messages that are cut off or changed on the way, must not
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -45,7 +45,7 @@
 pub(super) type Runs = Arc<Mutex<BTreeMap<String, u32>>>;
 
 impl Fleet {
-    /// Starts the fleet of the test with this number, below 8, which no other test may have.
+    /// Starts the fleet of the test with this number, below 10, which no other test may have.
     pub(super) async fn start(number: u32) -> Self {
         let mut fleet = Self::new(number);
         let entries = fleet.start_upstreams();
@@ -56,7 +56,7 @@
     /// Creates the fleet of the test with this number, of which nothing runs yet.
     pub(super) fn new(number: u32) -> Self {
         let pid = std::process::id();
-        let ip_prefix = format!("127.{}.{}", 100 + pid % 100, pid / 100 % 31 + 31 * number);
+        let ip_prefix = format!("127.{}.{}", 100 + pid % 100, pid / 100 % 25 + 25 * number);
         let folder = std::env::temp_dir().join(format!("bulrushspan-fleet-{pid}-{number}"));
         fs::create_dir_all(&folder).unwrap();
         Self {
--- a/tests/processes/large_configurations.rs
+++ b/tests/processes/large_configurations.rs
@@ -29,12 +29,14 @@
 /// memory, and exceeded it again at each start.
 #[tokio::test(flavor = "multi_thread")]
 async fn the_log_of_many_large_configurations_is_bounded_in_bytes() {
-    let mut fleet = Fleet::new(7);
+    let mut fleet = Fleet::new(9);
     fleet.launch(vec![json!({"id": "i-damaged"})], &CONTROLS);
     for version in 1..=VERSIONS {
         let name = format!("r{version}");
         fleet.put_configuration(&name, &large_configuration(version)).await;
     }
+    let metrics_url = format!("http://{}:9464/metrics", fleet.ip("c1"));
+    fleet.wait_for(&metrics_url, 200, "bulrushspan_state_bytes{kind=\"log\"}").await;
     let log_bytes = CONTROLS.map(|control| fleet.log_file_bytes(control));
     assert!(log_bytes.iter().all(|bytes| *bytes <= LOG_MAX_BYTES), "{log_bytes:?}");
 
@@ -42,4 +44,21 @@
     CONTROLS.iter().for_each(|control| fleet.start_process(control, true));
     let url = format!("http://{}:8146/api/config", fleet.ip("c1"));
     fleet.wait_for(&url, 200, &format!("\"r{VERSIONS}\"")).await;
+
+    refuses_a_configuration_that_is_too_large(&fleet).await;
+}
+
+/// Checks that a configuration above 1/32 of the memory is refused, and that the one before it
+/// stays in force.
+async fn refuses_a_configuration_that_is_too_large(fleet: &Fleet) {
+    let url = format!("http://{}:8146/api/config", fleet.ip("c1"));
+    let mut table: serde_json::Value =
+        serde_json::from_str(&large_configuration(VERSIONS + 1)).unwrap();
+    table["resources"][1]["spec"]["path_prefix"] = json!(format!("/{}", "p".repeat(9_000_000)));
+    let response = fleet.http.put(&url).body(table.to_string()).send().await.unwrap();
+    let (status, text) = (response.status().as_u16(), response.text().await.unwrap());
+    assert_eq!(status, 413, "{text}");
+    let max_bytes = 260 * 1024 * 1024 / 32;
+    assert!(text.contains(&format!("at most {max_bytes} are accepted")), "{text}");
+    fleet.wait_for(&url, 200, &format!("\"r{VERSIONS}\"")).await;
 }
--- a/tests/processes/platform.rs
+++ b/tests/processes/platform.rs
@@ -62,7 +62,7 @@
 /// were longer than a reply may be was lost to entry instances in a kill of all processes.
 #[tokio::test(flavor = "multi_thread")]
 async fn large_configurations_are_refused_or_in_force_after_a_kill_of_all_processes() {
-    let mut fleet = Fleet::start(7).await;
+    let mut fleet = Fleet::start(8).await;
     fleet.configure("r2", "/book/").await;
     let url = format!("http://{}:8146/api/config", fleet.ip("c1"));
     // 260 MiB / 32
