--- a/src/core/replication/mod.rs
+++ b/src/core/replication/mod.rs
@@ -7,6 +7,7 @@
 
 mod budget;
 mod leader;
+mod limits;
 mod log;
 mod members;
 mod message;
@@ -21,10 +22,11 @@
 pub use self::{
     budget::StateBudget,
     leader::LeaderState,
+    limits::MessageLimits,
     log::{Ballot, DurableState, Entry, Payload, Snapshot},
     members::{Member, Members, MembersError},
     message::{Envelope, Message},
-    node::{Input, MessageLimits, Outputs, ProposalError, RaftNode, Role},
+    node::{Input, Outputs, ProposalError, RaftNode, Role},
     reply_times::ReplyTimes,
     round_times::RoundTimes,
     timers::{Timers, TimersConfig},
--- a/src/core/replication/node.rs
+++ b/src/core/replication/node.rs
@@ -4,7 +4,8 @@
 
 use super::{
     Ballot, DurableState, Entry, Envelope, LeaderState, LogIndex, Members, MembersError, Message,
-    Payload, ReplicaId, Round, Snapshot, Term, snapshot::PartialSnapshot, vote::Tally,
+    MessageLimits, Payload, ReplicaId, Round, Snapshot, Term, snapshot::PartialSnapshot,
+    vote::Tally,
 };
 
 /// Represents one replica, with its durable state.
@@ -21,38 +22,6 @@
     pub(super) partial_snapshot: Option<PartialSnapshot>,
 }
 
-/// Limits the size of messages.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct MessageLimits {
-    /// The maximum number of entries in one message.
-    pub entries_max: usize,
-    /// The size of a chunk of a snapshot, in bytes.
-    pub chunk_bytes: usize,
-    /// The maximum size of the entries that one replica was sent and has not acknowledged, in
-    /// encoded bytes. A larger entry is sent alone.
-    pub window_bytes: u64,
-    /// The maximum size of the windows of all replicas together, in encoded bytes.
-    pub windows_bytes: u64,
-}
-
-impl MessageLimits {
-    /// Returns the window of each of `followers` replicas, in bytes.
-    pub(super) fn window_bytes_of_each(&self, followers: usize) -> u64 {
-        self.window_bytes.min(self.windows_bytes / followers.max(1) as u64)
-    }
-}
-
-impl Default for MessageLimits {
-    fn default() -> Self {
-        Self {
-            entries_max: 256,
-            chunk_bytes: 256 * 1024,
-            window_bytes: 1024 * 1024,
-            windows_bytes: 4 * 1024 * 1024,
-        }
-    }
-}
-
 /// Represents the role of a replica.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum Role {
