--- a/tests/it/upstream_list.rs
+++ b/tests/it/upstream_list.rs
@@ -119,7 +119,8 @@
 fn entries_with_one_address_and_different_ids_both_count() {
     let old = leaving(SOUND, Some(5));
     let new = ListedUpstream { id: "i-2".to_owned(), ..ready(SOUND, Some(9)) };
-    let (selected, passed_over) = select(&[old.clone(), new.clone()], &list(&[old.clone()]));
+    let (selected, passed_over) =
+        select(&[old.clone(), new.clone()], &list(std::slice::from_ref(&old)));
     assert_eq!((selected.into_values().collect(), passed_over), (vec![old, new], Vec::new()));
 }
 
--- a/tests/processes/copied_refusals.rs
+++ b/tests/processes/copied_refusals.rs
@@ -145,7 +145,7 @@
 async fn a_copy_of_a_refusal_is_not_believed_of_the_same_address_under_another_id() {
     for (number, status) in [(120, 503), (121, 429), (122, 421)] {
         let [address, _] = addresses(number);
-        let record = serve(&[address.clone()], Behaviour { status, ..REFUSING }).await;
+        let record = serve(std::slice::from_ref(&address), Behaviour { status, ..REFUSING }).await;
         let rig = start_with(number, &[("u1", &address), ("u2", &address)]).await;
         for id in ["a", "b", "c"] {
             let (answered, _) = send(&rig, "order/refuse", id).await;
@@ -189,7 +189,8 @@
 async fn an_id_that_is_sent_again_and_again_costs_no_upstream() {
     for (number, connections_max) in [(126, 1), (127, usize::MAX)] {
         let [address, _] = addresses(number);
-        let record = serve(&[address.clone()], Behaviour { connections_max, ..REFUSING }).await;
+        let record =
+            serve(std::slice::from_ref(&address), Behaviour { connections_max, ..REFUSING }).await;
         let rig = start_with(number, &[("u1", &address)]).await;
         for id in 0..10 {
             for _ in 0..5 {
@@ -213,7 +214,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_connection_is_replaced_before_an_id_that_it_carried_is_forgotten() {
     let [address, _] = addresses(128);
-    let record = serve(&[address.clone()], REFUSING).await;
+    let record = serve(std::slice::from_ref(&address), REFUSING).await;
     let rig = start_with(128, &[("u1", &address)]).await;
     assert_eq!(send(&rig, "order/refuse", "first").await.0, 503);
     for id in 0..1100 {
@@ -267,7 +268,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_id_that_is_sent_again_closes_no_connection_but_the_one_that_it_replaces() {
     let [address, _] = addresses(130);
-    let record = serve(&[address.clone()], REFUSING).await;
+    let record = serve(std::slice::from_ref(&address), REFUSING).await;
     let rig = start_with(130, &[("u1", &address)]).await;
     let send_together = async |name: &str| {
         let ids: Vec<String> = (0..5).map(|number| format!("{name}-{number}")).collect();
