Fail storage_crash at once if a store can't write without a fault

A store that can't append at all (tried by leaving the rewriting of the log out of a start) kept the test of two crashes running for minutes: an error of the store counted as one of the disk once any fault had occurred, so each run went on until the last combination.

Each run is now first played without a fault, and an error of the store is taken for one of the disk only if an operation of the disk failed in the same action.

--- a/tests/it/storage_crash/disk.rs
+++ b/tests/it/storage_crash/disk.rs
@@ -114,6 +114,12 @@
         self.control.lock().unwrap().fault.is_none()
     }
 
+    /// Returns the number of operations that failed.
+    pub fn failures(&self) -> usize {
+        let control = self.control.lock().unwrap();
+        control.trace.iter().filter(|(_, _, is_failed)| *is_failed).count()
+    }
+
     /// Returns whether the process was killed.
     pub fn is_killed(&self) -> bool {
         self.control.lock().unwrap().is_killed
--- a/tests/it/storage_crash/mod.rs
+++ b/tests/it/storage_crash/mod.rs
@@ -153,17 +153,19 @@
     /// Performs actions until the end or until the process is killed.
     fn run(&mut self, actions: &[Action]) -> Result<(), String> {
         for action in actions {
+            let mut failures = self.disk.failures();
             let mut result = self.perform(*action);
             while let Err(stop) = result {
                 match stop {
                     Stop::Wrong(reason) => return Err(reason),
                     Stop::Failed(_) if self.disk.is_killed() => return Ok(()),
-                    Stop::Failed(StoreError::Io { .. }) if self.disk.has_failed() => {}
+                    Stop::Failed(StoreError::Io { .. }) if self.disk.failures() > failures => {}
                     Stop::Failed(error) => return Err(error.to_string()),
                 }
                 if self.start().is_err() && !self.disk.is_killed() {
                     self.disk.make_room();
                 }
+                failures = self.disk.failures();
                 result = self.perform(Action::RewriteAll);
             }
         }
@@ -228,6 +230,11 @@
     actions: &[Action],
     mut check: impl FnMut(&Replica, usize),
 ) {
+    // Errors without a fault show here, before the runs with faults, which are many.
+    let mut sound = Replica::new(start.0.clone(), start.1.clone());
+    if let Err(reason) = sound.run(actions) {
+        panic!("without a fault: {}\n{reason}", sound.disk.trace());
+    }
     for fault in FAULTS {
         for position in 0.. {
             let mut replica = Replica::new(start.0.clone(), start.1.clone());
