--- a/src/runtime/control_node/mod.rs
+++ b/src/runtime/control_node/mod.rs
@@ -308,10 +308,7 @@
     }
 
     fn restart_replica(self: Arc<Self>, folder: &Path) -> Result<oneshot::Receiver<()>, NodeError> {
-        let (mut store, durable) = open_store(folder, rand::random()).map_err(NodeError::Store)?;
-        if let Some(durable) = &durable {
-            store.rewrite_all(durable).map_err(NodeError::Store)?;
-        }
+        let (store, durable) = open_store(folder, rand::random()).map_err(NodeError::Store)?;
         self.start_replica(store, durable)
     }
 
--- a/src/storage/store.rs
+++ b/src/storage/store.rs
@@ -99,9 +99,8 @@
     /// # Errors
     ///
     /// Returns an error when writing or syncing fails, and [`StoreError::Failed`]
-    /// at each later call. The store must then be opened again and rewritten with
-    /// [`Store::rewrite_all`]: after a failed sync the operating system may drop
-    /// the written data although reads still return it.
+    /// at each later call. The store must then be opened again, which rewrites its files: after a
+    /// failed sync the operating system may drop the written data although reads still return it.
     pub fn save(
         &mut self,
         outputs: &Outputs<C>,
@@ -124,22 +123,6 @@
         self.write(|store| store.append(&buffer))
     }
 
-    /// Rewrites the snapshot and the log, so that nothing depends on data that
-    /// an earlier process or a failed sync left only in the operating system's
-    /// page cache.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error when the state can't be made durable.
-    pub fn rewrite_all(&mut self, durable: &DurableState<C>) -> Result<(), StoreError> {
-        self.write(|store| {
-            if durable.snapshot.index > 0 {
-                store.write_snapshot(&durable.snapshot)?;
-            }
-            store.rewrite_log(durable)
-        })
-    }
-
     /// Calls `write` unless an earlier write failed.
     fn write(
         &mut self,
@@ -186,12 +169,12 @@
         self.files.replace(SNAPSHOT, &buffer)
     }
 
-    /// Reads the state from the log and the snapshot, and rewrites the log. Returns `None` if the
+    /// Reads the state from the log and the snapshot, and rewrites both. Returns `None` if the
     /// replica has no log yet.
     ///
-    /// The log is rewritten at each start because the file may end in an incomplete record, may
-    /// begin before the snapshot if a crash came between the writes of the two, and may hold data
-    /// that a failed sync left only in the operating system's page cache.
+    /// They are rewritten at each start because the log may end in an incomplete record, may begin
+    /// before the snapshot if a crash came between the writes of the two, and because a failed
+    /// sync may have left the data or the name of either only in the operating system's cache.
     fn recover(&mut self) -> Result<Option<DurableState<C>>, StoreError> {
         let path = self.files.path(LOG);
         let Some(bytes) = self.files.read_if_exists(LOG)? else {
@@ -206,6 +189,10 @@
         };
         let snapshot = self.read_snapshot()?;
         let durable = replay(&path, &bytes, snapshot)?;
+        // The log names the snapshot that it begins at, so that one has to be durable first.
+        if durable.snapshot.index > 0 {
+            self.write_snapshot(&durable.snapshot)?;
+        }
         self.rewrite_log(&durable)?;
         // A crash may have come between the writes of the log and of the identity.
         if !self.identity.log_created {
@@ -234,6 +221,7 @@
 const SNAPSHOT: &str = "snapshot";
 const LOG: &str = "log";
 
+/// Reads the identity and writes it again, or writes a new one if there is none.
 fn read_identity(files: &mut Files, new_identity: Identity) -> Result<Identity, StoreError> {
     let path = files.path(IDENTITY);
     let Some(bytes) = files.read_if_exists(IDENTITY)? else {
@@ -254,7 +242,10 @@
             "the identity is incomplete or its checksum is wrong",
         ));
     };
-    record::decode(body).map_err(|reason| StoreError::damaged(path, 0, reason))
+    let identity = record::decode(body).map_err(|reason| StoreError::damaged(path, 0, reason))?;
+    // A failed sync may have left the name of the file only in the operating system's cache.
+    write_identity(files, &identity)?;
+    Ok(identity)
 }
 
 fn write_identity(files: &mut Files, identity: &Identity) -> Result<(), StoreError> {
--- a/tests/it/storage.rs
+++ b/tests/it/storage.rs
@@ -1,6 +1,6 @@
 //! Tests of the data folder after interrupted writes and damage, and of its lock.
 
-use std::{fs, path::PathBuf};
+use std::{fs, os::unix::fs::MetadataExt, path::PathBuf};
 
 use bulrushspan::{
     core::replication::{Ballot, DurableState, Entry, Members, Outputs, Payload, Snapshot},
@@ -136,14 +136,25 @@
 }
 
 #[test]
-fn a_rewritten_store_holds_the_same_state() {
+fn a_start_rewrites_all_files_with_the_same_state() {
     let folder = TempFolder::new("renewed");
     let mut durable = write_sample(&folder);
     save_another_entry(&folder, &mut durable);
-    let (mut store, recovered_state) = Store::<u8>::open(&folder.0, Identity::new(9)).unwrap();
-    store.rewrite_all(&recovered_state.unwrap()).unwrap();
+    let snapshot =
+        Snapshot { index: 3, term: 2, members: durable.snapshot.members.clone(), data: vec![7] };
+    durable.compact(snapshot.clone());
+    let (mut store, _) = Store::<u8>::open(&folder.0, Identity::new(9)).unwrap();
+    store.save(&Outputs { snapshot: Some(snapshot), ..Outputs::default() }, &durable).unwrap();
     drop(store);
+    let read = |name: &str| fs::read(folder.0.join(name)).unwrap();
+    let inode = |name: &str| fs::metadata(folder.0.join(name)).unwrap().ino();
+    let names = ["identity", "snapshot", "log"];
+    let inodes_before = names.map(inode);
+    assert_eq!(open(&folder).unwrap(), Some(durable.clone()));
+    let rewritten_files = names.map(read);
+    names.iter().zip(inodes_before).for_each(|(name, before)| assert_ne!(inode(name), before));
     assert_eq!(open(&folder).unwrap(), Some(durable));
+    assert_eq!(names.map(read), rewritten_files);
 }
 
 #[test]
--- a/tests/it/storage_crash/disk.rs
+++ b/tests/it/storage_crash/disk.rs
@@ -17,13 +17,16 @@
     /// The process ends when half of the bytes are written.
     KillHalf,
     /// The operation fails once. A write leaves half of its bytes, and a failed sync drops the
-    /// data from the disk although reads still return it.
+    /// data or the names from the disk although reads still return them.
     Fail,
+    /// The operation fails like that, and the process ends before it handles the failure.
+    FailAndKill,
     /// From this operation on, writes are refused.
     Full,
 }
 
-pub const FAULTS: [Fault; 4] = [Fault::Kill, Fault::KillHalf, Fault::Fail, Fault::Full];
+pub const FAULTS: [Fault; 5] =
+    [Fault::Kill, Fault::KillHalf, Fault::Fail, Fault::FailAndKill, Fault::Full];
 
 /// A disk, which is shared with the [`Files`] on it.
 #[derive(Default)]
@@ -181,6 +184,10 @@
                     return Ok(is_write.then_some(fault));
                 }
                 Fault::Fail => return Ok(Some(fault)),
+                Fault::FailAndKill => {
+                    self.is_killed = true;
+                    return Ok(Some(fault));
+                }
                 Fault::Full => self.is_full = true,
             }
         }
@@ -228,7 +235,8 @@
                 self.names.remove(name).ok_or_else(not_found)?;
                 self.unsynced.push(NameChange::Remove(name.to_owned()));
             }
-            FileOp::SyncFolder if !is_failed => {
+            FileOp::SyncFolder if is_failed => self.unsynced.clear(),
+            FileOp::SyncFolder => {
                 for change in std::mem::take(&mut self.unsynced) {
                     change.apply(&mut self.synced_names);
                 }
--- a/tests/it/storage_crash/mod.rs
+++ b/tests/it/storage_crash/mod.rs
@@ -30,7 +30,6 @@
     InstallOther,
     /// Installs a snapshot that the log matches and has entries after.
     InstallBehind,
-    RewriteAll,
     Restart,
 }
 
@@ -56,7 +55,7 @@
     Action::Vote,
     Action::Compact,
     Action::InstallOther,
-    Action::RewriteAll,
+    Action::Restart,
     Action::Append,
 ];
 
@@ -135,9 +134,6 @@
             self.start()?;
         }
         let Some(store) = &mut self.store else { return Ok(()) };
-        if matches!(action, Action::RewriteAll) {
-            return store.rewrite_all(&self.durable).map_err(Stop::Failed);
-        }
         let (outputs, after) = outputs(action, &self.durable);
         let mut compacted = self.durable.clone();
         if let Some(snapshot) = outputs.snapshot.clone() {
@@ -162,11 +158,11 @@
                     Stop::Failed(StoreError::Io { .. }) if self.disk.failures() > failures => {}
                     Stop::Failed(error) => return Err(error.to_string()),
                 }
-                if self.start().is_err() && !self.disk.is_killed() {
+                failures = self.disk.failures();
+                result = self.start();
+                if result.is_err() {
                     self.disk.make_room();
                 }
-                failures = self.disk.failures();
-                result = self.perform(Action::RewriteAll);
             }
         }
         Ok(())
@@ -205,7 +201,7 @@
             let index = last.max(before.snapshot.index + 1);
             out.snapshot = Some(snapshot(index, term + 1, before));
         }
-        Action::RewriteAll | Action::Restart => {}
+        Action::Restart => {}
     }
     out.entries.iter().for_each(|entry| after.truncate_and_push(entry.clone()));
     if let Some(snapshot) = out.snapshot.clone() {
