Find a data folder damaged while the move of its files is interrupted

What an operator would see: a control replica whose identity file is gone, and whose process ends while it sets its log aside, starts as a new one under the id of a first start. That id may have voted.

Cause: a folder without an identity counts as damaged only if there is a log. The move renames the log first and writes the new identity last, so in between the folder looks empty.

Evidence: a planted fault (the folder is not synced between the renaming of the log and the new identity) was found by no test. With a file that is missing instead of damaged, a_damaged_folder_gets_a_new_id_although_processes_crash_while_they_move_its_files failed on the unchanged store too: found (1, None), expected (2, None).

Why this works: the renamed log counts as well, until the new identity is written. An operator who empties the folder removes it with the rest.

--- a/src/storage/store.rs
+++ b/src/storage/store.rs
@@ -225,12 +225,15 @@
 fn read_identity(files: &mut Files, new_identity: Identity) -> Result<Identity, StoreError> {
     let path = files.path(IDENTITY);
     let Some(bytes) = files.read_if_exists(IDENTITY)? else {
-        if files.read_if_exists(LOG)?.is_some() {
-            return Err(StoreError::damaged(
-                path,
-                0,
-                "the identity is missing, but there is a log",
-            ));
+        // A log that was moved belongs to a move that was interrupted.
+        for name in [LOG.to_owned(), damaged_name(LOG)] {
+            if files.read_if_exists(&name)?.is_some() {
+                return Err(StoreError::damaged(
+                    path,
+                    0,
+                    "the identity is missing, but there is a log",
+                ));
+            }
         }
         write_identity(files, &new_identity)?;
         return Ok(new_identity);
@@ -281,6 +284,11 @@
     move_damaged_files_with(&mut Files::lock(folder)?, new_identity)
 }
 
+/// Returns the name to which a file of a damaged data folder is renamed.
+fn damaged_name(name: &str) -> String {
+    format!("{name}.damaged")
+}
+
 /// Renames the files of a damaged data folder like [`move_damaged_files`], without a lock.
 ///
 /// # Errors
@@ -291,14 +299,14 @@
     new_identity: Identity,
 ) -> Result<(), StoreError> {
     for name in [LOG, SNAPSHOT] {
-        match files.run(FileOp::Rename(name, &format!("{name}.damaged"))) {
+        match files.run(FileOp::Rename(name, &damaged_name(name))) {
             Err(StoreError::Io { source, .. }) if source.kind() == io::ErrorKind::NotFound => {}
             result => drop(result?),
         }
         files.run(FileOp::SyncFolder)?;
     }
     if let Some(bytes) = files.read_if_exists(IDENTITY)? {
-        files.replace(&format!("{IDENTITY}.damaged"), &bytes)?;
+        files.replace(&damaged_name(IDENTITY), &bytes)?;
     }
     write_identity(files, &new_identity)
 }
--- a/tests/it/storage_crash/disk.rs
+++ b/tests/it/storage_crash/disk.rs
@@ -250,6 +250,14 @@
         }
     }
 
+    /// Returns the files without one of them, which is gone from the disk as well.
+    pub fn without(&self, name: &str) -> Self {
+        let mut content = self.clone();
+        content.names.remove(name);
+        content.synced_names.remove(name);
+        content
+    }
+
     fn create(&mut self, name: &str) {
         if self.names.contains_key(name) {
             return;
--- a/tests/it/storage_crash/mod.rs
+++ b/tests/it/storage_crash/mod.rs
@@ -339,8 +339,10 @@
         replica.model =
             Model { allowed: vec![Some(DurableState::new(Members::default()))], ..replica.model };
         replica.run(&[Action::Append, Action::InstallAhead, Action::Append]).unwrap();
+        let sound_states = replica.disk.states_after_crash();
         replica.disk.damage(name, 20);
         replica.disk.states_after_crash().iter().for_each(|content| check_damaged(content, 2));
+        sound_states.iter().for_each(|content| check_damaged(&content.without(name), 2));
     }
 }
 
