Bound the entries that a leader has not committed in bytes

What operators would see: while no quorum acknowledges in time, each repeat of a large configuration is one more entry in the leader's memory, up to the election timeout after which it steps down, and at each later leader again.

Cause: proposals were bounded neither in number nor in bytes until they were committed; the window of a follower bounds only what is sent.

No run of processes has shown a process over its memory by this.

--- a/src/core/replication/budget.rs
+++ b/src/core/replication/budget.rs
@@ -57,6 +57,7 @@
         }
         let messages = MessageLimits {
             windows_bytes: memory_bytes / WINDOWS_IN_MEMORY,
+            uncommitted_max_bytes: log_max_bytes,
             ..MessageLimits::default()
         };
         Self {
--- a/src/core/replication/leader.rs
+++ b/src/core/replication/leader.rs
@@ -1,7 +1,7 @@
 //! The leader's part of the protocol: replicates and commits entries and changes
 //! the members.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use serde::Serialize;
 
@@ -19,13 +19,22 @@
     progress: BTreeMap<ReplicaId, Progress>,
     /// The replicas that replied since the last quorum check.
     recently_active: BTreeSet<ReplicaId>,
+    /// The entries of this term that are not committed, each with its encoded size.
+    uncommitted: VecDeque<(LogIndex, u64)>,
+    uncommitted_bytes: u64,
 }
 
 impl LeaderState {
     pub(super) fn new(other_members: Vec<ReplicaId>, last_index: LogIndex) -> Self {
         let progress =
             other_members.into_iter().map(|id| (id, Progress::new(last_index))).collect();
-        Self { round: 0, progress, recently_active: BTreeSet::new() }
+        Self {
+            round: 0,
+            progress,
+            recently_active: BTreeSet::new(),
+            uncommitted: VecDeque::new(),
+            uncommitted_bytes: 0,
+        }
     }
 
     /// Returns the number of the last round that began.
@@ -50,6 +59,23 @@
         self.progress.values().map(Progress::in_flight_bytes).sum()
     }
 
+    /// Returns the encoded size of the entries of this term that are not committed.
+    pub fn uncommitted_bytes(&self) -> u64 {
+        self.uncommitted_bytes
+    }
+
+    fn record_proposed(&mut self, index: LogIndex, bytes: u64) {
+        self.uncommitted.push_back((index, bytes));
+        self.uncommitted_bytes += bytes;
+    }
+
+    fn record_committed(&mut self, committed: LogIndex) {
+        while let Some((_, bytes)) = self.uncommitted.pop_front_if(|(index, _)| *index <= committed)
+        {
+            self.uncommitted_bytes -= bytes;
+        }
+    }
+
     fn record_reply(&mut self, from: ReplicaId, round: Round) -> Option<&mut Progress> {
         self.recently_active.insert(from);
         let progress = self.progress.get_mut(&from)?;
@@ -85,11 +111,22 @@
     }
 
     pub(super) fn propose(&mut self, payload: Payload<C>, out: &mut Outputs<C>) {
-        if !self.is_leader() {
+        let (index, term) = (self.durable.last_index() + 1, self.term());
+        let Role::Leader(leader_state) = &mut self.role else {
             out.refused = Some(ProposalError::NotLeader(self.leader));
             return;
+        };
+        let entry = Entry { index, term, payload };
+        let entry_bytes = encoded_len(&entry);
+        let uncommitted_bytes = leader_state.uncommitted_bytes;
+        if matches!(entry.payload, Payload::Command(_))
+            && uncommitted_bytes > 0
+            && uncommitted_bytes + entry_bytes > self.limits.uncommitted_max_bytes
+        {
+            out.refused = Some(ProposalError::TooManyUncommitted);
+            return;
         }
-        let entry = Entry { index: self.durable.last_index() + 1, term: self.term(), payload };
+        leader_state.record_proposed(index, entry_bytes);
         out.proposed = Some((entry.index, entry.term));
         self.durable.truncate_and_push(entry.clone());
         out.entries.push(entry);
@@ -235,6 +272,9 @@
             return;
         }
         self.commit_to(index, out);
+        if let Role::Leader(leader_state) = &mut self.role {
+            leader_state.record_committed(index);
+        }
         self.step_down_if_removed();
     }
 
--- a/src/core/replication/limits.rs
+++ b/src/core/replication/limits.rs
@@ -1,6 +1,6 @@
-//! Limits the size of messages between replicas.
+//! Limits the size of messages between replicas, and of entries that are not committed.
 
-/// Limits the size of messages.
+/// Limits the size of messages, and of entries that are not committed.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct MessageLimits {
     /// The maximum number of entries in one message.
@@ -12,6 +12,9 @@
     pub window_bytes: u64,
     /// The maximum size of the windows of all replicas together, in encoded bytes.
     pub windows_bytes: u64,
+    /// The maximum size of a leader's entries that are not committed yet, in encoded bytes. A
+    /// larger entry is accepted alone.
+    pub uncommitted_max_bytes: u64,
 }
 
 impl MessageLimits {
@@ -28,6 +31,7 @@
             chunk_bytes: 256 * 1024,
             window_bytes: 1024 * 1024,
             windows_bytes: 4 * 1024 * 1024,
+            uncommitted_max_bytes: 64 * 1024 * 1024,
         }
     }
 }
--- a/src/core/replication/node.rs
+++ b/src/core/replication/node.rs
@@ -121,6 +121,8 @@
     MembersPending,
     /// The change of members is not safe in one step.
     Members(MembersError),
+    /// The entries that are not committed yet have reached their limit in bytes.
+    TooManyUncommitted,
 }
 
 impl<C: Clone + Serialize> RaftNode<C> {
--- a/src/runtime/replica/compact.rs
+++ b/src/runtime/replica/compact.rs
@@ -28,19 +28,23 @@
             self.inputs.push((Input::Compact { index: applied_index, data }, None));
         }
     }
-    /// Shows the sizes of the log, the snapshot and the messages that are not acknowledged, and
-    /// their limits.
+
+    /// Shows the sizes of the log, the snapshot, the messages that are not acknowledged and the
+    /// entries that are not committed, and their limits.
     pub(super) fn record_sizes(&self) {
         let budget = &self.setup.budget;
         let snapshot_bytes = self.node.durable().snapshot.data.len() as u64;
-        let in_flight_bytes = match self.node.role() {
-            Role::Leader(leader_state) => leader_state.in_flight_bytes(),
-            _ => 0,
+        let (in_flight_bytes, uncommitted_bytes) = match self.node.role() {
+            Role::Leader(leader_state) => {
+                (leader_state.in_flight_bytes(), leader_state.uncommitted_bytes())
+            }
+            _ => (0, 0),
         };
         let sizes = [
             ("log", self.disk.log_bytes(), Some(budget.compaction_bytes(snapshot_bytes))),
             ("snapshot", snapshot_bytes, None),
             ("in_flight", in_flight_bytes, Some(budget.messages.windows_bytes)),
+            ("uncommitted", uncommitted_bytes, Some(budget.messages.uncommitted_max_bytes)),
         ];
         for (kind, bytes, max_bytes) in sizes {
             self.metrics.state_bytes.with_label_values(&[kind]).set(bytes as i64);
--- a/tests/it/replication.rs
+++ b/tests/it/replication.rs
@@ -220,3 +220,28 @@
     assert_eq!(reply(0, 21), 0, "the chunk was sent again since");
     assert_eq!(reply(chunk_bytes as u64, 21), chunk_bytes);
 }
+
+/// The default of the bytes that are not committed, and the most that may be missing to it.
+const UNCOMMITTED_MAX_BYTES: usize = 64 * 1024 * 1024;
+
+/// A leader accepted entries without end while its followers acknowledged none, so that an
+/// operator who sent a large configuration again and again took it over its memory.
+#[test]
+fn the_bytes_of_a_leader_that_are_not_committed_are_bounded() {
+    let mut leader = leader_of_large_log();
+    receive(&mut leader, 2, 2, Message::AppendReply { matched: 151, round: 1 });
+    let mut accepted_bytes = 0;
+    for _ in 0..1000 {
+        if leader.step(Input::Propose(vec![7; ENTRY_BYTES])).proposed.is_some() {
+            accepted_bytes += ENTRY_BYTES;
+        }
+    }
+    let allowed_bytes = UNCOMMITTED_MAX_BYTES - 2 * ENTRY_BYTES..=UNCOMMITTED_MAX_BYTES;
+    assert!(allowed_bytes.contains(&accepted_bytes), "{accepted_bytes} bytes");
+
+    let matched = leader.durable().last_index();
+    receive(&mut leader, 2, 2, Message::AppendReply { matched, round: 1 });
+    let too_large = vec![7; UNCOMMITTED_MAX_BYTES + 1];
+    assert!(leader.step(Input::Propose(too_large)).proposed.is_some(), "refused alone");
+    assert!(leader.step(Input::Propose(vec![7])).proposed.is_none());
+}
--- a/tests/models/replication_world.rs
+++ b/tests/models/replication_world.rs
@@ -64,8 +64,13 @@
 
 /// In long runs, messages beyond this many are dropped.
 const IN_TRANSIT_MAX: usize = 12;
-const LIMITS: MessageLimits =
-    MessageLimits { entries_max: 2, chunk_bytes: 1, window_bytes: 80, windows_bytes: 160 };
+const LIMITS: MessageLimits = MessageLimits {
+    entries_max: 2,
+    chunk_bytes: 1,
+    window_bytes: 80,
+    windows_bytes: 160,
+    uncommitted_max_bytes: u64::MAX,
+};
 
 impl World {
     pub fn new(replicas: u64, budget: Budget) -> Self {
