Refuse configurations that the link can't carry within a call

What operators would see: on a control replica with a narrow link a large configuration is never acknowledged, and neither is any change after it, since it stays first in the log.

Cause: an entry is sent in one call, which is given up after 1.2 s and sent again from its beginning. The limit of a configuration followed from memory and disk, but not from the link: 8 MiB need 67 s at 1 Mbit/s.

Evidence: a_configuration_that_the_link_can_not_carry_within_a_call_is_not_accepted failed before: 67.1 s at 1 Mbit/s. Found by reading; no run of processes on such a link was made.

With 1,000 Mbit/s, as on all deployments in force, the limit is 62 MB and memory decides as before. An entry in pieces would lift the limit, and is not built.

Result: the test passes.

--- a/src/core/replication/budget.rs
+++ b/src/core/replication/budget.rs
@@ -31,6 +31,9 @@
 /// How many times a second the instance's own link can carry all windows. A call that takes more
 /// than 1.2 s is given up.
 const WINDOWS_PER_S: u64 = 2;
+/// How many times a second the instance's own link can carry a configuration. It is sent to each
+/// replica in a call of its own, which is given up after 1.2 s and sent again.
+const CONFIGURATIONS_PER_S: u64 = 2;
 /// The size of a window that is not reduced any further, in bytes.
 const WINDOW_MIN_BYTES: u64 = 64 * 1024;
 /// The default of [`StateBudget::log_bytes`].
@@ -75,6 +78,8 @@
         if bytes_per_s > 0.0 {
             let windows_bytes = bytes_per_s as u64 / WINDOWS_PER_S;
             messages.windows_bytes = messages.windows_bytes.min(windows_bytes);
+            let configuration_bytes = bytes_per_s as u64 / CONFIGURATIONS_PER_S;
+            self.configuration_max_bytes = self.configuration_max_bytes.min(configuration_bytes);
         }
         messages.windows_bytes = messages.windows_bytes.max(WINDOW_MIN_BYTES);
         messages.window_bytes = messages.window_bytes.min(messages.windows_bytes);
--- a/tests/it/replication.rs
+++ b/tests/it/replication.rs
@@ -2,7 +2,7 @@
 
 use bulrushspan::core::replication::{
     DurableState, Entry, Envelope, Input, Members, Message, Payload, RaftNode, ReplicaId,
-    ReplyTimes, Role, RoundTimes, Timers, TimersConfig,
+    ReplyTimes, Role, RoundTimes, StateBudget, Timers, TimersConfig,
 };
 use std::{collections::BTreeSet, time::Duration};
 
@@ -245,3 +245,16 @@
     assert!(leader.step(Input::Propose(too_large)).proposed.is_some(), "refused alone");
     assert!(leader.step(Input::Propose(vec![7])).proposed.is_none());
 }
+
+/// A replica accepted configurations that its link can't carry before a call is given up, and sent
+/// such an entry again without end, while nothing after it was committed.
+#[test]
+fn a_configuration_that_the_link_can_not_carry_within_a_call_is_not_accepted() {
+    let call_timeout_s = 1.2;
+    for link_mbps in [1.0, 2.0, 10.0, 100.0, 1000.0] {
+        let bytes_per_s = link_mbps * 125_000.0;
+        let budget = StateBudget::new(256 * 1024 * 1024, 0).with_link(bytes_per_s);
+        let seconds = budget.configuration_max_bytes as f64 / bytes_per_s;
+        assert!(seconds < call_timeout_s, "{seconds} s at {link_mbps} Mbit/s");
+    }
+}
