Wait for a configuration while it is arriving

What callers would see: after a start on a narrow link an entry instance with a large configuration is ready several times later than its link needs, and all requests get 503 until then. The larger the configuration, the worse: each try begins anew.

Cause: a replica counts as late by the time since the call, 0.7 s and the long poll at first, whether or not its reply is on the way. The instance then turns to another replica, which sends all of it again over the same link, and closes the first connection.

Why this works: the client of a connection tells whether part of a reply has arrived within the last second. While it has, the reply does not count as late, and no other replica is asked for its state; a reply that stops arriving is late as before. Such a reply is awaited for 32 s beyond its timeout at most. Calls between control replicas are unchanged.

--- a/src/net/mesh.rs
+++ b/src/net/mesh.rs
@@ -13,7 +13,7 @@
     net::SocketAddr,
     pin::Pin,
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::{Bytes, BytesMut};
@@ -24,7 +24,10 @@
     sync::{mpsc, oneshot},
     time,
 };
-use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+use tokio_util::{
+    codec::{FramedRead, FramedWrite, LengthDelimitedCodec},
+    io::InspectReader,
+};
 
 use super::wire::{decode, encode};
 
@@ -77,6 +80,10 @@
 /// The maximum number of queued calls per client and of queued replies per
 /// connection.
 const QUEUE_LEN: usize = 256;
+/// The longest pause after which a reply still counts as arriving.
+const ARRIVAL_PAUSE_MAX: Duration = Duration::from_secs(1);
+/// The interval at which a caller checks whether its reply is still arriving.
+pub(crate) const ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// How long data may stay unacknowledged by a receiver that has room for it.
 pub(crate) const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(2);
 
@@ -87,11 +94,37 @@
     pub connect_timeout: Duration,
     /// The maximum size of a reply. What answers at the address may be no instance.
     pub reply_max_bytes: usize,
+    /// How long a call waits beyond its timeout while part of a reply arrives.
+    pub arrival_timeout: Duration,
 }
 
 impl Default for ClientLimits {
     fn default() -> Self {
-        Self { connect_timeout: CONNECT_TIMEOUT, reply_max_bytes: FRAME_MAX_BYTES }
+        Self {
+            connect_timeout: CONNECT_TIMEOUT,
+            reply_max_bytes: FRAME_MAX_BYTES,
+            arrival_timeout: Duration::ZERO,
+        }
+    }
+}
+
+/// Holds when part of a reply that is not complete yet last arrived on a connection.
+#[derive(Debug, Default)]
+struct Arrival(Mutex<Option<Instant>>);
+
+impl Arrival {
+    fn record(&self, bytes: &[u8]) {
+        if !bytes.is_empty() {
+            lock(&self.0).replace(Instant::now());
+        }
+    }
+
+    fn clear(&self) {
+        lock(&self.0).take();
+    }
+
+    fn is_recent(&self) -> bool {
+        lock(&self.0).is_some_and(|arrived_at| arrived_at.elapsed() <= ARRIVAL_PAUSE_MAX)
     }
 }
 
@@ -99,11 +132,14 @@
 #[derive(Debug)]
 pub struct MeshClient<Req, Rep> {
     calls: mpsc::Sender<Call<Req, Rep>>,
+    arrival: Arc<Arrival>,
+    arrival_timeout: Duration,
 }
 
 impl<Req, Rep> Clone for MeshClient<Req, Rep> {
     fn clone(&self) -> Self {
-        Self { calls: self.calls.clone() }
+        let (calls, arrival) = (self.calls.clone(), self.arrival.clone());
+        Self { calls, arrival, arrival_timeout: self.arrival_timeout }
     }
 }
 
@@ -139,8 +175,14 @@
     /// Panics if it is called outside a Tokio runtime.
     pub fn with_limits(address: SocketAddr, limits: ClientLimits) -> Self {
         let (calls, queue) = mpsc::channel(QUEUE_LEN);
-        tokio::spawn(run_client(address, limits, queue));
-        Self { calls }
+        let arrival = Arc::<Arrival>::default();
+        tokio::spawn(run_client(address, limits, queue, arrival.clone()));
+        Self { calls, arrival, arrival_timeout: limits.arrival_timeout }
+    }
+
+    /// Returns whether part of a reply has arrived, and the rest is still arriving.
+    pub fn is_receiving(&self) -> bool {
+        self.arrival.is_recent()
     }
 
     /// Sends a request and waits for the reply.
@@ -148,16 +190,25 @@
     /// # Errors
     ///
     /// Returns an error if the instance is unreachable, the queue of calls is full,
-    /// the request can't be encoded or is too long, or no reply was received within `timeout`.
+    /// the request can't be encoded or is too long, or no reply was received within `timeout`
+    /// and, while part of one is arriving, [`ClientLimits::arrival_timeout`].
     pub async fn call(&self, request: Req, timeout: Duration) -> Result<Rep, MeshError> {
-        let (reply, reply_receiver) = oneshot::channel();
+        let (reply, mut reply_receiver) = oneshot::channel();
         let call = Call { request, reply };
         if self.calls.try_send(call).is_err() {
             return Err(MeshError::Unreachable);
         }
-        match time::timeout(timeout, reply_receiver).await {
-            Ok(Ok(reply)) => reply,
-            Ok(Err(_)) | Err(_) => Err(MeshError::NoReply),
+        let deadline = Instant::now() + timeout + self.arrival_timeout;
+        let mut wait = timeout;
+        loop {
+            match time::timeout(wait, &mut reply_receiver).await {
+                Ok(Ok(reply)) => return reply,
+                Ok(Err(_)) => return Err(MeshError::NoReply),
+                Err(_) if self.is_receiving() && Instant::now() < deadline => {
+                    wait = ARRIVAL_CHECK_INTERVAL;
+                }
+                Err(_) => return Err(MeshError::NoReply),
+            }
         }
     }
 }
@@ -166,6 +217,7 @@
     address: SocketAddr,
     limits: ClientLimits,
     mut queue: mpsc::Receiver<Call<Req, Rep>>,
+    arrival: Arc<Arrival>,
 ) where
     Req: Serialize,
     Rep: DeserializeOwned + Send + 'static,
@@ -182,7 +234,9 @@
             continue;
         };
         configure_stream(&stream, UNACKNOWLEDGED_MAX);
-        run_connection(stream, address, limits, first_call, &mut queue, &mut last_id).await;
+        run_connection(stream, address, limits, &arrival, first_call, &mut queue, &mut last_id)
+            .await;
+        arrival.clear();
     }
 }
 
@@ -192,6 +246,7 @@
     stream: TcpStream,
     address: SocketAddr,
     limits: ClientLimits,
+    arrival: &Arc<Arrival>,
     first_call: Call<Req, Rep>,
     queue: &mut mpsc::Receiver<Call<Req, Rep>>,
     last_id: &mut u64,
@@ -201,9 +256,12 @@
 {
     let (read_half, write_half) = stream.into_split();
     let mut write = FramedWrite::new(write_half, codec(FRAME_MAX_BYTES));
-    let replies = FramedRead::new(read_half, codec(limits.reply_max_bytes));
+    let arriving = arrival.clone();
+    let inspect = move |bytes: &[u8]| arriving.record(bytes);
+    let read = InspectReader::new(read_half, inspect);
+    let replies = FramedRead::new(read, codec(limits.reply_max_bytes));
     let pending: PendingReplies<Rep> = Arc::default();
-    let mut reader = tokio::spawn(read_replies(replies, address, pending.clone()));
+    let mut reader = tokio::spawn(read_replies(replies, address, pending.clone(), arrival.clone()));
     let mut next_call = Some(first_call);
     loop {
         let call = match next_call.take() {
@@ -251,11 +309,15 @@
     mut read: FramedRead<R, LengthDelimitedCodec>,
     address: SocketAddr,
     pending: PendingReplies<Rep>,
+    arrival: Arc<Arrival>,
 ) where
     R: tokio::io::AsyncRead + Unpin,
     Rep: DeserializeOwned,
 {
     while let Some(frame) = next_frame(&mut read, address).await {
+        if read.read_buffer().is_empty() {
+            arrival.clear();
+        }
         let Ok(MeshMessage { id, body, .. }) = decode::<MeshMessage<Rep>>(&frame) else { return };
         if let Some(reply) = lock(&pending).remove(&id) {
             reply.send(Ok(body)).ok();
--- a/src/runtime/entry_node/follow.rs
+++ b/src/runtime/entry_node/follow.rs
@@ -7,10 +7,13 @@
 use tracing::{info, warn};
 
 use super::{
-    replica_call::{Client, FollowState, ReplicaReply, apply_reply, fetch_state, is_up_to_date},
+    replica_call::{
+        Client, FollowState, PendingReply, ReplicaReply, apply_reply, fetch_state, is_up_to_date,
+    },
     replica_search::Search,
     state::EntryState,
 };
+use crate::net::mesh::ARRIVAL_CHECK_INTERVAL;
 
 /// How long a replica may hold back its reply while nothing has changed.
 const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -41,7 +44,8 @@
         let reply_timeout = LONG_POLL_TIMEOUT + progress.reply_margin() + queue_time;
         let hold = if state.links.is_any_lost() { PEERS_POLL_TIMEOUT } else { LONG_POLL_TIMEOUT };
         let mut pending = fetch_state(state, address, &client, hold, progress);
-        let Ok(ReplicaReply { call, result, .. }) = timeout(reply_timeout, &mut pending).await
+        let Some(ReplicaReply { call, result, .. }) =
+            await_reply(&mut pending, &client, reply_timeout).await
         else {
             warn!(
                 replica = %address,
@@ -73,3 +77,20 @@
         }
     }
 }
+
+/// Waits for a reply, and longer than `reply_timeout` while part of it arrives: another replica
+/// would have to send all of it again over the same link. Returns `None` if the reply is late.
+async fn await_reply(
+    pending: &mut PendingReply,
+    client: &Client,
+    reply_timeout: Duration,
+) -> Option<ReplicaReply> {
+    let mut wait = reply_timeout;
+    loop {
+        match timeout(wait, &mut *pending).await {
+            Ok(reply) => return Some(reply),
+            Err(_) if client.is_receiving() => wait = ARRIVAL_CHECK_INTERVAL,
+            Err(_) => return None,
+        }
+    }
+}
--- a/src/runtime/entry_node/replica_call.rs
+++ b/src/runtime/entry_node/replica_call.rs
@@ -28,7 +28,8 @@
 /// The pause before a list of upstreams is requested again after a complete one that was older
 /// than the current one.
 const LIST_RETRY_DELAY: Duration = Duration::from_millis(250);
-/// The maximum time for which a reply with the replica's state is awaited.
+/// The maximum time for which a reply with the replica's state is awaited. While it is arriving,
+/// it is awaited for as long again.
 const STATE_TIMEOUT_MAX: Duration = Duration::from_secs(32);
 /// How long a connection may take to open. Linux sends a lost request for a connection again
 /// after 1 s.
@@ -120,7 +121,12 @@
 /// Returns a client of the replica at an address.
 pub(super) fn new_client(state: &EntryState, address: SocketAddr) -> Client {
     let reply_max_bytes = state.settings.reply_max_bytes();
-    Client::with_limits(address, ClientLimits { connect_timeout: CONNECT_TIMEOUT, reply_max_bytes })
+    let limits = ClientLimits {
+        connect_timeout: CONNECT_TIMEOUT,
+        reply_max_bytes,
+        arrival_timeout: STATE_TIMEOUT_MAX,
+    };
+    Client::with_limits(address, limits)
 }
 
 /// Asks a replica how up to date it is, after a delay.
--- a/src/runtime/entry_node/replica_search.rs
+++ b/src/runtime/entry_node/replica_search.rs
@@ -140,7 +140,8 @@
             counts.behind += 1;
             // Probing all of them again would load the replicas while they elect a leader.
             nearest_behind = nearest_behind.min(distance);
-            if is_newer && !call.is_state && state.clock.now() >= self.next_fetch_at {
+            let may_fetch = state.clock.now() >= self.next_fetch_at && !self.is_receiving();
+            if is_newer && !call.is_state && may_fetch {
                 self.fetch(state, address, progress);
             } else if distance == nearest_behind {
                 self.probe(state, address, PROBE_INTERVAL);
@@ -167,6 +168,11 @@
         self.next_fetch_at = state.clock.now() + progress.state_timeout() / 2;
     }
 
+    /// Returns whether part of a long reply is arriving from any replica.
+    fn is_receiving(&self) -> bool {
+        self.clients.values().any(Client::is_receiving)
+    }
+
     fn client(&mut self, state: &EntryState, address: SocketAddr) -> Client {
         self.clients.entry(address).or_insert_with(|| new_client(state, address)).clone()
     }
--- a/tests/processes/entry.rs
+++ b/tests/processes/entry.rs
@@ -38,7 +38,7 @@
 pub(super) const SERVICE: &str = "orders";
 pub(super) const MEMORY_MB: u64 = 64;
 pub(super) const LINK_MBPS: f64 = 1000.0;
-const GRACE_S: f64 = 6.0;
+pub(super) const GRACE_S: f64 = 6.0;
 /// The length of the body of [`large_response`].
 const LARGE_BYTES: usize = 400_000;
 
@@ -105,13 +105,23 @@
         control: MeshHandler<NodeRequest, NodeReply>,
         events: mpsc::UnboundedReceiver<Event>,
         (link_mbps, grace_s): (f64, f64),
+    ) -> Self {
+        let listener = TcpListener::bind(address(control_number(number), 7660)).await.unwrap();
+        tokio::spawn(serve_mesh(listener, control));
+        Self::launch_without_control(number, events, (link_mbps, grace_s))
+    }
+
+    /// Starts the instance alone. The test serves the control replica, and may serve the second
+    /// seed.
+    pub(super) fn launch_without_control(
+        number: u32,
+        events: mpsc::UnboundedReceiver<Event>,
+        (link_mbps, grace_s): (f64, f64),
     ) -> Self {
         let ip = ip(number);
         let folder =
             std::env::temp_dir().join(format!("bulrushspan-entry-{}-{number}", std::process::id()));
         fs::create_dir_all(&folder).unwrap();
-        let listener = TcpListener::bind(address(control_number(number), 7660)).await.unwrap();
-        tokio::spawn(serve_mesh(listener, control));
         let seeds =
             [address(control_number(number), 8146), format!("{}:8146", silent_seed(number))];
         let settings = json!({
--- a/tests/processes/follow.rs
+++ b/tests/processes/follow.rs
@@ -2,6 +2,7 @@
 //! not at all, or that is behind.
 
 use std::{
+    net::SocketAddr,
     sync::{
         Arc, Mutex,
         atomic::{AtomicUsize, Ordering},
@@ -10,18 +11,26 @@
 };
 
 use bulrushspan::{
-    core::MapDelta,
+    core::{MapDelta, control::Policy, routing::Route},
     net::{
         mesh::{MeshHandler, serve_mesh},
         wire::{Cursor, ListDelta, NodeReply, NodeRequest},
     },
 };
-use tokio::{net::TcpListener, sync::mpsc, time::sleep};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::mpsc,
+    time::sleep,
+};
 
 use super::{
     entry::{
-        LINK_MBPS, Rig, WAIT_TIMEOUT, address, follow_reply, listed_upstream, silent_seed,
-        upstream_number,
+        GRACE_S, LINK_MBPS, Rig, WAIT_TIMEOUT, address, control_number, follow_reply, ip,
+        listed_upstream, silent_seed, upstream_number,
     },
     hand_over::{policy, send, serve},
 };
@@ -145,6 +154,94 @@
     launch(8, control).await;
 }
 
+/// The bandwidth of a narrow link, in bytes per second, and the interval at which it carries them.
+const NARROW_BYTES_PER_S: usize = 50_000;
+const NARROW_INTERVAL: Duration = Duration::from_millis(20);
+/// A configuration of this many routes takes some 10 s on a narrow link.
+const ROUTES: usize = 2500;
+
+/// A link that carries one piece at a time.
+type Link = Arc<tokio::sync::Mutex<()>>;
+
+/// Forwards the connections to one address to another, over a link that queues what it can't
+/// carry at once.
+async fn forward_over(link: Link, listener: TcpListener, to: SocketAddr) {
+    while let Ok((client, _)) = listener.accept().await {
+        let Ok(server) = TcpStream::connect(to).await else { continue };
+        let (client_read, client_write) = client.into_split();
+        let (server_read, server_write) = server.into_split();
+        tokio::spawn(copy_over(link.clone(), client_read, server_write));
+        tokio::spawn(copy_over(link.clone(), server_read, client_write));
+    }
+}
+
+async fn copy_over(link: Link, mut from: OwnedReadHalf, mut to: OwnedWriteHalf) {
+    let (sender, mut queue) = mpsc::unbounded_channel();
+    tokio::spawn(async move {
+        let mut bytes = vec![0; 64 * 1024];
+        while let Ok(length @ 1..) = from.read(&mut bytes).await {
+            sender.send(bytes[..length].to_vec()).ok();
+        }
+    });
+    while let Some(bytes) = queue.recv().await {
+        for piece in bytes.chunks(NARROW_BYTES_PER_S / 50) {
+            let turn = link.lock().await;
+            sleep(NARROW_INTERVAL).await;
+            drop(turn);
+            if to.write_all(piece).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// Returns a policy with many routes, of which the first one is that of [`policy`].
+fn large_policy() -> Policy {
+    let mut policy = policy(1);
+    let mut routing = (*policy.routing).clone();
+    let route = routing.routes.values().next().unwrap().clone();
+    for number in 0..ROUTES {
+        let path_prefix = format!("/other/{number}/");
+        let other = Route { path_prefix, ..(*route).clone() };
+        routing.routes.insert(format!("other-{number}"), Arc::new(other));
+    }
+    policy.routing = Arc::new(routing);
+    policy
+}
+
+/// On a narrow link an instance took a large configuration that was still arriving for late,
+/// turned to another replica and began anew, so that it was not ready for several times as long
+/// as the link needs for the configuration.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_that_is_arriving_on_a_narrow_link_is_requested_once() {
+    let number = 71;
+    let (policy, asked) = (large_policy(), Arc::<AtomicUsize>::default());
+    let link = Link::default();
+    let counter = asked.clone();
+    let control: MeshHandler<NodeRequest, NodeReply> = Arc::new(move |call, _peer| {
+        let (policy, asked) = (policy.clone(), counter.clone());
+        Box::pin(async move {
+            let NodeRequest::Follow(request) = call else { return None };
+            if request.version == Some(0) {
+                asked.fetch_add(1, Ordering::Relaxed);
+            }
+            let listed = listed_upstream(address(upstream_number(number), 8080).parse().unwrap());
+            Some(NodeReply::Follow(Box::new(follow_reply(&request, &policy, listed))))
+        })
+    });
+    let server = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let server_address = server.local_addr().unwrap();
+    tokio::spawn(serve_mesh(server, control.clone()));
+    for seed in [silent_seed(number), ip(control_number(number))] {
+        let listener = TcpListener::bind(format!("{seed}:7660")).await.unwrap();
+        tokio::spawn(forward_over(link.clone(), listener, server_address));
+    }
+    let (_, events) = mpsc::unbounded_channel();
+    let rig = Rig::launch_without_control(number, events, (LINK_MBPS, GRACE_S));
+    rig.wait_ready().await;
+    assert_eq!(asked.load(Ordering::Relaxed), 1);
+}
+
 /// A replica whose list of upstreams was older than the instance's: the instance ignored its
 /// complete list and asked for it again at once, which filled the links of both.
 #[tokio::test(flavor = "multi_thread")]
