Hold a large configuration in memory fewer times

What operators would see: a control replica with the greatest configuration that is accepted passes its memory limit when the configuration is read; the platform ends it, and a single read after its restart takes it close to the limit again.

Cause: both directions between JSON and routes went through a tree of JSON values, several times the size of the text, and each read at the same time built its own. The body of a change stayed in memory, at first three times, until the change was committed. And each version in the log held all of its routes by itself.

The limit of a configuration stays a 32nd of the memory.

A test of fleets may now have 20 instead of 10 numbers. versions_share_the_routes_that_they_have_in_common is new.

--- a/src/core/control/command.rs
+++ b/src/core/control/command.rs
@@ -7,7 +7,8 @@
 
 use super::{
     ChangeOutcome, ChangeRequest, EvacuationOrders, Fingerprint, Holder, InstanceName,
-    InstanceState, OwnerEpoch, Preset, PresetName, RegionName, UpstreamName, Version, ZoneName,
+    InstanceState, OwnerEpoch, Policy, Preset, PresetName, RegionName, UpstreamName, Version,
+    ZoneName,
 };
 use crate::core::{
     claims::{ClaimCommand, ClaimOutcome},
@@ -83,6 +84,16 @@
     },
 }
 
+impl Command {
+    /// Replaces the routes of a routing table that are in force too by those of `policy`, so that
+    /// they are in memory once.
+    pub fn share_routes(&mut self, policy: &Policy) {
+        if let Self::Routing(table) = self {
+            table.share_with(&policy.routing);
+        }
+    }
+}
+
 /// Represents the policy that a new deployment starts with.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct InitialPolicy {
--- a/src/core/routing/delta.rs
+++ b/src/core/routing/delta.rs
@@ -31,6 +31,13 @@
         }
     }
 
+    /// Replaces the routes and services that `other` has too by those of `other`, so that they are
+    /// in memory once.
+    pub fn share_with(&mut self, other: &Self) {
+        share_values(&mut self.routes, &other.routes);
+        share_values(&mut self.services, &other.services);
+    }
+
     /// Applies a delta that was computed from this table.
     pub fn apply_delta(&mut self, delta: &RoutingDelta) {
         self.version = delta.version;
@@ -42,6 +49,17 @@
     }
 }
 
+fn share_values<T: PartialEq>(
+    map: &mut BTreeMap<String, Arc<T>>,
+    other: &BTreeMap<String, Arc<T>>,
+) {
+    for (name, value) in map {
+        if let Some(shared) = other.get(name).filter(|shared| *shared == value) {
+            *value = shared.clone();
+        }
+    }
+}
+
 fn map_delta<T: PartialEq>(
     from: &BTreeMap<String, Arc<T>>,
     to: &BTreeMap<String, Arc<T>>,
--- a/src/runtime/control_node/mod.rs
+++ b/src/runtime/control_node/mod.rs
@@ -71,6 +71,7 @@
     /// The replica; `None` while its disk fails.
     replica: Mutex<Option<Address<Replica>>>,
     connections: peers::Connections,
+    configuration_body: operators::ConfigurationBody,
     /// The cluster addresses of the seeds in the settings.
     seeds: Mutex<Vec<SocketAddr>>,
     /// The entry instances that announced themselves.
@@ -131,6 +132,7 @@
             demand: Mutex::default(),
             process_id: rand::random(),
             connections: peers::Connections::default(),
+            configuration_body: operators::ConfigurationBody::default(),
             seeds: Mutex::new(settings.seed_cluster_addresses()),
             replica: Mutex::default(),
             settings,
--- a/src/runtime/control_node/operators.rs
+++ b/src/runtime/control_node/operators.rs
@@ -1,7 +1,11 @@
 //! Handles the calls of operators: configurations and evacuations.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, Mutex, Weak},
+    time::Duration,
+};
 
+use bytes::Bytes;
 use http::StatusCode;
 use tokio::sync::oneshot;
 use tracing::{info, warn};
@@ -15,7 +19,7 @@
     core::{
         control::{Command, EvacuationOrders, Outcome, ZoneName},
         encoded_len,
-        routing::RoutingTable,
+        routing::{ConfigVersion, RoutingTable},
     },
     net::wire::{QueryReply, QueryRequest, SubmitReply, SubmitRequest},
     platform::{
@@ -50,7 +54,7 @@
 
 async fn handle(state: &ControlNodeState, request: HttpRequest) -> HttpResponse {
     match decode_operator_call(&request.method, &request.path) {
-        Some(OperatorCall::PutConfiguration) => put_configuration(state, &request.body).await,
+        Some(OperatorCall::PutConfiguration) => put_configuration(state, request.body).await,
         Some(OperatorCall::GetConfiguration) => get_configuration(state).await,
         Some(OperatorCall::Evacuate(zone)) => evacuate(state, zone, true).await,
         Some(OperatorCall::EndEvacuation(zone)) => evacuate(state, zone, false).await,
@@ -58,8 +62,11 @@
     }
 }
 
-async fn put_configuration(state: &ControlNodeState, body: &[u8]) -> HttpResponse {
-    let table = match configuration::decode(body) {
+async fn put_configuration(state: &ControlNodeState, body: Bytes) -> HttpResponse {
+    let decoded = configuration::decode(&body);
+    // A large one must not stay in memory until the command is committed.
+    drop(body);
+    let table = match decoded {
         Ok(table) => table,
         Err(findings) => return reject(findings),
     };
@@ -161,13 +168,32 @@
     HttpResponse::text(StatusCode::SERVICE_UNAVAILABLE, "no quorum answered in time")
 }
 
+/// The body of a response with a configuration, for as long as one is being sent.
+///
+/// All readers of a version share one body, since a large one takes much of the memory.
+#[derive(Default)]
+pub(super) struct ConfigurationBody(Mutex<Option<(ConfigVersion, Weak<[u8]>)>>);
+
+impl ConfigurationBody {
+    fn encode(&self, table: &RoutingTable) -> Result<Bytes, serde_json::Error> {
+        let mut last = lock(&self.0);
+        let known = last.as_ref().filter(|(version, _)| *version == table.version);
+        if let Some(body) = known.and_then(|(_, body)| body.upgrade()) {
+            return Ok(Bytes::from_owner(body));
+        }
+        let body: Arc<[u8]> = configuration::encode(table)?.into();
+        *last = Some((table.version, Arc::downgrade(&body)));
+        Ok(Bytes::from_owner(body))
+    }
+}
+
 async fn get_configuration(state: &ControlNodeState) -> HttpResponse {
     let table = tokio::time::timeout(READ_TIMEOUT, current_table(state)).await;
     let Ok(Some(table)) = table else {
         let text = "it is not sure which configuration is the newest";
         return HttpResponse::text(StatusCode::SERVICE_UNAVAILABLE, text);
     };
-    match configuration::encode(&table) {
+    match state.configuration_body.encode(&table) {
         Ok(body) => HttpResponse::json(body),
         Err(error) => HttpResponse::text(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
     }
--- a/src/runtime/http_handler.rs
+++ b/src/runtime/http_handler.rs
@@ -9,6 +9,7 @@
     task::{Context, Poll},
 };
 
+use bytes::Bytes;
 use http::{HeaderValue, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -25,14 +26,14 @@
     pub(super) method: String,
     pub(super) path: String,
     pub(super) query: String,
-    pub(super) body: Vec<u8>,
+    pub(super) body: Bytes,
 }
 
 /// Represents a response with its whole body.
 #[derive(Clone, Debug)]
 pub(super) struct HttpResponse {
     pub(super) status: StatusCode,
-    body: Vec<u8>,
+    body: Bytes,
     content_type: &'static str,
 }
 
@@ -46,12 +47,12 @@
 impl HttpResponse {
     /// Creates a response in plain text.
     pub(super) fn text(status: StatusCode, text: &str) -> Self {
-        Self { status, body: text.as_bytes().to_vec(), content_type: "text/plain" }
+        Self { status, body: Bytes::copy_from_slice(text.as_bytes()), content_type: "text/plain" }
     }
 
     /// Creates a successful response from encoded JSON.
-    pub(super) fn json(body: Vec<u8>) -> Self {
-        Self { status: StatusCode::OK, body, content_type: "application/json" }
+    pub(super) fn json(body: impl Into<Bytes>) -> Self {
+        Self { status: StatusCode::OK, body: body.into(), content_type: "application/json" }
     }
 
     fn into_response(self) -> Response {
@@ -122,7 +123,7 @@
 async fn handle(handler: HttpHandler, request: hyper::Request<Incoming>) -> HttpResponse {
     let (head, body) = request.into_parts();
     let body = match Limited::new(body, BODY_MAX_BYTES).collect().await {
-        Ok(body) => body.to_bytes().to_vec(),
+        Ok(body) => body.to_bytes(),
         Err(error) => {
             let text =
                 format!("the body, of which {BODY_MAX_BYTES} bytes are read at most: {error}");
--- a/src/runtime/replica/handlers.rs
+++ b/src/runtime/replica/handlers.rs
@@ -9,7 +9,7 @@
 use crate::{
     core::{
         control::{Command, EvacuationOrders, InstanceName, Policy, Version, ZoneName},
-        replication::{Envelope, Input, LogIndex},
+        replication::{Envelope, Input, LogIndex, Message, Payload},
     },
     net::wire::{
         PolicyUpdate, ProbeReply, QueryReply, QueryRequest, SubmitReply, SubmitRequest, WatchReply,
@@ -70,11 +70,24 @@
 /// Processes the queued inputs.
 pub(super) struct Flush;
 
+impl Replica {
+    /// Lets an entry share the routes that are in force, since many versions of a large
+    /// configuration may be in the log.
+    fn share_routes(&self, payload: &mut Payload<Command>) {
+        if let Payload::Command(command) = payload {
+            command.share_routes(self.state.policy());
+        }
+    }
+}
+
 impl Handler<Deliver> for Replica {
     type Return = ();
 
     async fn handle(&mut self, Deliver(messages): Deliver, ctx: &mut Context<Self>) {
-        for message in messages {
+        for mut message in messages {
+            if let Message::Append { entries, .. } = &mut message.message {
+                entries.iter_mut().for_each(|entry| self.share_routes(&mut entry.payload));
+            }
             self.queue(Input::Receive(message), None, ctx);
         }
     }
@@ -87,7 +100,8 @@
         match request {
             // A command is decided on when it is applied, which comes after all entries of earlier
             // terms. So proposing is safe even if this leader has not committed one in its term.
-            SubmitRequest::Command(command) => {
+            SubmitRequest::Command(mut command) => {
+                command.share_routes(self.state.policy());
                 self.queue(Input::Propose(command), Some(reply), ctx);
             }
             SubmitRequest::Join { instance, replica } => {
--- a/tests/it/routing.rs
+++ b/tests/it/routing.rs
@@ -1,10 +1,19 @@
-//! Tests of how requests are matched to routes.
+//! Tests of routing tables, and of how requests are matched to routes.
 
-use bulrushspan::{core::routing::RouteIndex, platform::configuration};
+use std::sync::Arc;
+
+use bulrushspan::{
+    core::routing::{RouteIndex, RoutingTable},
+    platform::configuration,
+};
 use serde_json::json;
 
 /// Returns an index with one route per host and prefix; each is named after its prefix.
 fn index(routes: &[(&str, &str)]) -> RouteIndex {
+    RouteIndex::new(&table(routes))
+}
+
+fn table(routes: &[(&str, &str)]) -> RoutingTable {
     let service = json!({"type": "services", "meta": {"name": "s"}, "spec": {
         "health_path": "/h", "max_conns": 9}});
     let route = |(host, prefix): &(&str, &str)| {
@@ -15,7 +24,21 @@
     let mut resources = vec![service];
     resources.extend(routes.iter().map(route));
     let body = json!({"version": "r1", "resources": resources}).to_string();
-    RouteIndex::new(&configuration::decode(body.as_bytes()).unwrap())
+    configuration::decode(body.as_bytes()).unwrap()
+}
+
+/// Each version of a large configuration that is in the log held all of its routes by itself.
+#[test]
+fn versions_share_the_routes_that_they_have_in_common() {
+    let old = table(&[("h", "/a/"), ("h", "/b/"), ("h", "/c/")]);
+    let mut new = table(&[("h", "/a/"), ("h", "/b/"), ("i", "/c/")]);
+    Arc::make_mut(new.routes.get_mut("h/b/").unwrap()).priority = 2;
+    let expected = new.clone();
+    new.share_with(&old);
+    assert_eq!(new, expected);
+    let is_shared = |name: &str| Arc::ptr_eq(&new.routes[name], &old.routes[name]);
+    assert!(is_shared("h/a/") && !is_shared("h/b/"));
+    assert!(Arc::ptr_eq(&new.services["s"], &old.services["s"]));
 }
 
 fn find(index: &RouteIndex, host: &str, path: &str) -> String {
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -16,10 +16,13 @@
 use tokio::task::JoinHandle;
 use warp::{Filter, http::Response};
 
+use super::entry::peak_memory_mib;
+
 pub(super) const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 pub(super) const POLL_INTERVAL: Duration = Duration::from_millis(50);
 const UPSTREAMS: usize = 3;
-const MEMORY_MB: u64 = 260;
+/// The memory of each process, in MiB.
+pub(super) const MEMORY_MIB: u64 = 260;
 
 /// Three control replicas and two entry instances, which are killed on drop.
 pub(super) struct Fleet {
@@ -45,7 +48,7 @@
 pub(super) type Runs = Arc<Mutex<BTreeMap<String, u32>>>;
 
 impl Fleet {
-    /// Starts the fleet of the test with this number, below 10, which no other test may have.
+    /// Starts the fleet of the test with this number, below 20, which no other test may have.
     pub(super) async fn start(number: u32) -> Self {
         let mut fleet = Self::new(number);
         let entries = fleet.start_upstreams();
@@ -56,7 +59,8 @@
     /// Creates the fleet of the test with this number, of which nothing runs yet.
     pub(super) fn new(number: u32) -> Self {
         let pid = std::process::id();
-        let ip_prefix = format!("127.{}.{}", 100 + pid % 100, pid / 100 % 25 + 25 * number);
+        let second = 100 + pid % 75 + 75 * (number / 10);
+        let ip_prefix = format!("127.{second}.{}", pid / 75 % 25 + 25 * (number % 10));
         let folder = std::env::temp_dir().join(format!("bulrushspan-fleet-{pid}-{number}"));
         fs::create_dir_all(&folder).unwrap();
         Self {
@@ -135,7 +139,7 @@
             "node": name, "ip": ip, "zone": "a", "region": "north", "zones": {"a": "north"},
             "listen": listen, "cluster_ports": [7660, 7675], "seeds": seeds, "bootstrap": bootstrap,
             "data_dir": self.folder.join(name),
-            "limits": {"cpu_share": 1.0, "memory_mb": MEMORY_MB, "max_fds": 4000, "link_mbps": 1000},
+            "limits": {"cpu_share": 1.0, "memory_mb": MEMORY_MIB, "max_fds": 4000, "link_mbps": 1000},
             "bounds": {"grace_s": 6, "config_s": 2.5},
             "cloud": {
                 "addr": format!("{}.40:8142", self.ip_prefix), "rate_per_s": 50, "max_lag_s": 0.8,
@@ -245,6 +249,11 @@
         fs::metadata(self.folder.join(control).join("log")).unwrap().len()
     }
 
+    /// Returns the greatest amount of memory that a process has used, in MiB.
+    pub(super) fn peak_memory_mib(&self, name: &str) -> u64 {
+        peak_memory_mib(self.processes[name].id())
+    }
+
     /// Waits until a control replica counts this many voters.
     pub(super) async fn wait_for_voters(&self, control: &str, count: usize) {
         let url = format!("http://{}:9464/metrics", self.ip(control));
--- a/tests/processes/large_configurations.rs
+++ b/tests/processes/large_configurations.rs
@@ -1,8 +1,10 @@
 //! Tests of control replicas whose configuration is large and changes often.
 
+use std::time::{Duration, Instant};
+
 use serde_json::json;
 
-use super::fleet::Fleet;
+use super::fleet::{Fleet, MEMORY_MIB, WAIT_TIMEOUT};
 
 const ROUTES: u32 = 2000;
 const VERSIONS: u32 = 60;
@@ -12,10 +14,14 @@
 
 /// Returns a configuration with many routes, one of which differs in each version.
 fn large_configuration(version: u32) -> String {
+    configuration_of(version, ROUTES)
+}
+
+fn configuration_of(version: u32, routes: u32) -> String {
     let mut resources = vec![json!({"type": "services", "meta": {"name": "orders"}, "spec": {
         "health_path": "/health", "max_conns": 100, "protocol": "h1", "tls": false,
         "cold_start_s": 0.0, "cold_per_s": 5.0}})];
-    for route in 0..ROUTES {
+    for route in 0..routes {
         let timeout_s = if route == version { 2.5 } else { 3.0 };
         let prefix = format!("/p{route}/");
         resources.push(json!({"type": "routes", "meta": {"name": format!("r-{route}")}, "spec": {
@@ -62,3 +68,44 @@
     assert!(text.contains(&format!("at most {max_bytes} are accepted")), "{text}");
     fleet.wait_for(&url, 200, &format!("\"r{VERSIONS}\"")).await;
 }
+
+/// The number of routes of a configuration that is just within the limit of 1/32 of the memory.
+const ROUTES_MAX: u32 = 42_000;
+const LARGEST_VERSIONS: u32 = 6;
+/// The number of reads at the same time.
+const READS: usize = 3;
+
+/// Configurations were held several times over while they were read from or written to JSON, so
+/// that replicas came close to their memory limit, and passed it with a few reads at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn replicas_stay_below_seven_tenths_of_their_memory_with_the_largest_configuration() {
+    let mut fleet = Fleet::new(10);
+    fleet.launch(vec![json!({"id": "i-damaged"})], &CONTROLS);
+    let url = format!("http://{}:8146/api/config", fleet.ip("c1"));
+    for version in 1..=LARGEST_VERSIONS {
+        let body = configuration_of(version, ROUTES_MAX);
+        let started_at = Instant::now();
+        loop {
+            let call = fleet.http.put(&url).body(body.clone()).timeout(Duration::from_secs(10));
+            if call.send().await.is_ok_and(|response| response.status().is_success()) {
+                break;
+            }
+            assert!(started_at.elapsed() < WAIT_TIMEOUT, "r{version} was not acknowledged");
+        }
+    }
+    let newest = format!("\"r{LARGEST_VERSIONS}\"");
+    let reads = (0..READS).map(|_| fleet.wait_for(&url, 200, &newest));
+    futures_util::future::join_all(reads).await;
+    let peaks_mib = CONTROLS.map(|control| fleet.peak_memory_mib(control));
+    CONTROLS.iter().for_each(|control| fleet.kill(control));
+    CONTROLS.iter().for_each(|control| fleet.start_process(control, false));
+    fleet.wait_for(&url, 200, &newest).await;
+    let start_peaks_mib = CONTROLS.map(|control| fleet.peak_memory_mib(control));
+
+    let max_mib = MEMORY_MIB * 7 / 10;
+    let is_within = |peak_mib: &u64| *peak_mib <= max_mib;
+    assert!(
+        peaks_mib.iter().chain(&start_peaks_mib).all(is_within),
+        "{peaks_mib:?} MiB, after a restart {start_peaks_mib:?} MiB; {max_mib} MiB allowed"
+    );
+}
