--- a/tests/it/replication.rs
+++ b/tests/it/replication.rs
@@ -140,7 +140,11 @@
 
 /// Returns a replica that leads three members, with a log of 150 large entries.
 fn leader_of_large_log() -> RaftNode<Vec<u8>> {
-    let members = Members::new([(1, "a".to_owned()), (2, "b".to_owned()), (3, "c".to_owned())]);
+    leader_of_large_log_with(2)
+}
+
+fn leader_of_large_log_with(followers: u64) -> RaftNode<Vec<u8>> {
+    let members = Members::new((1..=1 + followers).map(|id| (id, format!("i{id}"))));
     let mut durable = DurableState::new(members);
     for index in 1..=150 {
         let payload = Payload::Command(vec![7; ENTRY_BYTES]);
@@ -149,8 +153,12 @@
     durable.ballot.term = 1;
     let mut node = RaftNode::new(1, durable);
     node.step(Input::ElectionTimeout);
-    receive(&mut node, 2, 2, Message::PreVoteReply { granted: true });
-    receive(&mut node, 2, 2, Message::VoteReply { granted: true });
+    for id in 2..=1 + followers {
+        receive(&mut node, id, 2, Message::PreVoteReply { granted: true });
+    }
+    for id in 2..=1 + followers {
+        receive(&mut node, id, 2, Message::VoteReply { granted: true });
+    }
     assert!(node.is_leader());
     node
 }
@@ -195,6 +203,48 @@
     assert!(sent_bytes <= window_bytes, "{sent_bytes} bytes, {window_bytes} allowed");
 }
 
+/// Guards against a leader that sends nothing more to a follower that has acknowledged a window.
+#[test]
+fn a_follower_that_acknowledges_a_window_is_sent_the_next_one() {
+    let mut leader = leader_of_large_log();
+    let conflict = Message::AppendConflict { last_index: 0, round: 1 };
+    let mut messages = receive(&mut leader, 3, 2, conflict);
+    let mut matched = 0;
+    loop {
+        let sent: u64 = messages.iter().map(entries_for_third).sum();
+        if sent == 0 {
+            break;
+        }
+        matched += sent;
+        messages = receive(&mut leader, 3, 2, Message::AppendReply { matched, round: 1 });
+    }
+    assert_eq!(matched, leader.durable().last_index());
+}
+
+/// Returns the number of entries in a message to the third replica.
+fn entries_for_third<C>(envelope: &Envelope<C>) -> u64 {
+    match &envelope.message {
+        Message::Append { entries, .. } if envelope.to == 3 => entries.len() as u64,
+        _ => 0,
+    }
+}
+
+/// Guards against a leader whose many followers take its memory, though each keeps its window.
+#[test]
+fn the_bytes_sent_to_all_followers_together_are_bounded() {
+    const FOLLOWERS: u64 = 20;
+    const WINDOWS_BYTES: usize = 4 * 1024 * 1024;
+    let mut leader = leader_of_large_log_with(FOLLOWERS);
+    let mut sent_bytes = 0;
+    for id in 2..2 + FOLLOWERS {
+        let conflict = Message::AppendConflict { last_index: 0, round: 1 };
+        sent_bytes += payload_bytes(&receive(&mut leader, id, 2, conflict));
+    }
+    let allowed_bytes = WINDOWS_BYTES + FOLLOWERS as usize * ENTRY_BYTES;
+    assert!(sent_bytes <= allowed_bytes, "{sent_bytes} bytes, {allowed_bytes} allowed");
+    assert!(sent_bytes >= FOLLOWERS as usize * ENTRY_BYTES, "{sent_bytes} bytes");
+}
+
 /// A leader sent a chunk of its snapshot again with each heartbeat, also while the first one was
 /// on its way.
 #[test]
