--- a/tests/processes/evacuations.rs
+++ b/tests/processes/evacuations.rs
@@ -13,7 +13,7 @@
 const ZONE: &str = "a";
 /// How long an operator waits before it sends an order to another replica.
 const PATIENCE: Duration = Duration::from_secs(1);
-const REPLICAS: [&str; 3] = ["c1", "c2", "c3"];
+pub(super) const REPLICAS: [&str; 3] = ["c1", "c2", "c3"];
 
 impl Fleet {
     /// Sends an order to one replica, without waiting for the response.
@@ -24,7 +24,7 @@
     }
 
     /// Sends an order to the replicas in turn until one acknowledges it.
-    async fn order(&self, replicas: &[&str], method: &str) {
+    pub(super) async fn order(&self, replicas: &[&str], method: &str) {
         let started_at = Instant::now();
         for replica in replicas.iter().cycle() {
             if status_within(PATIENCE, self.send_order(replica, method).await).await == Some(200) {
@@ -50,7 +50,7 @@
     }
 
     /// Waits until all replicas have applied as many evacuations.
-    async fn wait_evacuated(&self, zones: usize) {
+    pub(super) async fn wait_evacuated(&self, zones: usize) {
         for replica in REPLICAS {
             let url = format!("http://{}:9464/metrics", self.ip(replica));
             let line = format!("\nbulrushspan_evacuated_zones {zones}\n");
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -244,9 +244,32 @@
         }
     }
 
+    /// Waits until a process has logged this many lines that contain `text`.
+    pub(super) async fn wait_for_log(&self, name: &str, text: &str, count: usize) {
+        let file = self.folder.join(format!("{name}.log"));
+        let started_at = Instant::now();
+        while fs::read_to_string(&file).unwrap().matches(text).count() < count {
+            assert!(
+                started_at.elapsed() < WAIT_TIMEOUT,
+                "{name} did not log `{text}` {count} times"
+            );
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    /// Returns the data folder of a control replica.
+    pub(super) fn data_folder(&self, control: &str) -> PathBuf {
+        self.folder.join(control)
+    }
+
+    /// Empties the data folder of a control replica that doesn't run.
+    pub(super) fn lose_disk(&self, control: &str) {
+        fs::remove_dir_all(self.data_folder(control)).unwrap();
+    }
+
     /// Returns the length of a control replica's log file, in bytes.
     pub(super) fn log_file_bytes(&self, control: &str) -> u64 {
-        fs::metadata(self.folder.join(control).join("log")).unwrap().len()
+        fs::metadata(self.data_folder(control).join("log")).unwrap().len()
     }
 
     /// Returns the greatest amount of memory that a process has used, in MiB.
--- a/tests/processes/large_configurations.rs
+++ b/tests/processes/large_configurations.rs
@@ -12,12 +12,8 @@
 const LOG_MAX_BYTES: u64 = 5 * 1024 * 1024;
 const CONTROLS: [&str; 3] = ["c1", "c2", "c3"];
 
-/// Returns a configuration with many routes, one of which differs in each version.
-fn large_configuration(version: u32) -> String {
-    configuration_of(version, ROUTES)
-}
-
-fn configuration_of(version: u32, routes: u32) -> String {
+/// Returns a configuration with this many routes, one of which differs in each version.
+pub(super) fn configuration_of(version: u32, routes: u32) -> String {
     let mut resources = vec![json!({"type": "services", "meta": {"name": "orders"}, "spec": {
         "health_path": "/health", "max_conns": 100, "protocol": "h1", "tls": false,
         "cold_start_s": 0.0, "cold_per_s": 5.0}})];
@@ -39,7 +35,7 @@
     fleet.launch(vec![json!({"id": "i-damaged"})], &CONTROLS);
     for version in 1..=VERSIONS {
         let name = format!("r{version}");
-        fleet.put_configuration(&name, &large_configuration(version)).await;
+        fleet.put_configuration(&name, &configuration_of(version, ROUTES)).await;
     }
     let metrics_url = format!("http://{}:9464/metrics", fleet.ip("c1"));
     fleet.wait_for(&metrics_url, 200, "bulrushspan_state_bytes{kind=\"log\"}").await;
@@ -59,7 +55,7 @@
 async fn refuses_a_configuration_that_is_too_large(fleet: &Fleet) {
     let url = format!("http://{}:8146/api/config", fleet.ip("c1"));
     let mut table: serde_json::Value =
-        serde_json::from_str(&large_configuration(VERSIONS + 1)).unwrap();
+        serde_json::from_str(&configuration_of(VERSIONS + 1, ROUTES)).unwrap();
     table["resources"][1]["spec"]["path_prefix"] = json!(format!("/{}", "p".repeat(9_000_000)));
     let response = fleet.http.put(&url).body(table.to_string()).send().await.unwrap();
     let (status, text) = (response.status().as_u16(), response.text().await.unwrap());
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -19,6 +19,7 @@
 mod notices;
 mod pauses;
 mod platform;
+mod recovery;
 mod requests;
 mod soak;
 mod stops;
