Test the limit of kept deltas and of a reply as it arrives

Two planted faults were found by no test: deltas that are kept without a limit (the test's changes together never reached its 20,000 bytes; 4,000 now), and a receiver that takes longer messages than it says (the test's server kept the limit by itself; a raw server now sends the first bytes of a longer one). With either fault planted the test fails, without it passes.

--- a/tests/it/control.rs
+++ b/tests/it/control.rs
@@ -265,7 +265,7 @@
 
 #[test]
 fn the_deltas_that_are_kept_have_a_limit_in_bytes() {
-    let limits = ControlLimits { deltas_max_bytes: 20_000, ..ControlLimits::default() };
+    let limits = ControlLimits { deltas_max_bytes: 4_000, ..ControlLimits::default() };
     let mut state = seeded_state();
     put_routes(&mut state, &limits, 1, 50, 0.5);
     for version in 2..400 {
--- a/tests/it/wire.rs
+++ b/tests/it/wire.rs
@@ -21,7 +21,7 @@
     },
 };
 use proptest::{prelude::*, test_runner::Config};
-use tokio::net::TcpListener;
+use tokio::{io::AsyncWriteExt, net::TcpListener};
 
 /// Starts a server that replies to a number with a text of that length: a long one at once, and
 /// one of up to 100 bytes later.
@@ -54,6 +54,21 @@
     assert_eq!(short, Ok("x".repeat(100)));
 }
 
+/// Guards against a client that waits for, and holds, a reply that is longer than it takes, from
+/// a server that doesn't know its limit.
+#[tokio::test]
+async fn a_connection_on_which_too_long_a_reply_arrives_is_closed_at_its_beginning() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let limits = ClientLimits { reply_max_bytes: 1000, ..ClientLimits::default() };
+    let address = listener.local_addr().unwrap();
+    let client: MeshClient<usize, String> = MeshClient::with_limits(address, limits);
+    let call = tokio::spawn(async move { client.call(1, Duration::from_secs(60)).await });
+    let (mut stream, _) = listener.accept().await.unwrap();
+    stream.write_all(&1001_u32.to_be_bytes()).await.unwrap();
+    let reply = tokio::time::timeout(Duration::from_secs(30), call).await;
+    assert_eq!(reply.expect("the call waits for the rest").unwrap(), Err(MeshError::NoReply));
+}
+
 /// Calls that were too long for a frame ended the connection without a log line.
 #[tokio::test]
 async fn a_call_that_is_longer_than_a_frame_is_not_sent() {
