--- a/tests/it/replication.rs
+++ b/tests/it/replication.rs
@@ -271,7 +271,7 @@
     assert_eq!(reply(chunk_bytes as u64, 21), chunk_bytes);
 }
 
-/// The default of the bytes that are not committed, and the most that may be missing to it.
+/// The default limit of the entries that are not committed.
 const UNCOMMITTED_MAX_BYTES: usize = 64 * 1024 * 1024;
 
 /// A leader accepted entries without end while its followers acknowledged none, so that an
