Log the retries granted, what is left and the count of entry instances

Callers saw upstreams get more retries than allowed, and no log told which count of instances a budget used, when it changed, or what was left in it when a retry was granted. 'retry granted' and 'retry budget spent' now name the retries left, the count in use and the time since the start; 'entry instances counted' names each change with what the replica reported.

--- a/src/core/admission/retry.rs
+++ b/src/core/admission/retry.rs
@@ -44,6 +44,11 @@
         self.tokens = (self.tokens + self.percent).min(self.burst);
     }
 
+    /// Returns the number of retries available.
+    pub fn available(&self) -> u32 {
+        self.tokens / RETRY_COST
+    }
+
     /// Takes a retry from the budget and returns whether one was available.
     pub fn try_take(&mut self) -> bool {
         if self.tokens < RETRY_COST {
--- a/src/runtime/entry_node/exchange/records.rs
+++ b/src/runtime/entry_node/exchange/records.rs
@@ -28,15 +28,17 @@
 
     /// Takes a retry from the budget of the service. Returns whether one was left.
     pub(super) fn try_take_retry(&self) -> bool {
-        let is_taken = self.state.try_take_retry(self.service);
-        if !is_taken {
-            info!(
-                target: REQUEST_TARGET,
-                request = self.id,
-                service = self.service,
-                "retry budget spent"
-            );
-        }
+        let (is_taken, left) = self.state.try_take_retry(self.service);
+        info!(
+            target: REQUEST_TARGET,
+            request = self.id,
+            service = self.service,
+            left,
+            entries = self.state.entry_count(),
+            uptime_ms = self.state.clock.now().as_millis() as u64,
+            "{}",
+            if is_taken { "retry granted" } else { "retry budget spent" }
+        );
         is_taken
     }
 
--- a/src/runtime/entry_node/state.rs
+++ b/src/runtime/entry_node/state.rs
@@ -10,6 +10,7 @@
 };
 
 use tokio::sync::{Notify, watch};
+use tracing::info;
 
 use super::{
     Flag, held_bytes::SharedBudget, link::InstanceLink, links::LinkState, metrics::EntryMetrics,
@@ -177,9 +178,11 @@
     pub(super) fn record_entry_count(&self, count: u32) {
         let entry_count =
             self.recent_entry_counts.borrow_mut().record(count, self.clock.now()).max(1);
-        if entry_count == self.entry_count.replace(entry_count) {
+        let previous = self.entry_count.replace(entry_count);
+        if entry_count == previous {
             return;
         }
+        info!(entries = entry_count, previous, reported = count, "entry instances counted");
         self.balancer.borrow_mut().set_entry_count(entry_count);
         let burst = self.retry_burst();
         self.retry_budgets.borrow_mut().values_mut().for_each(|budget| budget.set_burst(burst));
@@ -238,11 +241,13 @@
         self.with_retry_budget(service, RetryBudget::record_request);
     }
 
-    /// Takes a retry from the budget of a service. Returns whether one was left.
-    pub(super) fn try_take_retry(&self, service: &ServiceName) -> bool {
-        let is_granted = self.with_retry_budget(service, RetryBudget::try_take);
+    /// Takes a retry from the budget of a service. Returns whether one was left, and how many are
+    /// left now.
+    pub(super) fn try_take_retry(&self, service: &ServiceName) -> (bool, u32) {
+        let (is_granted, left) =
+            self.with_retry_budget(service, |budget| (budget.try_take(), budget.available()));
         self.metrics.record_retry(service, is_granted);
-        is_granted
+        (is_granted, left)
     }
 
     fn with_retry_budget<T>(
