--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -21,6 +21,7 @@
 mod platform;
 mod recovery;
 mod requests;
+mod retry_budget;
 mod soak;
 mod stops;
 mod whole_path;
