Count cold times from their arrival, not from the reading of the list

Callers' requests overran upstreams that had just started (FAILBACK: 23 in a second, 16.7 allowed), after control replicas and entry instances had started anew. Cause: cold times in a delta are relative to its sending, and a replica added them to the time at which the list had been read, up to a second before; each replica on the way cut them again. Now they are added to the time of their arrival, so they may end late by the time on the way, not early.

--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -67,7 +67,8 @@
     for count in [1_000, 10_000] {
         let mut random = StdRng::seed_from_u64(SEED);
         let mut list = UpstreamList::default();
-        list.replace(listed_upstreams(count), Duration::from_secs(1));
+        let read_at = Duration::from_secs(1);
+        list.replace(listed_upstreams(count), read_at, read_at);
         let mut planner = Planner::new(regions_of_zones(), 0.15);
         let now = Duration::from_secs(2);
         let placement = Placement::default();
--- a/src/core/upstreams/list.rs
+++ b/src/core/upstreams/list.rs
@@ -23,8 +23,8 @@
     cold_until: Duration,
 }
 
-/// Cold times whose ends differ by less count as equal. The end is the time of
-/// reading plus the listed duration, so it varies a little between readings.
+/// Cold times whose ends differ by less count as equal. The end is the time at which a reading
+/// ended plus the listed duration, so it varies a little between readings.
 const COLD_TOLERANCE: Duration = Duration::from_millis(500);
 
 impl UpstreamList {
@@ -59,16 +59,21 @@
         self.entries.iter().map(move |(_, entry)| (&entry.upstream, now < entry.cold_until))
     }
 
-    /// Replaces the list with one that was read at `read_at`, unless the current one was
-    /// read at the same time or later. Returns whether any upstream changed.
-    pub fn replace(&mut self, upstreams: ListedUpstreams, read_at: Duration) -> bool {
+    /// Replaces the list with one whose reading began at `read_at` and ended at `now`, unless the
+    /// current one was read at the same time or later. Returns whether any upstream changed.
+    pub fn replace(
+        &mut self,
+        upstreams: ListedUpstreams,
+        read_at: Duration,
+        now: Duration,
+    ) -> bool {
         if self.read_at.is_some_and(|current| current >= read_at) {
             return false;
         }
         self.read_at = Some(read_at);
         let previous_version = self.version();
         self.entries.retain(|id| upstreams.contains_key(id));
-        upstreams.into_values().for_each(|upstream| self.put(upstream, read_at));
+        upstreams.into_values().for_each(|upstream| self.put(upstream, now));
         self.version() != previous_version
     }
 
@@ -77,20 +82,27 @@
         self.read_at = self.read_at.max(Some(read_at));
     }
 
-    /// Applies a delta of another process's list, as of `read_at`, unless the
-    /// current list is newer. A full delta is also ignored if the current list
+    /// Applies a delta of another process's list, which was read at `read_at` and arrives at
+    /// `now`, unless the current list is newer. A full delta is also ignored if the current list
     /// is as new.
-    pub fn apply_delta(&mut self, delta: MapDelta<UpstreamId, ListedUpstream>, read_at: Duration) {
+    ///
+    /// Cold times in a delta are relative to its sending, however old the list is.
+    pub fn apply_delta(
+        &mut self,
+        delta: MapDelta<UpstreamId, ListedUpstream>,
+        read_at: Duration,
+        now: Duration,
+    ) {
         if self.read_at.is_some_and(|current| current > read_at) {
             return;
         }
         if delta.is_full {
-            self.replace(delta.put.into_iter().collect(), read_at);
+            self.replace(delta.put.into_iter().collect(), read_at, now);
             return;
         }
         self.read_at = Some(read_at);
         delta.removed.iter().for_each(|id| self.entries.remove(id));
-        delta.put.into_iter().for_each(|(_, upstream)| self.put(upstream, read_at));
+        delta.put.into_iter().for_each(|(_, upstream)| self.put(upstream, now));
     }
 
     /// Returns what changed since `version`, with cold times relative to `now`.
@@ -108,14 +120,14 @@
         MapDelta { version, is_full, put, removed }
     }
 
-    /// Sets an entry unless it equals the current one, ignoring small differences in cold
-    /// time.
-    fn put(&mut self, upstream: ListedUpstream, read_at: Duration) {
-        let cold_until = read_at + upstream.cold_left;
+    /// Sets an entry whose cold time is relative to `now`, unless it equals the current one,
+    /// ignoring small differences in cold time.
+    fn put(&mut self, upstream: ListedUpstream, now: Duration) {
+        let cold_until = now + upstream.cold_left;
         let is_unchanged = self.entries.get(&upstream.id).is_some_and(|current| {
             let listed =
                 ListedUpstream { cold_left: upstream.cold_left, ..current.upstream.clone() };
-            let is_cold = !upstream.cold_left.is_zero() || current.cold_until > read_at;
+            let is_cold = !upstream.cold_left.is_zero() || current.cold_until > now;
             listed == upstream
                 && (!is_cold || current.cold_until.abs_diff(cold_until) < COLD_TOLERANCE)
         });
--- a/src/runtime/control_node/list_reader.rs
+++ b/src/runtime/control_node/list_reader.rs
@@ -88,12 +88,13 @@
         return;
     };
     let Some(age_ms) = reply.list_age_ms else { return };
-    let read_at = state.clock.now().saturating_sub(Duration::from_millis(age_ms));
+    let now = state.clock.now();
+    let read_at = now.saturating_sub(Duration::from_millis(age_ms));
     let mut list = lock(&state.list);
     match reply.list {
         Some(delta) => {
             *cursor = delta.cursor();
-            list.apply_delta(delta.change, read_at);
+            list.apply_delta(delta.change, read_at, now);
         }
         None => list.record_unchanged(read_at),
     }
@@ -157,7 +158,7 @@
     let (upstreams, repeated) =
         select_entries(entries, &list, |service| services.contains_key(service));
     passed_over.record(&state.list_counters, &reading, &repeated);
-    if list.replace(upstreams, started_at) {
+    if list.replace(upstreams, started_at, state.clock.now()) {
         info!(upstreams = list.len(), count = list.version(), "the list of upstreams changed");
     }
 }
--- a/tests/it/placement.rs
+++ b/tests/it/placement.rs
@@ -44,7 +44,7 @@
 fn list(numbers: impl IntoIterator<Item = usize>, read_at: Duration) -> UpstreamList {
     let mut list = UpstreamList::default();
     let upstreams = numbers.into_iter().map(upstream);
-    list.replace(upstreams.map(|listed| (listed.id.clone(), listed)).collect(), read_at);
+    list.replace(upstreams.map(|listed| (listed.id.clone(), listed)).collect(), read_at, read_at);
     list
 }
 
--- a/tests/it/upstream_list.rs
+++ b/tests/it/upstream_list.rs
@@ -36,10 +36,32 @@
 fn list(entries: &[ListedUpstream]) -> UpstreamList {
     let mut list = UpstreamList::default();
     let upstreams = entries.iter().map(|entry| (entry.id.clone(), entry.clone())).collect();
-    list.replace(upstreams, Duration::from_secs(1));
+    list.replace(upstreams, Duration::from_secs(1), Duration::from_secs(1));
     list
 }
 
+/// Guards against upstreams that count as warm too early: their cold time was shortened by the age
+/// of the list at each replica that passed it on, and by the time of the reading.
+#[test]
+fn a_cold_time_is_not_shortened_by_the_age_of_the_list() {
+    let seconds = Duration::from_secs_f64;
+    let is_cold = |list: &UpstreamList, at| list.iter(seconds(at)).all(|(_, is_cold)| is_cold);
+    let cold = ListedUpstream { cold_left: seconds(3.0), ..ready(SOUND, Some(1)) };
+    let mut leader = UpstreamList::default();
+    // The reading takes half a second.
+    leader.replace([(cold.id.clone(), cold)].into(), seconds(10.0), seconds(10.5));
+    assert!(is_cold(&leader, 13.4));
+    for is_full in [true, false] {
+        let known_version = if is_full { None } else { Some(0) };
+        // The follower's clock began 7 seconds later.
+        let delta = leader.delta_since(known_version, seconds(11.5));
+        let mut follower = UpstreamList::default();
+        follower.apply_delta(delta, seconds(3.0), seconds(4.5));
+        assert!(is_cold(&follower, 6.4), "{is_full}");
+        assert!(!is_cold(&follower, 6.6), "{is_full}");
+    }
+}
+
 fn select(
     entries: &[ListedUpstream],
     last: &UpstreamList,
