Report no count of entry instances while announcements may be missing

Limits that all entry instances share (cold upstreams, limits that upstreams name, the slack of retries) were shared out by too low a count after a control replica had started or had been stopped: it reported the instances that it had heard so far. The directory had a warm-up against this since long; the count had none. Now a replica reports none in the first 1.2 s after its start or after a stop of more than 1.2 s, and the entry instance keeps what it knows. Cold upstreams are used by the count that is known now, not by the one of the last request, so that the assumed 64 of an instance that knows none yet no longer delays the second request by seconds.

--- a/src/core/balance/balancer.rs
+++ b/src/core/balance/balancer.rs
@@ -150,15 +150,16 @@
             self.notices.record_chosen(&choice.id, now);
             return Some(choice);
         }
+        let interval = self.cold_interval(requirements.service);
         let may_send_cold = |upstream: &UpstreamState| {
-            now >= upstream.next_cold_send_at && self.obstacle(upstream, now).is_none()
+            let is_due = upstream.cold_sent_at.is_none_or(|sent_at| now >= sent_at + interval);
+            is_due && self.obstacle(upstream, now).is_none()
         };
         let choice = self.first_ranked(requirements, may_send_cold)?.choice(now);
         let choice = self.with_passed_over(choice, requirements, now);
         self.notices.record_chosen(&choice.id, now);
-        let interval = self.cold_interval(requirements.service);
         if let Some(upstream) = self.upstreams.get_mut(&choice.id) {
-            upstream.next_cold_send_at = now + interval;
+            upstream.cold_sent_at = Some(now);
         }
         Some(choice)
     }
--- a/src/core/balance/upstream_state.rs
+++ b/src/core/balance/upstream_state.rs
@@ -20,8 +20,8 @@
     pub(super) health: Health,
     /// When the upstream stops counting as cold.
     pub(super) cold_until: Duration,
-    /// When this instance may next send a request while the upstream is cold.
-    pub(super) next_cold_send_at: Duration,
+    /// When this instance last sent a request while the upstream was cold.
+    pub(super) cold_sent_at: Option<Duration>,
 }
 
 impl UpstreamState {
@@ -40,7 +40,7 @@
             load,
             health: Health::Healthy,
             cold_until: Duration::ZERO,
-            next_cold_send_at: Duration::ZERO,
+            cold_sent_at: None,
         };
         upstream.set_cold(cold_left, now);
         upstream
--- a/src/core/roster.rs
+++ b/src/core/roster.rs
@@ -5,6 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{
+    StallDetector,
     control::{InstanceName, RegionName, ZoneName},
     peers::Peer,
 };
@@ -17,6 +18,8 @@
     regions_of_zones: BTreeMap<ZoneName, RegionName>,
     started_at: Duration,
     instances: BTreeMap<InstanceName, AnnouncedInstance>,
+    /// Tells when the process did not read announcements for so long that some expired.
+    stalls: StallDetector,
 }
 
 /// Represents an entry instance as it last announced itself.
@@ -58,7 +61,8 @@
 impl Roster {
     /// Returns an empty roster for a process that started at `now`.
     pub fn new(regions_of_zones: BTreeMap<ZoneName, RegionName>, now: Duration) -> Self {
-        Self { regions_of_zones, started_at: now, instances: BTreeMap::new() }
+        let stalls = StallDetector::new(ANNOUNCE_TIMEOUT - 2 * ANNOUNCE_INTERVAL, now);
+        Self { regions_of_zones, started_at: now, instances: BTreeMap::new(), stalls }
     }
 
     /// Records an announcement of an entry instance.
@@ -66,17 +70,22 @@
         self.instances.insert(name, instance);
     }
 
+    /// Records that the process runs, which it is expected to do several times a second.
+    pub fn record_beat(&mut self, now: Duration) {
+        self.stalls.record_beat(now);
+    }
+
     /// Removes entry instances whose last announcement is older than the retention period.
     pub fn remove_expired(&mut self, now: Duration) {
         self.instances.retain(|_, instance| now <= instance.announced_at + RETENTION);
     }
 
-    /// Returns the number of entry instances that are up, ready or not.
-    pub fn up_count(&self, now: Duration) -> usize {
-        self.instances
-            .values()
-            .filter(|instance| now <= instance.announced_at + ANNOUNCE_TIMEOUT)
-            .count()
+    /// Returns the number of entry instances that are up, ready or not, or `None` while some may
+    /// not have announced themselves to this process yet.
+    pub fn up_count(&self, now: Duration) -> Option<usize> {
+        let is_known = now >= self.started_at + WARM_UP && self.stalls.is_steady_for(WARM_UP, now);
+        let is_up = |instance: &&AnnouncedInstance| now <= instance.announced_at + ANNOUNCE_TIMEOUT;
+        is_known.then(|| self.instances.values().filter(is_up).count())
     }
 
     /// Returns the addresses of the entry instances that a caller should use.
--- a/src/net/wire.rs
+++ b/src/net/wire.rs
@@ -315,7 +315,8 @@
     pub replicas: Vec<InstanceName>,
     /// The time since the replica was last known to be up to date.
     pub behind_ms: Option<u64>,
-    /// The number of entry instances that the replica believes to be up.
+    /// The number of entry instances that the replica believes to be up, or 0 if it doesn't
+    /// know.
     pub entries: u32,
     /// The requested peers.
     #[serde(default)]
--- a/src/runtime/control_node/calls.rs
+++ b/src/runtime/control_node/calls.rs
@@ -202,7 +202,7 @@
         list_age_ms: read_at.map(|read_at| now.saturating_sub(read_at).as_millis() as u64),
         replicas: policy_reply.replicas,
         behind_ms: policy_reply.staleness.map(|staleness| staleness.as_millis() as u64),
-        entries: roster.up_count(now) as u32,
+        entries: roster.up_count(now).unwrap_or_default() as u32,
         peers: peers_of.map(|instance| roster.peers_of(instance, now)),
         held_ms: held.as_millis() as u64,
     }
--- a/src/runtime/control_node/metrics.rs
+++ b/src/runtime/control_node/metrics.rs
@@ -76,7 +76,9 @@
         let age_ms = read_at.map_or(-1, |read_at| now.saturating_sub(read_at).as_millis() as i64);
         self.list_age_ms.set(age_ms);
         self.listed_upstreams.set(lock(&state.list).len() as i64);
-        self.entry_instances.set(lock(&state.roster).up_count(now) as i64);
+        if let Some(count) = lock(&state.roster).up_count(now) {
+            self.entry_instances.set(count as i64);
+        }
         dropped_lines.set_gauges(&self.dropped_lines);
         let list_text = encode_registry(&state.list_counters.registry);
         state.metrics.text() + &encode_registry(&self.registry) + &list_text
--- a/src/runtime/control_node/mod.rs
+++ b/src/runtime/control_node/mod.rs
@@ -203,7 +203,9 @@
 async fn record_beats(state: Arc<ControlNodeState>) {
     loop {
         tokio::time::sleep(BEAT_INTERVAL).await;
-        if let Some(stall) = lock(&state.stalls).record_beat(state.clock.now()) {
+        let now = state.clock.now();
+        lock(&state.roster).record_beat(now);
+        if let Some(stall) = lock(&state.stalls).record_beat(now) {
             warn!(stall_ms = stall.as_millis() as u64, "the process was stopped or starved");
         }
     }
--- a/src/runtime/entry_node/replica_call.rs
+++ b/src/runtime/entry_node/replica_call.rs
@@ -230,7 +230,7 @@
     if let Some(list_read_at) = list_read_at {
         apply_list(state, reply.list, list_read_at, call, progress);
     }
-    if is_up_to_date {
+    if is_up_to_date && reply.entries > 0 {
         state.record_entry_count(reply.entries);
     }
     if let Some(peers) = reply.peers {
--- a/tests/it/balance.rs
+++ b/tests/it/balance.rs
@@ -174,6 +174,18 @@
     );
 }
 
+#[test]
+fn a_cold_upstream_is_used_by_the_count_that_is_known_now() {
+    let mut cold_upstream = upstream("u1", "a");
+    cold_upstream.cold_left = millis(3000);
+    let mut balancer = balancer(&[cold_upstream]);
+    balancer.set_entry_count(64);
+    assert_eq!(chosen_ids(&mut balancer, &[], millis(0)), id_set(&["u1"]));
+    assert_eq!(chosen_ids(&mut balancer, &[], millis(1000)), id_set(&[]));
+    balancer.set_entry_count(2);
+    assert_eq!(chosen_ids(&mut balancer, &[], millis(1000)), id_set(&["u1"]));
+}
+
 #[test]
 fn upstreams_of_a_restored_zone_count_as_cold() {
     let mut balancer = balancer(&[upstream("u1", "b")]);
