Bound a configuration by the copies that the leader sends at once

Operators with more than three control replicas on a narrow link could deliver a configuration that no replica ever acknowledged, and nothing after it. The bound is now a second of the link divided by the number of other voters, two at least, so three voters and the deployments in force have the limit of before. The test counts all copies for up to nine voters; it fails with the old bound at four voters (1.5 s). No run of processes on a narrow link was made.

--- a/src/core/replication/budget.rs
+++ b/src/core/replication/budget.rs
@@ -13,8 +13,10 @@
     pub log_bytes: u64,
     /// The length of the log file from which on the log is always replaced by a snapshot.
     pub log_max_bytes: u64,
-    /// The maximum size of an entry that holds a configuration.
-    pub configuration_max_bytes: u64,
+    /// The maximum size of an entry that holds a configuration, by memory and disk.
+    configuration_max_bytes: u64,
+    /// The bytes a second that the instance's own link carries, if it is limited.
+    link_bytes_per_s: Option<u64>,
     /// The limits on messages.
     pub messages: MessageLimits,
 }
@@ -31,9 +33,10 @@
 /// How many times a second the instance's own link can carry all windows. A call that takes more
 /// than 1.2 s is given up.
 const WINDOWS_PER_S: u64 = 2;
-/// How many times a second the instance's own link can carry a configuration. It is sent to each
-/// replica in a call of its own, which is given up after 1.2 s and sent again.
-const CONFIGURATIONS_PER_S: u64 = 2;
+/// The minimum number of copies of a configuration that the instance's own link can carry in a
+/// second. One is sent to each other replica, all at the same time, in calls that are given up
+/// after 1.2 s and sent again.
+const COPIES_MIN: u64 = 2;
 /// The size of a window that is not reduced any further, in bytes.
 const WINDOW_MIN_BYTES: u64 = 64 * 1024;
 /// The default of [`StateBudget::log_bytes`].
@@ -45,6 +48,7 @@
             log_bytes: LOG_BYTES,
             log_max_bytes: u64::MAX,
             configuration_max_bytes: u64::MAX,
+            link_bytes_per_s: None,
             messages: MessageLimits::default(),
         }
     }
@@ -67,6 +71,7 @@
             log_bytes: LOG_BYTES.min(log_max_bytes),
             log_max_bytes,
             configuration_max_bytes: log_max_bytes,
+            link_bytes_per_s: None,
             messages,
         }
     }
@@ -78,8 +83,7 @@
         if bytes_per_s > 0.0 {
             let windows_bytes = bytes_per_s as u64 / WINDOWS_PER_S;
             messages.windows_bytes = messages.windows_bytes.min(windows_bytes);
-            let configuration_bytes = bytes_per_s as u64 / CONFIGURATIONS_PER_S;
-            self.configuration_max_bytes = self.configuration_max_bytes.min(configuration_bytes);
+            self.link_bytes_per_s = Some(bytes_per_s as u64);
         }
         messages.windows_bytes = messages.windows_bytes.max(WINDOW_MIN_BYTES);
         messages.window_bytes = messages.window_bytes.min(messages.windows_bytes);
@@ -87,6 +91,14 @@
         self
     }
 
+    /// Returns the maximum size of an entry that holds a configuration, in bytes, for this number
+    /// of voters.
+    pub fn configuration_max_bytes(&self, voters: usize) -> u64 {
+        let copies = (voters.saturating_sub(1) as u64).max(COPIES_MIN);
+        let by_link = self.link_bytes_per_s.map_or(u64::MAX, |bytes_per_s| bytes_per_s / copies);
+        self.configuration_max_bytes.min(by_link)
+    }
+
     /// Returns whether the log is to be replaced by a snapshot. `log_bytes` is the number of bytes
     /// that were appended to the log file since it was last replaced, `snapshot_bytes` the size
     /// of the last snapshot.
--- a/src/runtime/control_node/operators.rs
+++ b/src/runtime/control_node/operators.rs
@@ -12,7 +12,7 @@
 
 use super::{
     ControlNodeState,
-    calls::{query, submit},
+    calls::{query, submit, voter_count},
     lock,
 };
 use crate::{
@@ -77,12 +77,13 @@
     let version = table.version;
     let command = Command::Routing(Box::new(table));
     let size_bytes = encoded_len(&command);
-    let max_bytes = state.settings.state_budget().configuration_max_bytes;
+    let voters = voter_count(state).await.unwrap_or_default();
+    let max_bytes = state.settings.state_budget().configuration_max_bytes(voters);
     if size_bytes > max_bytes {
         warn!(version, size_bytes, max_bytes, "configuration too large; refused");
         let text = format!(
             "the configuration takes {size_bytes} bytes when encoded, and at most {max_bytes} are \
-             accepted with the memory and the disk of this instance; deliver fewer or shorter routes"
+             accepted with the memory, the disk and the link of this instance; deliver fewer or shorter routes"
         );
         return HttpResponse::text(StatusCode::PAYLOAD_TOO_LARGE, &text);
     }
--- a/tests/it/replication.rs
+++ b/tests/it/replication.rs
@@ -301,10 +301,14 @@
 #[test]
 fn a_configuration_that_the_link_can_not_carry_within_a_call_is_not_accepted() {
     let call_timeout_s = 1.2;
-    for link_mbps in [1.0, 2.0, 10.0, 100.0, 1000.0] {
+    for (link_mbps, voters) in
+        [1.0, 2.0, 10.0, 100.0, 1000.0].into_iter().flat_map(|mbps| (0..=9).map(move |n| (mbps, n)))
+    {
         let bytes_per_s = link_mbps * 125_000.0;
         let budget = StateBudget::new(256 * 1024 * 1024, 0).with_link(bytes_per_s);
-        let seconds = budget.configuration_max_bytes as f64 / bytes_per_s;
-        assert!(seconds < call_timeout_s, "{seconds} s at {link_mbps} Mbit/s");
+        // The leader sends a copy to each other voter at the same time.
+        let bytes = budget.configuration_max_bytes(voters) * (voters as u64).saturating_sub(1);
+        let seconds = bytes as f64 / bytes_per_s;
+        assert!(seconds < call_timeout_s, "{seconds} s at {link_mbps} Mbit/s, {voters} voters");
     }
 }
