--- a/tests/it/retry_budget.rs
+++ b/tests/it/retry_budget.rs
@@ -79,11 +79,11 @@
     let mut instances: Vec<Instance> =
         (0..deployment.instances).map(|_| Instance::new(0)).collect();
     let (mut requests, mut retries) = (Vec::new(), Vec::new());
-    let (mut control_started, mut is_storm) = (0, false);
+    let (mut control_starts_at, mut is_storm) = (0, false);
     for step in 0..deployment.steps {
         let now = STEP * step as u32;
-        if step > control_started + WARM_UP_STEPS * 2 && rng.random_bool(0.01) {
-            control_started = step + rng.random_range(0..80);
+        if step > control_starts_at + WARM_UP_STEPS * 2 && rng.random_bool(0.01) {
+            control_starts_at = step + rng.random_range(0..80);
         }
         if rng.random_bool(0.03) {
             is_storm = !is_storm;
@@ -101,13 +101,13 @@
             .iter()
             .filter(|instance| step >= instance.starts_at && step >= instance.cut_until)
             .count() as u32;
-        let is_fresh = step < control_started + WARM_UP_STEPS;
+        let is_fresh = step < control_starts_at + WARM_UP_STEPS;
         let (mut step_requests, mut step_retries) = (0, 0);
         for instance in &mut instances {
             if step < instance.starts_at {
                 continue;
             }
-            if step >= instance.cut_until.max(control_started) {
+            if step >= instance.cut_until.max(control_starts_at) {
                 let reported = if is_fresh { rng.random_range(0..=announced) } else { announced };
                 instance.count.record(reported, now);
             }
