Count a crash of an upstream once, however many instances see it

Cause: each instance that had the request at the crashed upstream named the crash after itself and its clock, and three names refuse a request.

--- a/src/core/suspects.rs
+++ b/src/core/suspects.rs
@@ -36,11 +36,17 @@
     broken_off: BTreeMap<UpstreamId, Vec<BrokenOff>>,
     /// The crashes that this instance has seen.
     crashes: BTreeMap<Fingerprint, Crashes>,
+    /// How often each listed start of an upstream was seen to crash, and when it last was.
+    counts: BTreeMap<Start, (u32, Duration)>,
 }
 
+/// Identifies one start of an upstream, as the list has it.
+type Start = (UpstreamId, Option<u64>);
+
 #[derive(Clone, Debug)]
 struct BrokenOff {
     fingerprint: Fingerprint,
+    started_unix_ms: Option<u64>,
     at: Duration,
 }
 
@@ -66,31 +72,47 @@
         self.crashes.is_empty()
     }
 
-    /// Records that an upstream broke a request off, and may have crashed.
+    /// Records that an upstream broke a request off, and may have crashed. `started_unix_ms`
+    /// tells its starts apart.
     pub fn record_broken_off(
         &mut self,
         upstream: &UpstreamId,
+        started_unix_ms: Option<u64>,
         fingerprint: Fingerprint,
         now: Duration,
     ) {
         self.remove_expired(now);
-        let broken_off = BrokenOff { fingerprint, at: now };
+        let broken_off = BrokenOff { fingerprint, started_unix_ms, at: now };
         self.broken_off.entry(upstream.clone()).or_default().push(broken_off);
     }
 
     /// Records that an upstream crashed, and returns the fingerprints of the requests that it
-    /// broke off. `crash` names the crash, differently at each instance.
+    /// broke off.
+    ///
+    /// Instances that see the same crash name it alike, so that it counts once: by the start of
+    /// the upstream, and by how often the instance saw that start crash, as the list may still
+    /// show it when the upstream has started anew.
     pub fn record_crashed(
         &mut self,
         upstream: &UpstreamId,
-        crash: &UpstreamName,
         now: Duration,
     ) -> BTreeSet<Fingerprint> {
         self.remove_expired(now);
         let broken_off = self.broken_off.remove(upstream).unwrap_or_default();
-        for BrokenOff { fingerprint, .. } in &broken_off {
+        let starts: BTreeSet<Start> = broken_off
+            .iter()
+            .map(|broken_off| (upstream.clone(), broken_off.started_unix_ms))
+            .collect();
+        for start in starts {
+            let count = self.counts.entry(start).or_default();
+            *count = (count.0 + 1, now);
+        }
+        for BrokenOff { fingerprint, started_unix_ms, .. } in &broken_off {
+            let start = (upstream.clone(), *started_unix_ms);
+            let number = self.counts.get(&start).map_or(0, |(count, _)| *count);
+            let started = started_unix_ms.map_or_else(String::new, |ms| ms.to_string());
             let crashes = self.crashes.entry(fingerprint.clone()).or_default();
-            crashes.upstreams.insert(crash.clone());
+            crashes.upstreams.insert(format!("{upstream}/{started}/{number}"));
             crashes.last_at = now;
         }
         broken_off.into_iter().map(|broken_off| broken_off.fingerprint).collect()
@@ -135,6 +157,7 @@
 
     fn remove_expired(&mut self, now: Duration) {
         self.crashes.retain(|_, crashes| now < crashes.last_at + CRASH_RETENTION);
+        self.counts.retain(|_, (_, last_at)| now < *last_at + CRASH_RETENTION);
         self.broken_off.retain(|_, requests| {
             requests.retain(|request| now < request.at + CONFIRMATION_MAX);
             !requests.is_empty()
--- a/src/runtime/entry_node/exchange/records.rs
+++ b/src/runtime/entry_node/exchange/records.rs
@@ -63,7 +63,9 @@
     pub(super) fn record_broken_off(&self, choice: &Choice) {
         let Some(fingerprint) = self.request.fingerprint() else { return };
         let (fingerprint, now) = (format!("{fingerprint:032x}"), self.state.clock.now());
-        self.state.suspects.borrow_mut().record_broken_off(&choice.id, fingerprint, now);
+        let (id, started_unix_ms) = (&choice.id, choice.started_unix_ms);
+        let mut suspects = self.state.suspects.borrow_mut();
+        suspects.record_broken_off(id, started_unix_ms, fingerprint, now);
     }
 
     /// Records how the request ended.
--- a/src/runtime/entry_node/health.rs
+++ b/src/runtime/entry_node/health.rs
@@ -68,8 +68,7 @@
         return;
     }
     let now = state.clock.now();
-    let crash = format!("{}@{}/{}", choice.id, state.settings.instance, now.as_millis());
-    for fingerprint in suspects.record_crashed(&choice.id, &crash, now) {
+    for fingerprint in suspects.record_crashed(&choice.id, now) {
         info!(upstream = choice.id, fingerprint, "upstream crashed under a request");
     }
 }
