--- a/src/core/balance/choice.rs
+++ b/src/core/balance/choice.rs
@@ -53,6 +53,8 @@
     pub address: SocketAddr,
     /// Identifies the start of the upstream, if the list contains it.
     pub started_unix_ms: Option<u64>,
+    /// Whether the upstream counts as cold.
+    pub is_cold: bool,
     /// How long the request is expected to wait for a slot.
     pub expected_wait: Duration,
     /// The upstream that would have been chosen but for what it said of itself.
--- a/src/core/balance/upstream_state.rs
+++ b/src/core/balance/upstream_state.rs
@@ -67,6 +67,7 @@
             service: self.listed.service.clone(),
             address: self.listed.address,
             started_unix_ms: self.listed.started_unix_ms,
+            is_cold: now < self.cold_until,
             expected_wait: self.load.expected_wait(now),
             passed_over: None,
         }
--- a/src/runtime/entry_node/exchange/mod.rs
+++ b/src/runtime/entry_node/exchange/mod.rs
@@ -264,6 +264,7 @@
             service = self.service,
             key = self.key,
             upstream = choice.id,
+            cold_shared_by = choice.is_cold.then(|| self.state.entry_count()),
             attempt = self.attempts,
             passed_over = choice.passed_over.as_ref().map(|passed_over| passed_over.id.as_str()),
             obstacle = choice.passed_over.as_ref().map(|passed_over| passed_over.obstacle.name()),
