Share the limit of a cold upstream in whole requests of a second

What callers saw: cold upstreams got more requests in one second than they bear, crash or refuse, and answers are lost (FAILBACK).

Cause: each entry instance kept its share as a time between two requests and sent the first one at once. That bounds the mean, not the number in any second: the first requests of all instances may meet. It also counted from the choice, not from the sending, and anew after a restart.

Why it works: instances divide the whole requests of a second by their rank, which control replicas tell them, so the shares add up to the limit whatever the moments at which they send. A request counts from its choice until 1.1 s after it left; a new process waits that long.

--- a/src/core/balance/balancer.rs
+++ b/src/core/balance/balancer/mod.rs
@@ -1,5 +1,7 @@
 //! Tracks the upstreams that one entry instance uses and chooses among them.
 
+mod records;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
@@ -8,9 +10,9 @@
 
 use super::{
     choice::{Choice, Locality, PassedOver, Requirements},
-    cold::ColdLimit,
-    health::{CheckResult, Health},
-    notices::{NoticeChange, Notices, Obstacle},
+    cold::{COLD_WINDOW, ColdLimit},
+    health::Health,
+    notices::{Notices, Obstacle},
     upstream_state::UpstreamState,
 };
 use crate::core::{
@@ -18,7 +20,7 @@
     control::{RegionName, ServiceName, ZoneName},
     placement::{Placement, RankedObject, default_candidate},
     routing::ServiceSpec,
-    upstreams::{ListedState, ListedUpstream, ReportedLoad, UpstreamId, UpstreamNotice},
+    upstreams::{ListedState, ListedUpstream, UpstreamId},
 };
 
 /// Represents the known upstreams with their health, load and cold times.
@@ -29,6 +31,10 @@
     locality: Locality,
     region_count: usize,
     cold_limit: ColdLimit,
+    /// The instance's rank among the entry instances that share limits, from 0.
+    entry_rank: u32,
+    /// When the process started, if another one may have run before it.
+    started_at: Option<Duration>,
     services: BTreeMap<ServiceName, Arc<ServiceSpec>>,
     upstreams: BTreeMap<UpstreamId, UpstreamState>,
     notices: Notices,
@@ -45,6 +51,8 @@
             locality,
             region_count,
             cold_limit,
+            entry_rank: 0,
+            started_at: None,
             services: BTreeMap::new(),
             upstreams: BTreeMap::new(),
             notices: Notices::new(cold_limit.entry_count),
@@ -59,6 +67,20 @@
         self.notices.entry_count = entry_count;
     }
 
+    /// Sets the instance's rank among the entry instances that share the limit for cold upstreams,
+    /// from 0.
+    pub fn set_entry_rank(&mut self, entry_rank: u32) {
+        self.entry_rank = entry_rank;
+    }
+
+    /// Sets when the process started. It sends nothing to cold upstreams until requests that an
+    /// earlier process may have sent don't count any more.
+    #[must_use]
+    pub fn with_started_at(mut self, started_at: Duration) -> Self {
+        self.started_at = Some(started_at);
+        self
+    }
+
     /// Sets how much the instance's windows for limits that upstreams name are shifted, from 0 to
     /// 1, so that those of all instances begin at different times.
     #[must_use]
@@ -74,8 +96,8 @@
 
     /// Applies a delta of the list of upstreams, as of `now`.
     ///
-    /// An upstream that restarted starts with a fresh state, except for the
-    /// number of this instance's requests in flight.
+    /// An upstream that restarted starts with a fresh state, except for this instance's requests
+    /// in flight and those it has just sent.
     pub fn apply_delta(&mut self, delta: MapDelta<UpstreamId, ListedUpstream>, now: Duration) {
         if delta.is_full {
             let listed: BTreeSet<&UpstreamId> = delta.put.iter().map(|(id, _)| id).collect();
@@ -85,16 +107,17 @@
             self.upstreams.remove(id);
         }
         for (_, listed) in delta.put {
-            let in_flight = match self.upstreams.get_mut(&listed.id) {
+            let upstream = match self.upstreams.get_mut(&listed.id) {
                 Some(existing) if existing.listed.started_unix_ms == listed.started_unix_ms => {
                     existing.set_listed(listed, now);
                     continue;
                 }
-                Some(existing) => existing.load.in_flight(),
-                None => 0,
+                Some(existing) => existing.restarted(listed, now),
+                None => {
+                    let is_local = self.locality.contains(&listed.zone);
+                    UpstreamState::new(listed, is_local, now)
+                }
             };
-            let is_local = self.locality.contains(&listed.zone);
-            let upstream = UpstreamState::new(listed, is_local, in_flight, now);
             self.notices.record_listed(&upstream.listed.id, upstream.listed.started_unix_ms);
             self.upstreams.insert(upstream.listed.id.clone(), upstream);
         }
@@ -139,8 +162,8 @@
 
     /// Chooses an upstream for a request.
     ///
-    /// Cold upstreams are used only if there are no others, and within their
-    /// rate limit.
+    /// Cold upstreams are used only if there are no others, and within their rate limit, toward
+    /// which requests count from [`Balancer::record_start`] on.
     pub fn choose(&mut self, requirements: &Requirements<'_>, now: Duration) -> Option<Choice> {
         let is_warm = |upstream: &UpstreamState| {
             now >= upstream.cold_until && self.obstacle(upstream, now).is_none()
@@ -150,17 +173,19 @@
             self.notices.record_chosen(&choice.id, now);
             return Some(choice);
         }
-        let interval = self.cold_interval(requirements.service);
+        // What the process sent before it started anew is not known.
+        if self.started_at.is_some_and(|started_at| now < started_at + COLD_WINDOW) {
+            return None;
+        }
+        let rate_per_s =
+            self.services.get(requirements.service).map_or(0.0, |service| service.cold_rate_per_s);
         let may_send_cold = |upstream: &UpstreamState| {
-            let is_due = upstream.cold_sent_at.is_none_or(|sent_at| now >= sent_at + interval);
-            is_due && self.obstacle(upstream, now).is_none()
+            let share = self.cold_limit.share(rate_per_s, self.entry_rank, upstream.hash);
+            upstream.recent_sends.is_within(share, now) && self.obstacle(upstream, now).is_none()
         };
         let choice = self.first_ranked(requirements, may_send_cold)?.choice(now);
         let choice = self.with_passed_over(choice, requirements, now);
         self.notices.record_chosen(&choice.id, now);
-        if let Some(upstream) = self.upstreams.get_mut(&choice.id) {
-            upstream.cold_sent_at = Some(now);
-        }
         Some(choice)
     }
 
@@ -249,30 +274,6 @@
         left_min.filter(|_| has_pause)
     }
 
-    /// Records what an upstream said with a response to a request or health check for which it
-    /// was chosen, and returns what begins.
-    ///
-    /// It is ignored if the upstream has started anew since.
-    pub fn record_notice(
-        &mut self,
-        choice: &Choice,
-        notice: UpstreamNotice,
-        sent_at: Duration,
-        now: Duration,
-    ) -> Vec<NoticeChange> {
-        let listed = self.upstreams.get(&choice.id).map(|upstream| &upstream.listed);
-        let is_listed = listed.is_some();
-        if listed.is_some_and(|listed| listed.started_unix_ms != choice.started_unix_ms) {
-            return Vec::new();
-        }
-        self.notices.record(&choice.id, choice.started_unix_ms, is_listed, notice, (sent_at, now))
-    }
-
-    /// Returns what has ended since the last call of what upstreams said of themselves.
-    pub fn take_ended_notices(&mut self, now: Duration) -> Vec<NoticeChange> {
-        self.notices.take_ended(now)
-    }
-
     /// Returns whether an upstream that may handle a request failed and has not responded since.
     /// Another instance may reach it.
     pub fn has_unresponsive(&self, requirements: &Requirements<'_>) -> bool {
@@ -297,51 +298,6 @@
         candidates.nth(round.checked_rem(count)?).map(|upstream| upstream.choice(now))
     }
 
-    /// Records that a request is sent to an upstream.
-    pub fn record_start(&mut self, id: &UpstreamId, now: Duration) {
-        if let Some(upstream) = self.upstreams.get_mut(id) {
-            upstream.load.record_start(now);
-        }
-        if let Some(pause) = self.notices.pause_mut(id) {
-            pause.record_start(now);
-        }
-    }
-
-    /// Records the end of a request that was sent to an upstream at `sent_at`.
-    pub fn record_end(&mut self, id: &UpstreamId, sent_at: Duration) {
-        if let Some(upstream) = self.upstreams.get_mut(id) {
-            upstream.load.record_end();
-        }
-        if let Some(pause) = self.notices.pause_mut(id) {
-            pause.record_end(sent_at);
-        }
-    }
-
-    /// Records the load that an upstream reports.
-    pub fn record_load(&mut self, id: &UpstreamId, report: ReportedLoad, now: Duration) {
-        if let Some(upstream) = self.upstreams.get_mut(id) {
-            upstream.load.record_report(report, now);
-        }
-    }
-
-    /// Records that an upstream completed a request that was sent to it at `sent_at`.
-    pub fn record_completed(&mut self, choice: &Choice, sent_at: Duration, now: Duration) {
-        if let Some(upstream) = self.upstreams.get_mut(&choice.id) {
-            let elapsed = now.saturating_sub(sent_at);
-            upstream.load.record_elapsed(elapsed, choice.expected_wait);
-        }
-        if let Some(pause) = self.notices.pause_mut(&choice.id) {
-            pause.record_completed(sent_at);
-        }
-    }
-
-    /// Records that an upstream can't be reached or did not complete its response.
-    pub fn record_failure(&mut self, id: &UpstreamId, now: Duration) {
-        if let Some(upstream) = self.upstreams.get_mut(id) {
-            upstream.health = upstream.health.after_failure(now);
-        }
-    }
-
     /// Returns whether any upstream needs a health check, now or later.
     pub fn has_unhealthy(&self) -> bool {
         let needs_check = |upstream: &UpstreamState| {
@@ -369,22 +325,6 @@
         .collect()
     }
 
-    /// Records the result of a health check and returns whether the upstream
-    /// can be used again.
-    pub fn record_check(&mut self, id: &UpstreamId, result: CheckResult, now: Duration) -> bool {
-        let Some(upstream) = self.upstreams.get_mut(id) else { return false };
-        upstream.health = upstream.health.after_check(result, now);
-        if let CheckResult::Healthy { cold_left } = result {
-            upstream.set_cold(cold_left, now);
-        }
-        upstream.health == Health::Healthy
-    }
-
-    fn cold_interval(&self, service: &ServiceName) -> Duration {
-        let rate = self.services.get(service).map_or(0.0, |service| service.cold_rate_per_s);
-        self.cold_limit.interval(rate)
-    }
-
     fn is_usable(&self, upstream: &UpstreamState, requirements: &Requirements<'_>) -> bool {
         upstream.health == Health::Healthy
             && !requirements.tried.contains(&upstream.listed.id)
--- a/src/core/balance/upstream_state.rs
+++ b/src/core/balance/upstream_state.rs
@@ -2,7 +2,12 @@
 
 use std::time::Duration;
 
-use super::{Choice, cold::COLD_MARGIN, health::Health, load::Load};
+use super::{
+    Choice,
+    cold::{COLD_MARGIN, RecentSends},
+    health::Health,
+    load::Load,
+};
 use crate::core::{
     placement::{Candidate, UpstreamHash, upstream_hash},
     upstreams::ListedUpstream,
@@ -20,19 +25,13 @@
     pub(super) health: Health,
     /// When the upstream stops counting as cold.
     pub(super) cold_until: Duration,
-    /// When this instance last sent a request while the upstream was cold.
-    pub(super) cold_sent_at: Option<Duration>,
+    pub(super) recent_sends: RecentSends,
 }
 
 impl UpstreamState {
-    pub(super) fn new(
-        listed: ListedUpstream,
-        is_local: bool,
-        in_flight: u32,
-        now: Duration,
-    ) -> Self {
+    pub(super) fn new(listed: ListedUpstream, is_local: bool, now: Duration) -> Self {
         let cold_left = listed.cold_left;
-        let load = Load::new(listed.slots, in_flight, now);
+        let load = Load::new(listed.slots, 0, now);
         let mut upstream = Self {
             hash: upstream_hash(&listed.id),
             is_local,
@@ -40,12 +39,20 @@
             load,
             health: Health::Healthy,
             cold_until: Duration::ZERO,
-            cold_sent_at: None,
+            recent_sends: RecentSends::default(),
         };
         upstream.set_cold(cold_left, now);
         upstream
     }
 
+    /// Returns the state after a restart, which keeps this instance's requests in flight and those
+    /// that count toward the limit of a cold upstream.
+    pub(super) fn restarted(&self, listed: ListedUpstream, now: Duration) -> Self {
+        let load = Load::new(listed.slots, self.load.in_flight(), now);
+        let recent_sends = self.recent_sends.clone();
+        Self { load, recent_sends, ..Self::new(listed, self.is_local, now) }
+    }
+
     pub(super) fn set_listed(&mut self, listed: ListedUpstream, now: Duration) {
         self.set_cold(listed.cold_left, now);
         self.listed = listed;
--- a/src/core/entry_count.rs
+++ b/src/core/entry_count.rs
@@ -12,6 +12,9 @@
     window: Duration,
     recent: RecentMax,
     current: u32,
+    reported: u32,
+    /// The number that was reported together with the instance's rank.
+    ranked_of: Option<u32>,
     /// When the reports without a gap began and when the last one came, if any did.
     heard: Option<(Duration, Duration)>,
 }
@@ -29,17 +32,30 @@
             window,
             recent: RecentMax::new(RECENT_MIN.max(window * 2)),
             current: COUNT_DEFAULT,
+            reported: 0,
+            ranked_of: None,
             heard: None,
         }
     }
 
     /// Records the number that a control replica reports.
     pub fn record(&mut self, reported: u32, now: Duration) {
+        self.reported = reported;
         self.current = self.recent.record(reported, now).max(1);
         let since = self.heard.filter(|(_, last)| now <= *last + self.gap_max());
         self.heard = Some((since.map_or(now, |(since, _)| since), now));
     }
 
+    /// Records that a control replica reported the instance's rank, with the last number.
+    pub fn record_ranked(&mut self) {
+        self.ranked_of = Some(self.reported);
+    }
+
+    /// Returns whether no rank is known, or only one among another number of instances.
+    pub fn needs_rank(&self) -> bool {
+        self.ranked_of != Some(self.reported)
+    }
+
     /// Returns the greatest number reported recently, or a default if none was ever reported.
     pub fn current(&self) -> u32 {
         self.current
--- a/src/core/roster.rs
+++ b/src/core/roster.rs
@@ -84,8 +84,13 @@
     /// not have announced themselves to this process yet.
     pub fn up_count(&self, now: Duration) -> Option<usize> {
         let is_known = now >= self.started_at + WARM_UP && self.stalls.is_steady_for(WARM_UP, now);
-        let is_up = |instance: &&AnnouncedInstance| now <= instance.announced_at + ANNOUNCE_TIMEOUT;
-        is_known.then(|| self.instances.values().filter(is_up).count())
+        is_known.then(|| self.instances.values().filter(|instance| instance.is_up(now)).count())
+    }
+
+    /// Returns the rank by name, from 0, that an entry instance has among those that are up.
+    pub fn rank_of(&self, name: &str, now: Duration) -> usize {
+        let smaller = self.instances.iter().take_while(|(other, _)| other.as_str() < name);
+        smaller.filter(|(_, instance)| instance.is_up(now)).count()
     }
 
     /// Returns the addresses of the entry instances that a caller should use.
@@ -153,9 +158,14 @@
 }
 
 impl AnnouncedInstance {
+    /// Returns whether it announced itself recently.
+    fn is_up(&self, now: Duration) -> bool {
+        now <= self.announced_at + ANNOUNCE_TIMEOUT
+    }
+
     /// Returns whether it accepts callers, as it said recently.
     fn is_usable(&self, now: Duration) -> bool {
-        self.is_ready && now <= self.announced_at + ANNOUNCE_TIMEOUT
+        self.is_ready && self.is_up(now)
     }
 }
 
--- a/src/net/wire.rs
+++ b/src/net/wire.rs
@@ -318,6 +318,9 @@
     /// The number of entry instances that the replica believes to be up, or 0 if it doesn't
     /// know.
     pub entries: u32,
+    /// The rank by name of the instance whose peers are requested among `entries`, from 0.
+    #[serde(default)]
+    pub entry_rank: Option<u32>,
     /// The requested peers.
     #[serde(default)]
     pub peers: Option<Vec<Peer>>,
--- a/src/runtime/control_node/calls.rs
+++ b/src/runtime/control_node/calls.rs
@@ -203,6 +203,7 @@
         replicas: policy_reply.replicas,
         behind_ms: policy_reply.staleness.map(|staleness| staleness.as_millis() as u64),
         entries: roster.up_count(now).unwrap_or_default() as u32,
+        entry_rank: peers_of.map(|instance| roster.rank_of(instance, now) as u32),
         peers: peers_of.map(|instance| roster.peers_of(instance, now)),
         held_ms: held.as_millis() as u64,
     }
--- a/src/runtime/entry_node/attempt.rs
+++ b/src/runtime/entry_node/attempt.rs
@@ -80,20 +80,30 @@
 struct InFlight {
     state: Rc<EntryState>,
     id: UpstreamId,
-    sent_at: Duration,
+    started_at: Duration,
+    is_sent: bool,
 }
 
 impl InFlight {
     fn new(state: &Rc<EntryState>, id: &UpstreamId) -> Self {
-        let sent_at = state.clock.now();
-        state.balancer.borrow_mut().record_start(id, sent_at);
-        Self { state: state.clone(), id: id.clone(), sent_at }
+        let started_at = state.clock.now();
+        state.balancer.borrow_mut().record_start(id, started_at);
+        Self { state: state.clone(), id: id.clone(), started_at, is_sent: false }
+    }
+
+    /// Records that the request has left the instance.
+    fn record_sent(&mut self) {
+        if !std::mem::replace(&mut self.is_sent, true) {
+            self.state.balancer.borrow_mut().record_sent(&self.id, self.state.clock.now());
+        }
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.state.balancer.borrow_mut().record_end(&self.id, self.sent_at);
+        // A part of it may have left.
+        self.record_sent();
+        self.state.balancer.borrow_mut().record_end(&self.id, self.started_at);
     }
 }
 
@@ -105,7 +115,7 @@
     request: &Request,
     deadline: Duration,
 ) -> AttemptOutcome {
-    let _in_flight = InFlight::new(state, &choice.id);
+    let mut in_flight = InFlight::new(state, &choice.id);
     let pooled = take_pooled(&state.pool, choice.address, request);
     let is_extra =
         pooled.is_none() && needs_extra_connection(state, &state.pool, choice.address, request);
@@ -125,7 +135,7 @@
     };
     connection.is_extra = is_extra;
     let _awaited = AwaitedResponse::new(state, choice);
-    match send(state, choice, request, deadline, connection).await {
+    match send(state, choice, request, deadline, connection, &mut in_flight).await {
         Ok(outcome) => outcome,
         Err(error) => AttemptOutcome::Unknown(describe(error)),
     }
@@ -155,6 +165,7 @@
     request: &Request,
     deadline: Duration,
     mut connection: UpstreamConnection,
+    in_flight: &mut InFlight,
 ) -> io::Result<AttemptOutcome> {
     let time_left = deadline.saturating_sub(state.clock.now());
     let message = encode_request(request, time_left, |head| {
@@ -168,6 +179,7 @@
     if !state.link.write_if(&mut connection.stream, message, takes_work).await? {
         return Ok(AttemptOutcome::LeftService);
     }
+    in_flight.record_sent();
     let sent_at = state.clock.now();
     let on_head =
         |head: &ResponseHead| record_notice(state, choice, head, NoticeSource::Response, sent_at);
--- a/src/runtime/entry_node/replica_call.rs
+++ b/src/runtime/entry_node/replica_call.rs
@@ -231,7 +231,7 @@
         apply_list(state, reply.list, list_read_at, call, progress);
     }
     if is_up_to_date && reply.entries > 0 {
-        state.record_entry_count(reply.entries);
+        state.record_entry_count(reply.entries, reply.entry_rank);
     }
     if let Some(peers) = reply.peers {
         state.peers.borrow_mut().set(peers);
--- a/src/runtime/entry_node/state.rs
+++ b/src/runtime/entry_node/state.rs
@@ -108,6 +108,11 @@
             entry_count: entry_count.current(),
         };
         let clock = Clock::new();
+        let mut balancer = Balancer::new(locality, cold_limit)
+            .with_phase(rand::random())
+            .with_started_at(clock.now());
+        // Until a rank is known, instances are unlikely to assume the same one.
+        balancer.set_entry_rank(rand::random());
         Self {
             links: LinkState::default(),
             peers: RefCell::new(Peers::new(settings.region.clone())),
@@ -127,7 +132,7 @@
             clock,
             policy: RefCell::default(),
             routes: RefCell::default(),
-            balancer: RefCell::new(Balancer::new(locality, cold_limit).with_phase(rand::random())),
+            balancer: RefCell::new(balancer),
             pool: RefCell::default(),
             config_confirmed_at: Cell::new(None),
             list_read_at: Cell::new(None),
@@ -167,9 +172,9 @@
         if region == Some(&self.settings.region) { 1 } else { 2 }
     }
 
-    /// Records the number of entry instances that a control replica reports. They
-    /// share the limits, so the greatest number reported recently is used.
-    pub(super) fn record_entry_count(&self, count: u32) {
+    /// Records the number of entry instances that a control replica reports, and the rank of this
+    /// one. They share the limits, so the greatest number reported recently is used.
+    pub(super) fn record_entry_count(&self, count: u32, rank: Option<u32>) {
         let previous = self.entry_count();
         self.entry_count.borrow_mut().record(count, self.clock.now());
         let entries = self.entry_count();
@@ -177,6 +182,10 @@
             info!(entries, previous, reported = count, "entry instances counted");
             self.balancer.borrow_mut().set_entry_count(entries);
         }
+        if let Some(rank) = rank {
+            self.entry_count.borrow_mut().record_ranked();
+            self.balancer.borrow_mut().set_entry_rank(rank);
+        }
     }
 
     /// Returns a report of the demand for each object since the last report,
@@ -191,12 +200,13 @@
         Some(self.demand.borrow_mut().take_report(instance, region, now))
     }
 
-    /// Returns this instance's name if its peers are to be requested now: at regular
-    /// intervals, and whenever they are needed or none is known.
+    /// Returns this instance's name if its peers and its rank are to be requested now: at regular
+    /// intervals, and whenever they are needed or not known.
     pub(super) fn take_peers_request(&self) -> Option<InstanceName> {
         let now = self.clock.now();
         let needs_peers = self.links.is_any_lost() || self.peers.borrow().is_empty();
-        if now < self.next_peers_request_at.get() && !needs_peers {
+        let needs_rank = self.entry_count.borrow().needs_rank();
+        if now < self.next_peers_request_at.get() && !needs_peers && !needs_rank {
             return None;
         }
         self.next_peers_request_at.set(now + PEERS_INTERVAL);
--- a/tests/it/balance.rs
+++ b/tests/it/balance.rs
@@ -59,6 +59,7 @@
     balancer
 }
 
+/// Returns the upstream of a request, which is sent to it at once.
 fn choose(
     balancer: &mut Balancer,
     key: u32,
@@ -70,7 +71,11 @@
     let object = object_id("route", &key.to_string());
     let requirements =
         Requirements { service: &service, object, has_large_body: false, home_regions, tried };
-    balancer.choose(&requirements, now).map(|choice| choice.id)
+    let id = balancer.choose(&requirements, now)?.id;
+    balancer.record_start(&id, now);
+    balancer.record_sent(&id, now);
+    balancer.record_end(&id, now);
+    Some(id)
 }
 
 /// Returns the upstreams that requests for 200 different objects are sent to.
@@ -175,11 +180,27 @@
 }
 
 #[test]
-fn a_cold_upstream_is_used_by_the_count_that_is_known_now() {
+fn a_cold_upstream_is_used_by_the_count_and_the_rank_that_are_known_now() {
     let mut cold_upstream = upstream("u1", "a");
     cold_upstream.cold_left = millis(3000);
     let mut balancer = balancer(&[cold_upstream]);
     balancer.set_entry_count(64);
+    // 13 of 17 requests are used, so 13 of 64 instances send one in a second.
+    let ranks: Vec<u32> = (0..64)
+        .filter(|rank| {
+            balancer.set_entry_rank(*rank);
+            let mut instance = balancer.clone();
+            (0..200)
+                .filter(|key| choose(&mut instance, *key, &[], &[], millis(0)).is_some())
+                .count()
+                == 1
+        })
+        .collect();
+    assert_eq!(ranks.len(), 13);
+    let without = (0..64).find(|rank| !ranks.contains(rank)).unwrap();
+    balancer.set_entry_rank(without);
+    assert_eq!(chosen_ids(&mut balancer, &[], millis(0)), id_set(&[]));
+    balancer.set_entry_rank(ranks[0]);
     assert_eq!(chosen_ids(&mut balancer, &[], millis(0)), id_set(&["u1"]));
     assert_eq!(chosen_ids(&mut balancer, &[], millis(1000)), id_set(&[]));
     balancer.set_entry_count(2);
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod balance;
+mod cold_limit;
 mod control;
 mod explain;
 mod hand_over;
--- a/tests/it/wire.rs
+++ b/tests/it/wire.rs
@@ -145,6 +145,7 @@
                 replicas: vec![name],
                 behind_ms: None,
                 entries: number as u32,
+                entry_rank: Some(number as u32),
                 peers: Some(vec![peer]),
                 held_ms: number,
             };
--- a/tests/processes/entry.rs
+++ b/tests/processes/entry.rs
@@ -296,6 +296,7 @@
         replicas: Vec::new(),
         behind_ms: Some(0),
         entries: 1,
+        entry_rank: None,
         peers: None,
         held_ms: 0,
     }
