--- a/src/core/balance/cold.rs
+++ b/src/core/balance/cold.rs
@@ -21,8 +21,8 @@
 /// The fraction of the limit that is used. The rest allows for instances that know different
 /// counts or ranks for a time.
 const USED_FRACTION: f64 = 0.8;
-/// How long a request counts after it was sent: the second of the limit, and the time by which its
-/// way may be longer than that of a later request.
+/// How long a request counts toward the limit of a second after it was sent. It is longer than a
+/// second, as a later request may arrive sooner after its sending.
 pub(super) const COLD_WINDOW: Duration = Duration::from_millis(1100);
 /// How much longer an upstream counts as cold than it reports.
 pub(super) const COLD_MARGIN: Duration = Duration::from_millis(300);
--- a/tests/it/roster.rs
+++ b/tests/it/roster.rs
@@ -53,6 +53,18 @@
     assert_eq!(roster.up_count(millis(5100)), Some(5));
 }
 
+#[test]
+fn ranks_count_the_instances_that_are_up_in_the_order_of_their_names() {
+    let roster = roster(&[
+        ("e0", "a", true, 5000),
+        ("e1", "c", false, 5000),
+        ("e2", "a", true, 100),
+        ("e3", "b", true, 5000),
+    ]);
+    let rank = |name| roster.rank_of(name, millis(5100));
+    assert_eq!(["e0", "e1", "e3", "e4"].map(rank), [0, 1, 2, 3]);
+}
+
 /// Guards against limits shared out by too low a count: a replica that had just started, or had
 /// been stopped, reported the instances that it had heard so far.
 #[test]
