--- a/tests/processes/deployment.rs
+++ b/tests/processes/deployment.rs
@@ -397,6 +397,22 @@
     }
 }
 
+/// Only the tests of crowds of callers use these.
+#[allow(dead_code)]
+impl Deployment {
+    pub fn cluster_url(&self, instance: &str) -> String {
+        format!("http://{}:{}", self.address, self.port_of(instance) + 2)
+    }
+
+    pub fn process_id(&self, name: &str) -> u32 {
+        self.processes[name].id()
+    }
+
+    pub fn is_running(&mut self, name: &str) -> bool {
+        self.processes.get_mut(name).unwrap().try_wait().unwrap().is_none()
+    }
+}
+
 impl Drop for Deployment {
     fn drop(&mut self) {
         for child in self.processes.values_mut() {
