Count all that an entry instance holds of its callers

Callers saw connections end without an answer: the instance had used more than its memory and was killed. A crowd of unfinished bodies, bodies over the limit, heads, or answers that nobody reads did that.

Cause: a limit on one message or one connection, and none on all of them. Only what upstreams send was counted against the memory of messages.

Requests are counted now too, with their heads in parsed form and the buffers of what is read; a part of the memory stays for responses and for short messages, and a single large request may take most of the rest while others are small. One for which there is no room gets 503 with Retry-After and is not sent on. The body of a request is awaited until the caller's own deadline or the route's, no longer for ever while a byte arrives now and then. Connections of callers and of peers are limited in number and in the memory of their buffers; when there is no room, one whose head is overdue is closed, or the new one gets 503. Long responses are written through small buffers when there is no room for large ones, and a caller that takes less than 64 KiB of one in idle_timeout loses it. Discarding after a refusal goes on while the caller sends, for 10 s at most. What a peer may hand over is limited like what its own callers may send.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -8,6 +8,7 @@
 mod byte_string;
 mod carried_requests;
 pub mod claims;
+mod connection_table;
 pub mod control;
 mod encoded_len;
 mod entry_count;
@@ -28,10 +29,11 @@
 
 pub use self::{
     carried_requests::CarriedRequests,
+    connection_table::{Admission, ConnectionId, ConnectionLimits, ConnectionTable},
     encoded_len::encoded_len,
     entry_count::EntryCount,
     link_pacer::LinkPacer,
-    memory_budget::MemoryBudget,
+    memory_budget::{MemoryBudget, MessageKind},
     recent_max::RecentMax,
     stall_detector::StallDetector,
     stop_plan::{StopPhase, StopPlan},
--- a/src/runtime/entry_node/held_bytes.rs
+++ b/src/net/held_bytes.rs
@@ -1,25 +1,51 @@
 //! Counts the memory that messages take against the budget of the process.
 
-use std::{cell::RefCell, io, rc::Rc};
+use std::{
+    io,
+    sync::{Arc, Mutex, MutexGuard},
+};
 
 use bytes::{Bytes, BytesMut};
 
-use crate::core::MemoryBudget;
+use crate::core::{MemoryBudget, MessageKind};
 
-/// The memory that the messages of an entry instance may take together.
-pub(super) type SharedBudget = Rc<RefCell<MemoryBudget>>;
+/// The memory that the messages of a process may take together. Clones share it.
+#[derive(Clone, Debug)]
+pub struct SharedBudget(Arc<Mutex<MemoryBudget>>);
+
+impl SharedBudget {
+    /// Creates a budget of which nothing is used.
+    pub fn new(total_bytes: usize) -> Self {
+        Self(Arc::new(Mutex::new(MemoryBudget::new(total_bytes))))
+    }
+
+    /// Returns whether there is room for a request of a number of bytes now.
+    pub(crate) fn has_room_for_request(&self, bytes: usize) -> bool {
+        self.lock().can_resize(MessageKind::Request, 0, bytes)
+    }
+
+    /// Returns how many bytes the messages take.
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.lock().held_bytes()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, MemoryBudget> {
+        self.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+}
 
 /// The bytes that one message takes, until dropped.
 #[derive(Debug)]
-pub(super) struct HeldBytes {
+pub(crate) struct HeldBytes {
     budget: SharedBudget,
+    kind: MessageKind,
     bytes: usize,
 }
 
 impl HeldBytes {
     /// Counts a message that takes no memory yet.
-    pub(super) fn new(budget: &SharedBudget) -> Self {
-        Self { budget: budget.clone(), bytes: 0 }
+    pub(crate) fn new(budget: &SharedBudget, kind: MessageKind) -> Self {
+        Self { budget: budget.clone(), kind, bytes: 0 }
     }
 
     /// Records how many bytes the message takes now.
@@ -27,8 +53,11 @@
     /// # Errors
     ///
     /// Returns an error if the message has grown and the budget has no room for it.
-    pub(super) fn resize(&mut self, bytes: usize) -> io::Result<()> {
-        if !self.budget.borrow_mut().try_resize(self.bytes, bytes) {
+    pub(crate) fn resize(&mut self, bytes: usize) -> io::Result<()> {
+        if bytes == self.bytes {
+            return Ok(());
+        }
+        if !self.budget.lock().try_resize(self.kind, self.bytes, bytes) {
             let text = format!("no memory for a message of {bytes} bytes");
             return Err(io::Error::new(io::ErrorKind::OutOfMemory, text));
         }
@@ -40,25 +69,29 @@
 impl Drop for HeldBytes {
     fn drop(&mut self) {
         // A message can always shrink.
-        let _ = self.budget.borrow_mut().try_resize(self.bytes, 0);
+        let _ = self.budget.lock().try_resize(self.kind, self.bytes, 0);
     }
 }
 
 /// A complete body, which is counted until dropped.
 #[derive(Debug, Default)]
-pub(super) struct Body {
+pub(crate) struct Body {
     pieces: Vec<Bytes>,
     _held: Option<HeldBytes>,
 }
 
 impl Body {
-    pub(super) fn pieces(&self) -> &[Bytes] {
+    pub(crate) fn pieces(&self) -> &[Bytes] {
         &self.pieces
     }
 
-    pub(super) fn len(&self) -> usize {
+    pub(crate) fn len(&self) -> usize {
         self.pieces.iter().map(Bytes::len).sum()
     }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.pieces.is_empty()
+    }
 }
 
 impl From<String> for Body {
@@ -73,7 +106,7 @@
 
 /// A body that is being received. It is kept in pieces, so that it never moves while it grows.
 #[derive(Debug)]
-pub(super) struct BodyBuffer {
+pub(crate) struct BodyBuffer {
     pieces: Vec<Bytes>,
     /// The last piece, which is not full.
     last: BytesMut,
@@ -83,12 +116,12 @@
 
 impl BodyBuffer {
     /// Creates an empty buffer.
-    pub(super) fn new(budget: &SharedBudget) -> Self {
-        let (pieces, last, held) = (Vec::new(), BytesMut::new(), HeldBytes::new(budget));
+    pub(crate) fn new(budget: &SharedBudget, kind: MessageKind) -> Self {
+        let (pieces, last, held) = (Vec::new(), BytesMut::new(), HeldBytes::new(budget, kind));
         Self { pieces, last, length: 0, held }
     }
 
-    pub(super) fn len(&self) -> usize {
+    pub(crate) fn len(&self) -> usize {
         self.length
     }
 
@@ -97,7 +130,7 @@
     /// # Errors
     ///
     /// Returns an error if there is no memory for them.
-    pub(super) fn push(&mut self, mut bytes: &[u8]) -> io::Result<()> {
+    pub(crate) fn push(&mut self, mut bytes: &[u8]) -> io::Result<()> {
         while !bytes.is_empty() {
             if self.last.len() == self.last.capacity() {
                 self.begin_piece()?;
@@ -122,7 +155,7 @@
     }
 
     /// Returns the complete body.
-    pub(super) fn finish(mut self) -> Body {
+    pub(crate) fn finish(mut self) -> Body {
         if !self.last.is_empty() {
             self.pieces.push(self.last.freeze());
         }
--- a/src/net/http1/body.rs
+++ b/src/net/http1/body.rs
@@ -152,22 +152,6 @@
         }
     }
 
-    /// Moves all of the body that has arrived from `buffer` to `body`.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the body is malformed.
-    pub fn read_into(
-        &mut self,
-        body: &mut BytesMut,
-        buffer: &mut BytesMut,
-    ) -> Result<(), BodyError> {
-        while let Some(piece) = self.next(buffer)? {
-            body.extend_from_slice(&piece);
-        }
-        Ok(())
-    }
-
     /// Handles the end of the connection.
     ///
     /// # Errors
--- a/src/net/http1/head.rs
+++ b/src/net/http1/head.rs
@@ -120,11 +120,35 @@
             .collect()
     }
 
+    /// Returns how much memory the fields take, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        self.raw.len() + self.fields.capacity() * size_of::<(Range<u32>, Range<u32>)>()
+    }
+
     fn slice(&self, range: &Range<u32>) -> &[u8] {
         &self.raw[range.start as usize..range.end as usize]
     }
 }
 
+impl RequestHead {
+    /// Returns the host that the request is addressed to, or an empty string if it names none.
+    pub fn host(&self) -> &str {
+        let authority = self.authority.as_deref();
+        authority.or_else(|| self.headers.get_str("host")).unwrap_or_default()
+    }
+
+    /// Returns the path without the query.
+    pub fn path(&self) -> &str {
+        let target = self.target.as_str();
+        target.split_once('?').map_or(target, |(path, _)| path)
+    }
+
+    /// Returns how much memory the head takes, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        self.headers.memory_bytes() + self.target.capacity()
+    }
+}
+
 /// Parses a request head and removes it from the front of `buffer`. Returns `None` if
 /// the head is incomplete.
 ///
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,11 +2,14 @@
 //! transports between instances, gRPC and [`mesh`].
 
 mod cluster;
+pub(crate) mod connections;
+pub(crate) mod held_bytes;
 pub mod http1;
 mod http_server;
 pub mod mesh;
 mod packed_list;
 pub mod relay;
+pub(crate) mod socket_buffers;
 pub mod wire;
 
 #[allow(clippy::all, clippy::pedantic, clippy::nursery, missing_docs)]
@@ -16,5 +19,6 @@
 
 pub use self::{
     cluster::{ClusterClient, ClusterError, ClusterHandlers, serve_cluster},
+    held_bytes::SharedBudget,
     http_server::{HttpLimits, PeerAddr, serve_http},
 };
--- a/src/runtime/entry_node/attempt.rs
+++ b/src/runtime/entry_node/attempt.rs
@@ -7,7 +7,6 @@
 use tracing::info;
 
 use super::{
-    held_bytes::{Body, BodyBuffer, HeldBytes, SharedBudget},
     links::{AwaitedResponse, connect_to_upstream},
     notices::{NoticeSource, record_notice},
     pool::{ConnectionPool, UpstreamConnection, connect},
@@ -17,10 +16,14 @@
 };
 use crate::{
     core::{
+        MessageKind,
         balance::Choice,
         upstreams::{ReportedLoad, UpstreamId},
     },
-    net::http1::{BodyReader, Framing, HeadWriter, Message, ResponseHead, parse_response_head},
+    net::{
+        held_bytes::{Body, BodyBuffer, HeldBytes, SharedBudget},
+        http1::{BodyReader, Framing, HeadWriter, Message, ResponseHead, parse_response_head},
+    },
     platform::headers,
     runtime::logs::REQUEST_TARGET,
 };
@@ -66,6 +69,10 @@
 
 /// The maximum size of an upstream's response head.
 const HEAD_MAX_BYTES: usize = 64 * 1024;
+/// How much room is made for what is read of a head at once.
+const HEAD_READ_BYTES: usize = 1024;
+/// How much room is made for what is read of a body at once.
+const BODY_READ_BYTES: usize = 16 * 1024;
 /// The maximum number of responses that are skipped before the one to the request:
 /// interim ones, and late ones to earlier requests.
 const SKIPPED_MAX: usize = 16;
@@ -328,7 +335,7 @@
     if !request.body.is_empty() || request.head.framing != Framing::Length(0) {
         head.number("Content-Length", request.body.len() as u64);
     }
-    head.finish_with(std::slice::from_ref(&request.body))
+    head.finish_with(request.body.pieces())
 }
 
 /// Reads the response to a request. Interim responses (1xx) and responses that
@@ -381,14 +388,15 @@
     method: &str,
     memory: &SharedBudget,
 ) -> io::Result<ResponseHead> {
-    let mut held = HeldBytes::new(memory);
+    let mut held = HeldBytes::new(memory, MessageKind::Response);
     loop {
         let parse_result = parse_response_head(&mut connection.buffer, HEAD_MAX_BYTES, method);
         if let Some(head) = parse_result.map_err(io::Error::other)? {
             return Ok(head);
         }
-        held.resize(connection.buffer.capacity())?;
-        read_more(connection).await?;
+        if read_more(connection, &mut held, HEAD_READ_BYTES).await? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
     }
 }
 
@@ -412,7 +420,8 @@
     limits: BodyLimits<'_>,
 ) -> io::Result<Body> {
     let mut reader = BodyReader::new(head.framing);
-    let mut body = BodyBuffer::new(limits.memory);
+    let mut body = BodyBuffer::new(limits.memory, MessageKind::Response);
+    let mut held = HeldBytes::new(limits.memory, MessageKind::Response);
     while !reader.is_done() {
         while let Some(piece) = reader.next(&mut connection.buffer).map_err(io::Error::other)? {
             if body.len() + piece.len() > limits.max_bytes {
@@ -420,19 +429,30 @@
             }
             body.push(&piece)?;
         }
-        if !reader.is_done() && connection.stream.read_buf(&mut connection.buffer).await? == 0 {
+        if !reader.is_done() && read_more(connection, &mut held, BODY_READ_BYTES).await? == 0 {
             reader.handle_eof().map_err(io::Error::other)?;
         }
     }
     Ok(body.finish())
 }
 
-/// Reads more bytes into the buffer.
-async fn read_more(connection: &mut UpstreamConnection) -> io::Result<()> {
-    if connection.stream.read_buf(&mut connection.buffer).await? == 0 {
-        return Err(io::ErrorKind::UnexpectedEof.into());
+/// Reads more bytes into the buffer, which `held` counts, and makes room for `room_bytes` if it is
+/// full. Returns how many were read, which is 0 at the end of the connection.
+///
+/// # Errors
+///
+/// Returns an error if the connection fails, or if there is no memory for the buffer.
+async fn read_more(
+    connection: &mut UpstreamConnection,
+    held: &mut HeldBytes,
+    room_bytes: usize,
+) -> io::Result<usize> {
+    let buffer = &mut connection.buffer;
+    if buffer.capacity() == buffer.len() {
+        buffer.reserve(room_bytes);
     }
-    Ok(())
+    held.resize(buffer.capacity())?;
+    connection.stream.read_buf(buffer).await
 }
 
 /// Returns the timeout in the response's `Keep-Alive` field, if any.
--- a/src/runtime/entry_node/hand_over.rs
+++ b/src/runtime/entry_node/hand_over.rs
@@ -47,11 +47,15 @@
 const PEERS_TRIED_MAX: usize = 3;
 
 /// The reasons of a peer's refusal that say nothing about other peers.
-const REASONS_OF_ONE_PEER: [&str; 7] = [
+const REASONS_OF_ONE_PEER: [&str; 11] = [
     "behind",
+    "connections",
+    "memory",
     "no_configuration",
     "no_upstream",
+    "over_limits",
     "paused",
+    "requests",
     "stale_configuration",
     "stopping",
     "unreachable",
--- a/src/runtime/entry_node/link.rs
+++ b/src/runtime/entry_node/link.rs
@@ -1,14 +1,23 @@
 //! Writes to the instance's own network link, so that large bodies do not delay short messages.
 
-use std::{cell::RefCell, io};
+use std::{cell::RefCell, io, time::Duration};
 
-use bytes::Buf;
+use bytes::{Buf, buf::Take};
 use tokio::{
     io::{AsyncWrite, AsyncWriteExt},
+    net::TcpStream,
     sync::Semaphore,
+    time::timeout,
 };
 
-use crate::{core::LinkPacer, net::http1::Message, runtime::clock::Clock};
+use crate::{
+    core::LinkPacer,
+    net::{http1::Message, socket_buffers::send_bounded},
+    runtime::clock::Clock,
+};
+
+/// How much of a message a reader has to take in each progress timeout.
+const PROGRESS_MIN_BYTES: usize = 64 * 1024;
 
 /// The instance's own network link, which all of its connections share.
 pub(super) struct InstanceLink {
@@ -53,21 +62,9 @@
     where
         W: AsyncWrite + Unpin,
     {
-        let piece_max_bytes = self.pacer.borrow().piece_max_bytes();
         let length = message.remaining();
-        if length <= piece_max_bytes {
-            if !is_wanted() {
-                return Ok(false);
-            }
-            self.record_write(length);
-            stream.write_all_buf(&mut message).await?;
-            return Ok(true);
-        }
         while message.has_remaining() {
-            let mut piece = (&mut message).take(piece_max_bytes);
-            // The turn is not kept while the connection takes the piece: a peer that stops
-            // reading must not hold up the other bodies.
-            self.take_turn(piece.remaining()).await?;
+            let mut piece = self.next_piece(&mut message, length).await?;
             if piece.get_ref().remaining() == length && !is_wanted() {
                 return Ok(false);
             }
@@ -76,6 +73,72 @@
         Ok(true)
     }
 
+    /// Writes a message as [`InstanceLink::write`] does to a receiver that may stop reading.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection fails, or if it takes less than
+    /// [`PROGRESS_MIN_BYTES`] of the message in `progress_timeout`.
+    pub(super) async fn write_to_reader<W>(
+        &self,
+        stream: &mut W,
+        mut message: Message,
+        progress_timeout: Duration,
+    ) -> io::Result<()>
+    where
+        W: AsyncWrite + Unpin,
+    {
+        let length = message.remaining();
+        while message.has_remaining() {
+            let mut piece = self.next_piece(&mut message, length).await?;
+            while piece.has_remaining() {
+                let mut part = (&mut piece).take(PROGRESS_MIN_BYTES);
+                timeout(progress_timeout, stream.write_all_buf(&mut part)).await??;
+            }
+        }
+        Ok(())
+    }
+
+    /// Writes a message as [`InstanceLink::write_to_reader`] does, so that the operating system
+    /// holds no more of it than the send buffer and a short piece.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection fails, or if it takes less than a short piece of the
+    /// message in `progress_timeout`.
+    pub(super) async fn write_to_reader_bounded(
+        &self,
+        stream: &TcpStream,
+        mut message: Message,
+        progress_timeout: Duration,
+    ) -> io::Result<()> {
+        let length = message.remaining();
+        while message.has_remaining() {
+            let mut piece = self.next_piece(&mut message, length).await?;
+            while piece.has_remaining() {
+                timeout(progress_timeout, send_bounded(stream, &mut piece)).await??;
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the next piece of a message of this length, once it may be written.
+    async fn next_piece<'a>(
+        &self,
+        message: &'a mut Message,
+        length: usize,
+    ) -> io::Result<Take<&'a mut Message>> {
+        let piece_max_bytes = self.pacer.borrow().piece_max_bytes();
+        if length <= piece_max_bytes {
+            self.record_write(length);
+        } else {
+            // The turn is not kept while the connection takes the piece: a peer that stops
+            // reading must not hold up the other bodies.
+            self.take_turn(message.remaining().min(piece_max_bytes)).await?;
+        }
+        Ok(message.take(piece_max_bytes))
+    }
+
     async fn take_turn(&self, length: usize) -> io::Result<()> {
         let _turn = self.turn.acquire().await.map_err(io::Error::other)?;
         loop {
--- a/src/runtime/entry_node/metrics.rs
+++ b/src/runtime/entry_node/metrics.rs
@@ -4,7 +4,7 @@
 
 use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry};
 
-use super::state::EntryState;
+use super::{ready_response::Sender, state::EntryState};
 use crate::{
     core::{control::ServiceName, routing::Route},
     runtime::{
@@ -29,6 +29,8 @@
     extra_connections: IntCounter,
     links_lost: IntGauge,
     open_requests: IntGauge,
+    open_connections: IntGaugeVec,
+    message_bytes: IntGauge,
     ready: IntGauge,
     config_version: IntGauge,
     failed_searches: IntCounter,
@@ -153,6 +155,15 @@
                 "1 while the upstreams of some service can't be reached.",
             )?,
             open_requests: gauge("open_requests", "Requests in progress.")?,
+            open_connections: gauge_vec(
+                "open_connections",
+                "Connections that are served, by who sends requests on them.",
+                &["sender"],
+            )?,
+            message_bytes: gauge(
+                "message_bytes",
+                "Memory that requests and responses take, in bytes.",
+            )?,
             ready: gauge("ready", "1 while the directory may name this instance.")?,
             config_version: gauge("config_version", "Version of the configuration in force.")?,
             failed_searches: register_metric(
@@ -246,6 +257,11 @@
     /// Updates the gauges from the state of the instance.
     pub(super) fn update(&self, state: &EntryState, dropped_lines: &DroppedLines) {
         self.open_requests.set(state.open_requests.get() as i64);
+        for (sender, label) in [(Sender::Caller, "caller"), (Sender::Peer, "peer")] {
+            let count = state.connections(sender).count();
+            self.open_connections.with_label_values(&[label]).set(count as i64);
+        }
+        self.message_bytes.set(state.memory.held_bytes() as i64);
         self.ready.set(i64::from(state.is_ready.load(std::sync::atomic::Ordering::Relaxed)));
         self.links_lost.set(i64::from(state.links.is_any_lost()));
         self.config_version.set(state.config_version() as i64);
--- a/src/runtime/entry_node/mod.rs
+++ b/src/runtime/entry_node/mod.rs
@@ -11,7 +11,6 @@
 mod follow;
 mod hand_over;
 mod health;
-mod held_bytes;
 mod link;
 mod links;
 mod metrics;
--- a/src/runtime/entry_node/pool.rs
+++ b/src/runtime/entry_node/pool.rs
@@ -15,8 +15,10 @@
 };
 
 /// Idle connections to upstreams, by address.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct ConnectionPool {
+    /// The maximum number of idle connections.
+    idle_max: usize,
     idle: BTreeMap<SocketAddr, Vec<IdleConnection>>,
 }
 
@@ -72,11 +74,18 @@
         }
         self.is_reused = true;
         self.is_extra = false;
+        // Nothing is left in it, and idle connections are not counted.
+        self.buffer = BytesMut::new();
         self
     }
 }
 
 impl ConnectionPool {
+    /// Creates an empty pool.
+    pub(super) fn new(idle_max: usize) -> Self {
+        Self { idle_max, idle: BTreeMap::new() }
+    }
+
     /// Removes and returns an idle connection that is still usable and has not carried a request
     /// with this id, if any.
     pub(super) fn take(&mut self, address: SocketAddr, id: &str) -> Option<UpstreamConnection> {
@@ -114,13 +123,18 @@
     }
 
     /// Keeps a connection for later requests: for 70 % of the time that the
-    /// upstream says it keeps it open, or for [`KEEP_ALIVE_DEFAULT`].
+    /// upstream says it keeps it open, or for [`KEEP_ALIVE_DEFAULT`]. Without room for it, the
+    /// connection is closed.
     pub(super) fn put(
         &mut self,
         address: SocketAddr,
         connection: UpstreamConnection,
         keep_alive: Option<Duration>,
     ) {
+        if self.len() >= self.idle_max {
+            self.close_expired();
+            return;
+        }
         let keep_alive = keep_alive.map_or(KEEP_ALIVE_DEFAULT, |keep_alive| keep_alive * 7 / 10);
         let expires_at = Instant::now() + keep_alive;
         let idle_connection = IdleConnection { connection: connection.into_idle(), expires_at };
@@ -132,6 +146,20 @@
         self.idle.clear();
     }
 
+    /// Closes as many idle connections as are more than a number.
+    pub(super) fn close_beyond(&mut self, count: usize) {
+        let mut excess = self.len().saturating_sub(count);
+        for idle in self.idle.values_mut() {
+            let closed = excess.min(idle.len());
+            idle.drain(..closed);
+            excess -= closed;
+        }
+    }
+
+    fn len(&self) -> usize {
+        self.idle.values().map(Vec::len).sum()
+    }
+
     /// Closes connections that have been idle for too long.
     pub(super) fn close_expired(&mut self) {
         let now = Instant::now();
--- a/src/runtime/entry_node/ready_response.rs
+++ b/src/runtime/entry_node/ready_response.rs
@@ -16,11 +16,30 @@
     Peer,
 }
 
+/// What of a request is needed to encode its response. The rest is not kept, since the caller may
+/// read slowly.
+pub(super) struct AnsweredRequest {
+    method: String,
+    id: Option<String>,
+}
+
+impl AnsweredRequest {
+    pub(super) fn new(head: &RequestHead) -> Self {
+        let id = headers::request_id(&head.headers).map(str::to_owned);
+        Self { method: head.method.clone(), id }
+    }
+
+    /// Returns the request's id, or an empty string if it has none.
+    pub(super) fn id(&self) -> &str {
+        self.id.as_deref().unwrap_or_default()
+    }
+}
+
 /// A response that is ready to be written.
 pub(super) struct ReadyResponse {
     pub(super) response: Response,
-    /// The head of the request, if it could be read.
-    pub(super) head: Option<RequestHead>,
+    /// The request, if its head could be read.
+    pub(super) request: Option<AnsweredRequest>,
     /// Whether the caller may still send input, which is then discarded.
     pub(super) has_unread_input: bool,
     /// Keeps the request open until the response is written and, if the connection closes, the
@@ -37,9 +56,9 @@
 
     /// Encodes the response for the sender of the request.
     pub(super) fn encode(&self, sender: Sender) -> Message {
-        let head = self.head.as_ref();
-        let method = head.map_or("", |head| head.method.as_str());
-        let id = head.and_then(|head| headers::request_id(&head.headers));
+        let request = self.request.as_ref();
+        let method = request.map_or("", |request| request.method.as_str());
+        let id = request.and_then(|request| request.id.as_deref());
         match sender {
             Sender::Caller => self.response.encode(method, id),
             Sender::Peer => self.response.encode_for_peer(method, id),
--- a/src/runtime/entry_node/refusal.rs
+++ b/src/runtime/entry_node/refusal.rs
@@ -5,7 +5,7 @@
 use tracing::info;
 
 use super::{request::Request, response::Response, state::EntryState};
-use crate::{net::http1::RequestHead, platform::headers, runtime::logs::REQUEST_TARGET};
+use crate::runtime::logs::REQUEST_TARGET;
 
 /// The `Retry-After` of refused requests if no expected wait is known.
 pub(super) const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(300);
@@ -18,8 +18,7 @@
 pub(super) const RETRY_AFTER_CRASHES: Duration = Duration::from_secs(10);
 
 /// Refuses a request of which only the head was read, because the process is about to exit.
-pub(super) fn refuse_for_stop(state: &EntryState, head: &RequestHead) -> Response {
-    let id = headers::request_id(&head.headers).unwrap_or_default();
+pub(super) fn refuse_for_stop(state: &EntryState, id: &str) -> Response {
     refuse(state, id, "stopping", RETRY_AFTER_ELSEWHERE).with_connection_close()
 }
 
--- a/src/runtime/entry_node/request.rs
+++ b/src/runtime/entry_node/request.rs
@@ -2,11 +2,11 @@
 
 use std::{net::IpAddr, time::Duration};
 
-use bytes::Bytes;
 use sha2::{Digest, Sha256};
 
 use crate::{
     net::{
+        held_bytes::{Body, HeldBytes},
         http1::{RequestHead, ResponseHead},
         relay::RelayTerms,
     },
@@ -17,7 +17,9 @@
 #[derive(Debug)]
 pub(super) struct Request {
     pub(super) head: RequestHead,
-    pub(super) body: Bytes,
+    pub(super) body: Body,
+    /// The memory that the head takes.
+    pub(super) _held: HeldBytes,
     /// When the head had fully arrived, by the instance's clock.
     pub(super) arrived_at: Duration,
     /// The address from which its sender connected.
@@ -32,7 +34,7 @@
 impl Request {
     /// Returns how long after its arrival the caller waits for the response.
     pub(super) fn timeout(&self) -> Duration {
-        headers::timeout(&self.head.headers).unwrap_or(TIMEOUT_DEFAULT)
+        timeout(&self.head)
     }
 
     /// Returns the request's id, if it has one.
@@ -47,8 +49,7 @@
 
     /// Returns the host that the request is addressed to, or an empty string if it names none.
     pub(super) fn host(&self) -> &str {
-        let authority = self.head.authority.as_deref();
-        authority.or_else(|| self.head.headers.get_str("host")).unwrap_or_default()
+        self.head.host()
     }
 
     /// Returns a hash that identifies the request when its caller sends it again: of the caller's
@@ -63,14 +64,18 @@
             digest.update((part.len() as u64).to_le_bytes());
             digest.update(part.as_bytes());
         }
-        digest.update(&self.body);
+        self.body.pieces().iter().for_each(|piece| digest.update(piece));
         let bytes = digest.finalize();
         bytes.first_chunk().map(|start| u128::from_be_bytes(*start))
     }
 
     /// Returns the path without the query.
     pub(super) fn path(&self) -> &str {
-        let target = self.head.target.as_str();
-        target.split_once('?').map_or(target, |(path, _)| path)
+        self.head.path()
     }
 }
+
+/// Returns how long after the arrival of a request's head its caller waits for the response.
+pub(super) fn timeout(head: &RequestHead) -> Duration {
+    headers::timeout(&head.headers).unwrap_or(TIMEOUT_DEFAULT)
+}
--- a/src/runtime/entry_node/response.rs
+++ b/src/runtime/entry_node/response.rs
@@ -5,8 +5,8 @@
 use http::header;
 use serde_json::json;
 
-use super::held_bytes::Body;
 use crate::net::{
+    held_bytes::Body,
     http1::{HeadWriter, Headers, Message},
     relay::{Refusal, is_relay_field},
 };
--- a/src/runtime/entry_node/state.rs
+++ b/src/runtime/entry_node/state.rs
@@ -13,12 +13,12 @@
 use tracing::info;
 
 use super::{
-    Flag, held_bytes::SharedBudget, link::InstanceLink, links::LinkState, metrics::EntryMetrics,
-    pool::ConnectionPool, request::Request,
+    Flag, link::InstanceLink, links::LinkState, metrics::EntryMetrics, pool::ConnectionPool,
+    ready_response::Sender, request::Request,
 };
 use crate::{
     core::{
-        EntryCount, MemoryBudget, StopPhase, StopPlan,
+        EntryCount, StopPhase, StopPlan,
         admission::RetryBudget,
         balance::{Balancer, ColdLimit, Locality},
         control::{InstanceName, Policy, ServiceName, ZoneName},
@@ -27,6 +27,7 @@
         routing::{CallerLimits, RouteIndex},
         suspects::{CrashReport, Suspects},
     },
+    net::{connections::Connections, held_bytes::SharedBudget},
     runtime::{clock::Clock, logs::DroppedLines},
     settings::NodeSettings,
 };
@@ -49,6 +50,10 @@
     pub(super) link: InstanceLink,
     /// The memory that all messages may take together.
     pub(super) memory: SharedBudget,
+    /// The connections of callers.
+    caller_connections: Connections,
+    /// The connections of entry instances that hand over requests.
+    peer_connections: Connections,
     pub(super) demand: RefCell<DemandMeter>,
     /// When the next demand report may be sent to a control replica.
     next_demand_report_at: Cell<Duration>,
@@ -111,15 +116,18 @@
         let mut balancer = Balancer::new(locality, cold_limit)
             .with_phase(rand::random())
             .with_started_at(clock.now());
+        let pool = || RefCell::new(ConnectionPool::new(settings.idle_connections_max()));
         // Until a rank is known, instances are unlikely to assume the same one.
         balancer.set_entry_rank(rand::random());
         Self {
             links: LinkState::default(),
             peers: RefCell::new(Peers::new(settings.region.clone())),
-            peer_pool: RefCell::default(),
+            peer_pool: pool(),
             next_peers_request_at: Cell::default(),
             link: InstanceLink::new(clock, settings.link_bytes_per_s()),
-            memory: Rc::new(RefCell::new(MemoryBudget::new(settings.messages_max_bytes()))),
+            memory: SharedBudget::new(settings.messages_max_bytes()),
+            caller_connections: Connections::new(settings.caller_connections()),
+            peer_connections: Connections::new(settings.peer_connections()),
             seeds: RefCell::new(settings.seed_cluster_addresses()),
             demand: RefCell::new(DemandMeter::new(Duration::ZERO)),
             next_demand_report_at: Cell::new(DEMAND_REPORT_INTERVAL),
@@ -133,7 +141,7 @@
             policy: RefCell::default(),
             routes: RefCell::default(),
             balancer: RefCell::new(balancer),
-            pool: RefCell::default(),
+            pool: pool(),
             config_confirmed_at: Cell::new(None),
             list_read_at: Cell::new(None),
             is_ready: Flag::default(),
@@ -146,6 +154,14 @@
         }
     }
 
+    /// Returns the open connections on which `sender` sends requests.
+    pub(super) fn connections(&self, sender: Sender) -> &Connections {
+        match sender {
+            Sender::Caller => &self.caller_connections,
+            Sender::Peer => &self.peer_connections,
+        }
+    }
+
     /// Replaces the seeds with those of the new settings.
     pub(super) fn reload(&self, settings: &NodeSettings) {
         *self.seeds.borrow_mut() = settings.seed_cluster_addresses();
@@ -339,6 +355,18 @@
         phases.wait_for(|phase| *phase == StopPhase::Ending).await.ok();
     }
 
+    /// Returns whether one more request may be in progress. With many in progress, idle connections
+    /// to upstreams and peers are closed to leave descriptors for theirs.
+    pub(super) fn has_room_for_request(&self) -> bool {
+        let (open, max) = (self.open_requests.get(), self.settings.requests_max());
+        if open > max / 2 {
+            let idle_max = max.saturating_sub(open) / 2;
+            self.pool.borrow_mut().close_beyond(idle_max);
+            self.peer_pool.borrow_mut().close_beyond(idle_max);
+        }
+        open < max
+    }
+
     /// Recomputes whether the instance is ready for callers.
     pub(super) fn update_readiness(&self) {
         let ready = self.has_configuration()
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -4,6 +4,7 @@
 //! validated here. Files with the settings of a single process are decoded in
 //! [`crate::platform::node_file`].
 
+mod capacity;
 mod check;
 mod finding;
 mod model;
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -187,41 +187,32 @@
 /// The part of the memory that one page of the list of upstreams may take: 1 of this many. The
 /// pages of all availability zones are read at the same time.
 const LIST_PAGES_IN_MEMORY: u64 = 64;
-/// The part of the memory that all messages may take together: 1 of this many. The rest is for
-/// the state, connections and short-lived copies.
-const MESSAGES_MEMORY_PART: u64 = 2;
-
 impl NodeSettings {
     /// Returns the maximum size of the body of an upstream's response, in bytes.
     pub fn response_max_bytes(&self) -> usize {
-        (self.resources.memory_mib * 1024 * 1024 / RESPONSES_IN_MEMORY) as usize
+        self.memory_part(RESPONSES_IN_MEMORY)
     }
 
     /// Returns the maximum size of a reply of a control replica, in bytes.
     pub fn reply_max_bytes(&self) -> usize {
-        (self.resources.memory_mib * 1024 * 1024 / REPLIES_IN_MEMORY) as usize
+        self.memory_part(REPLIES_IN_MEMORY)
     }
 
     /// Returns the maximum size of the deltas of the policy that are kept for followers, in bytes
     /// when encoded.
     pub fn deltas_max_bytes(&self) -> usize {
-        (self.resources.memory_mib * 1024 * 1024 / DELTAS_IN_MEMORY) as usize
+        self.memory_part(DELTAS_IN_MEMORY)
     }
 
     /// Returns the maximum size of a call that a control replica takes from another process, in
     /// bytes.
     pub fn call_max_bytes(&self) -> usize {
-        (self.resources.memory_mib * 1024 * 1024 / CALLS_IN_MEMORY) as usize
+        self.memory_part(CALLS_IN_MEMORY)
     }
 
     /// Returns the maximum size of a page of the list of upstreams, in bytes.
     pub fn list_page_max_bytes(&self) -> usize {
-        (self.resources.memory_mib * 1024 * 1024 / LIST_PAGES_IN_MEMORY) as usize
-    }
-
-    /// Returns the maximum size of all messages together that are held in memory, in bytes.
-    pub fn messages_max_bytes(&self) -> usize {
-        (self.resources.memory_mib * 1024 * 1024 / MESSAGES_MEMORY_PART) as usize
+        self.memory_part(LIST_PAGES_IN_MEMORY)
     }
 
     /// Returns the limits on the size of the replicated state.
--- a/tests/callers/rig.rs
+++ b/tests/callers/rig.rs
@@ -257,14 +257,15 @@
 
     /// Checks that a process lives and has stayed within its memory and its descriptors.
     pub fn check(&mut self, name: &'static str) {
-        let PeakUsage { memory_mib, sockets } = self.samplers[name].peak();
+        let usage = self.samplers[name].peak();
+        let PeakUsage { memory_mib, sockets, .. } = usage;
+        println!("{name}: {usage:?}");
         let exit = self.processes.get_mut(name).unwrap().try_wait().unwrap();
         assert!(exit.is_none(), "{name} ended: {exit:?}");
         let memory_max_mib = self.limits.memory_mib;
         assert!(memory_mib <= memory_max_mib, "{name} used {memory_mib} MiB of {memory_max_mib}");
         let sockets_max = self.limits.descriptors - FILE_DESCRIPTORS;
         assert!(sockets <= sockets_max, "{name} opened {sockets} sockets of {sockets_max}");
-        println!("{name}: {memory_mib} MiB of {memory_max_mib}, {sockets} sockets");
     }
 }
 
--- a/tests/callers/usage.rs
+++ b/tests/callers/usage.rs
@@ -24,15 +24,19 @@
 #[derive(Default)]
 struct Peaks {
     memory_bytes: AtomicU64,
+    queued_bytes: AtomicU64,
     sockets: AtomicUsize,
     is_done: AtomicBool,
 }
 
 /// The greatest usage of a process.
 #[derive(Clone, Copy, Debug)]
+#[allow(dead_code)]
 pub struct PeakUsage {
     /// The memory, with the bytes in the queues of its sockets, rounded up.
     pub memory_mib: u64,
+    /// The bytes in the queues of its sockets alone.
+    pub queued_mib: u64,
     pub sockets: usize,
 }
 
@@ -47,7 +51,9 @@
             let peaks = peaks.clone();
             move || {
                 while !peaks.is_done.load(Ordering::Relaxed) {
-                    let memory = status_kib(process, "VmRSS") * KIB + queued_bytes(&address);
+                    let queued = queued_bytes(&address);
+                    let memory = status_kib(process, "VmRSS") * KIB + queued;
+                    peaks.queued_bytes.fetch_max(queued, Ordering::Relaxed);
                     peaks.memory_bytes.fetch_max(memory, Ordering::Relaxed);
                     peaks.sockets.fetch_max(socket_count(process), Ordering::Relaxed);
                     std::thread::sleep(SAMPLE_INTERVAL);
@@ -61,7 +67,12 @@
         let high_water = status_kib(self.process, "VmHWM") * KIB;
         let memory_bytes = high_water.max(self.peaks.memory_bytes.load(Ordering::Relaxed));
         let sockets = self.peaks.sockets.load(Ordering::Relaxed);
-        PeakUsage { memory_mib: memory_bytes.div_ceil(KIB * KIB), sockets }
+        let queued_bytes = self.peaks.queued_bytes.load(Ordering::Relaxed);
+        PeakUsage {
+            memory_mib: memory_bytes.div_ceil(KIB * KIB),
+            queued_mib: queued_bytes.div_ceil(KIB * KIB),
+            sockets,
+        }
     }
 }
 
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod balance;
 mod cold_limit;
+mod connection_table;
 mod control;
 mod explain;
 mod hand_over;
