Bound what HTTP servers of operators and the platform hold

Whoever sent bodies or heads to a port of a control replica, or to an entry instance's ports for readiness and metrics, could end the process by memory.

Cause: each connection might send 16 MiB of body and 1 MB of head, whatever the call needed, for any time and on any number of connections; and a reader that took nothing of a configuration kept it in memory for ever.

--- a/src/runtime/control_node/mod.rs
+++ b/src/runtime/control_node/mod.rs
@@ -33,7 +33,7 @@
 
 use super::{
     clock::Clock,
-    http_handler::{HttpHandler, listen, listen_udp, serve_http_handler_until},
+    http_handler::{HandlerLimits, HttpHandler, listen, listen_udp, serve_http_handler_until},
     logs::DroppedLines,
     metrics::InstanceMetrics,
     metrics_server::{MetricsConfig, TextFuture, serve_metrics},
@@ -50,7 +50,7 @@
         roster::Roster,
         upstreams::UpstreamList,
     },
-    net::{HttpLimits, mesh::serve_mesh_with_limit},
+    net::{HttpLimits, SharedBudget, mesh::serve_mesh_with_limit},
     settings::{NodeSettings, Timing},
     storage::{Identity, Store, StoreError, has_identity, move_damaged_files},
 };
@@ -72,6 +72,8 @@
     replica: Mutex<Option<Address<Replica>>>,
     connections: peers::Connections,
     configuration_body: operators::ConfigurationBody,
+    /// The memory that calls and replies may take together.
+    memory: SharedBudget,
     /// The cluster addresses of the seeds in the settings.
     seeds: Mutex<Vec<SocketAddr>>,
     /// The entry instances that announced themselves.
@@ -133,6 +135,7 @@
             process_id: rand::random(),
             connections: peers::Connections::default(),
             configuration_body: operators::ConfigurationBody::default(),
+            memory: SharedBudget::new(settings.control_messages_max_bytes()),
             seeds: Mutex::new(settings.seed_cluster_addresses()),
             replica: Mutex::default(),
             settings,
@@ -160,11 +163,21 @@
         tokio::spawn(list_reader::maintain_list(state.clone()));
         let listen_addresses = state.settings.listen;
         let (mut servers, stop_sender) = (JoinSet::new(), watch::Sender::new(()));
-        // An order must not wait behind another request on its connection.
-        let one_request = HttpLimits { keep_alive: false, ..HttpLimits::default() };
+        let directory_limits = HandlerLimits::without_body(state.settings.control_connections());
+        let operator_limits = HandlerLimits {
+            http: HttpLimits {
+                // An order must not wait behind another request on its connection.
+                keep_alive: false,
+                connections: state.settings.operator_connections(),
+                send_buffer_bytes: HttpLimits::default().send_buffer_bytes,
+                ..directory_limits.http
+            },
+            body_max_bytes: state.settings.operator_body_max_bytes(),
+            memory: state.memory.clone(),
+        };
         let handlers = [
-            (listen_addresses.operators, operators::handler(state.clone()), one_request),
-            (listen_addresses.directory, directory::handler(state.clone()), HttpLimits::default()),
+            (listen_addresses.operators, operators::handler(state.clone()), operator_limits),
+            (listen_addresses.directory, directory::handler(state.clone()), directory_limits),
         ];
         for (address, handler, limits) in handlers {
             let Some(address) = address else { continue };
@@ -218,11 +231,12 @@
 ) -> Result<(), NodeError> {
     let gauges = metrics::ControlGauges::new().map_err(NodeError::Metrics)?;
     let address = (state.settings.ip, port).into();
+    let connections = state.settings.platform_connections();
     let text = move || -> TextFuture {
         let (gauges, state, dropped_lines) = (gauges.clone(), state.clone(), dropped_lines.clone());
         Box::pin(async move { gauges.text(&state, &dropped_lines).await })
     };
-    serve_metrics(address, text).await
+    serve_metrics(address, connections, text).await
 }
 
 /// Opens the data folder. The files of a damaged one are set aside, and a new replica
@@ -248,7 +262,7 @@
 async fn serve_until_stopped(
     listener: TcpListener,
     handler: HttpHandler,
-    limits: HttpLimits,
+    limits: HandlerLimits,
     mut stop_receiver: watch::Receiver<()>,
 ) {
     let stop = async {
--- a/src/runtime/control_node/operators.rs
+++ b/src/runtime/control_node/operators.rs
@@ -17,11 +17,16 @@
 };
 use crate::{
     core::{
+        MessageKind,
         control::{Command, EvacuationOrders, Outcome, ZoneName},
         encoded_len,
         routing::{ConfigVersion, RoutingTable},
     },
-    net::wire::{QueryReply, QueryRequest, SubmitReply, SubmitRequest},
+    net::{
+        SharedBudget,
+        held_bytes::HeldBytes,
+        wire::{QueryReply, QueryRequest, SubmitReply, SubmitRequest},
+    },
     platform::{
         calls::{OperatorCall, decode_operator_call},
         configuration,
@@ -173,18 +178,41 @@
 ///
 /// All readers of a version share one body, since a large one takes much of the memory.
 #[derive(Default)]
-pub(super) struct ConfigurationBody(Mutex<Option<(ConfigVersion, Weak<[u8]>)>>);
+pub(super) struct ConfigurationBody(Mutex<Option<(ConfigVersion, Weak<EncodedConfiguration>)>>);
+
+/// A configuration as operators read it.
+struct EncodedConfiguration {
+    bytes: Vec<u8>,
+    _held: HeldBytes,
+}
+
+/// Lets responses share an [`EncodedConfiguration`].
+struct SharedConfiguration(Arc<EncodedConfiguration>);
+
+impl AsRef<[u8]> for SharedConfiguration {
+    fn as_ref(&self) -> &[u8] {
+        &self.0.bytes
+    }
+}
 
 impl ConfigurationBody {
-    fn encode(&self, table: &RoutingTable) -> Result<Bytes, serde_json::Error> {
+    /// Returns the body, or the response that says why there is none.
+    fn encode(&self, table: &RoutingTable, memory: &SharedBudget) -> Result<Bytes, HttpResponse> {
         let mut last = lock(&self.0);
         let known = last.as_ref().filter(|(version, _)| *version == table.version);
         if let Some(body) = known.and_then(|(_, body)| body.upgrade()) {
-            return Ok(Bytes::from_owner(body));
+            return Ok(Bytes::from_owner(SharedConfiguration(body)));
         }
-        let body: Arc<[u8]> = configuration::encode(table)?.into();
+        let bytes = configuration::encode(table).map_err(|error| {
+            HttpResponse::text(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string())
+        })?;
+        let mut _held = HeldBytes::new(memory, MessageKind::Response);
+        _held.resize(bytes.len()).map_err(|error| {
+            HttpResponse::text(StatusCode::SERVICE_UNAVAILABLE, &error.to_string())
+        })?;
+        let body = Arc::new(EncodedConfiguration { bytes, _held });
         *last = Some((table.version, Arc::downgrade(&body)));
-        Ok(Bytes::from_owner(body))
+        Ok(Bytes::from_owner(SharedConfiguration(body)))
     }
 }
 
@@ -194,9 +222,9 @@
         let text = "it is not sure which configuration is the newest";
         return HttpResponse::text(StatusCode::SERVICE_UNAVAILABLE, text);
     };
-    match state.configuration_body.encode(&table) {
+    match state.configuration_body.encode(&table, &state.memory) {
         Ok(body) => HttpResponse::json(body),
-        Err(error) => HttpResponse::text(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+        Err(response) => response,
     }
 }
 
--- a/src/runtime/entry_node/mod.rs
+++ b/src/runtime/entry_node/mod.rs
@@ -31,7 +31,7 @@
 
 use self::{metrics::EntryMetrics, ready_response::Sender, state::EntryState};
 use super::{
-    http_handler::{listen, serve_http_handler},
+    http_handler::{HandlerLimits, listen, serve_http_handler},
     metrics_server::{MetricsConfig, TextFuture, serve_metrics},
     node_error::NodeError,
 };
@@ -72,12 +72,15 @@
         if let Some(port) = metrics_config.metrics_port {
             let metrics = metrics.clone();
             let text = move || -> TextFuture { Box::pin(std::future::ready(metrics.text())) };
-            serve_metrics((settings.ip, port).into(), text).await?;
+            let connections = settings.platform_connections();
+            serve_metrics((settings.ip, port).into(), connections, text).await?;
         }
         let state = Rc::new(EntryState::new(settings, metrics, metrics_config.dropped_lines));
         if let Some(address) = readiness {
             let listener = listen(address).await?;
-            tokio::spawn(serve_http_handler(listener, readiness::handler(state.is_ready.clone())));
+            let handler = readiness::handler(state.is_ready.clone());
+            let limits = HandlerLimits::without_body(state.settings.platform_connections());
+            tokio::spawn(serve_http_handler(listener, handler, limits));
         }
         tokio::task::spawn_local(follow::follow_control(state.clone()));
         tokio::task::spawn_local(health::check_upstreams(state.clone()));
--- a/src/runtime/metrics_server.rs
+++ b/src/runtime/metrics_server.rs
@@ -5,10 +5,11 @@
 use http::StatusCode;
 
 use super::{
-    http_handler::{HttpHandler, HttpResponse, listen, serve_http_handler},
+    http_handler::{HandlerLimits, HttpHandler, HttpResponse, listen, serve_http_handler},
     logs::DroppedLines,
     node_error::NodeError,
 };
+use crate::core::ConnectionLimits;
 
 /// Configures the metrics of a process.
 #[derive(Clone, Debug, Default)]
@@ -32,6 +33,7 @@
 /// Returns an error when the address can't be bound.
 pub(super) async fn serve_metrics(
     address: SocketAddr,
+    connections: ConnectionLimits,
     text: impl Fn() -> TextFuture + Send + Sync + 'static,
 ) -> Result<(), NodeError> {
     let listener = listen(address).await?;
@@ -44,6 +46,7 @@
             }
         })
     });
-    tokio::spawn(serve_http_handler(listener, handler));
+    let limits = HandlerLimits::without_body(connections);
+    tokio::spawn(serve_http_handler(listener, handler, limits));
     Ok(())
 }
