Bound what calls and replies of other instances take together

A control replica could be ended by whoever reached its port for instances: each connection might hold a call of up to an eighth of the memory, and 256 replies of up to 64 MiB each for a peer that read nothing, on any number of connections.

What has arrived of calls and the replies that wait are counted against the memory for calls and replies now, which the operators' port shares.

--- a/src/net/mesh/client.rs
+++ b/src/net/mesh/client.rs
@@ -260,7 +260,8 @@
     R: tokio::io::AsyncRead + Unpin,
     Rep: DeserializeOwned,
 {
-    while let Some(frame) = next_frame(&mut read, address).await {
+    let max_bytes = read.decoder().max_frame_length();
+    while let Some(frame) = next_frame(&mut read, address, max_bytes).await {
         if read.read_buffer().is_empty() {
             arrival.clear();
         }
--- a/src/net/mesh/mod.rs
+++ b/src/net/mesh/mod.rs
@@ -14,12 +14,12 @@
 use futures_util::StreamExt;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpStream;
-use tokio_util::codec::{FramedRead, LengthDelimitedCodec};
+use tokio_util::codec::{Decoder, FramedRead, LengthDelimitedCodec};
 
 pub(crate) use self::client::ARRIVAL_CHECK_INTERVAL;
 pub use self::{
     client::{ClientLimits, MeshClient},
-    server::{MeshHandler, serve_mesh, serve_mesh_with_limit},
+    server::{MeshHandler, ServerLimits, serve_mesh, serve_mesh_with_limits},
 };
 
 /// Represents a call or its reply, which have the same id.
@@ -72,20 +72,28 @@
 /// How long data may stay unacknowledged by a receiver that has room for it.
 pub(crate) const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(2);
 
-/// Returns the next frame, or `None` at the end of the connection or if the frame is too long.
-async fn next_frame<R>(
-    read: &mut FramedRead<R, LengthDelimitedCodec>,
+/// Returns the next frame, or `None` at the end of the connection, if the frame is longer than
+/// `max_bytes`, which the decoder checks, or if there is no memory for it.
+async fn next_frame<R, D>(
+    read: &mut FramedRead<R, D>,
     peer: SocketAddr,
+    max_bytes: usize,
 ) -> Option<BytesMut>
 where
     R: tokio::io::AsyncRead + Unpin,
+    D: Decoder<Item = BytesMut, Error = io::Error>,
 {
     match read.next().await? {
         Ok(frame) => Some(frame),
         Err(error) => {
-            if error.kind() == io::ErrorKind::InvalidData {
-                let max_bytes = read.decoder().max_frame_length();
-                tracing::warn!(%peer, max_bytes, "a message is too long to be read; disconnecting");
+            match error.kind() {
+                io::ErrorKind::InvalidData => {
+                    tracing::warn!(%peer, max_bytes, "a message is too long to be read; disconnecting");
+                }
+                io::ErrorKind::OutOfMemory => {
+                    tracing::warn!(%peer, %error, "a message can't be read; disconnecting");
+                }
+                _ => {}
             }
             None
         }
--- a/src/runtime/control_node/mod.rs
+++ b/src/runtime/control_node/mod.rs
@@ -50,7 +50,10 @@
         roster::Roster,
         upstreams::UpstreamList,
     },
-    net::{HttpLimits, SharedBudget, mesh::serve_mesh_with_limit},
+    net::{
+        HttpLimits, SharedBudget,
+        mesh::{ServerLimits, serve_mesh_with_limits},
+    },
     settings::{NodeSettings, Timing},
     storage::{Identity, Store, StoreError, has_identity, move_damaged_files},
 };
@@ -156,9 +159,12 @@
             start_result => start_result?,
         };
         tokio::spawn(state.clone().supervise_replica(folder, failure_receiver));
-        let call_max_bytes = state.settings.call_max_bytes();
-        let handler = calls::handler(state.clone());
-        tokio::spawn(serve_mesh_with_limit(cluster, handler, call_max_bytes));
+        let mesh_limits = ServerLimits {
+            call_max_bytes: state.settings.call_max_bytes(),
+            connections: state.settings.control_connections(),
+            memory: state.memory.clone(),
+        };
+        tokio::spawn(serve_mesh_with_limits(cluster, calls::handler(state.clone()), mesh_limits));
         tokio::spawn(calls::receive_announcements(state.clone(), announcement_socket));
         tokio::spawn(list_reader::maintain_list(state.clone()));
         let listen_addresses = state.settings.listen;
