Bound the connections of instances, and check keys before bodies

Anyone who reached an instance of a deployment with one settings file could end it by memory: heads of 1 MB on any number of connections at the ports for callers and forwarded requests; changes of 16 MiB without a token and calls of 256 MiB without the cluster key, both read in full before they were refused.

Cause: limits on one connection or message, none on all of them, and checks of who sends only after the body was read. A connection without a request in progress, or without a call that had the key, is closed for a new one.

--- a/src/net/cluster.rs
+++ b/src/net/cluster.rs
@@ -10,26 +10,32 @@
 use tonic::{
     Code, Request, Response, Status,
     metadata::MetadataValue,
-    transport::{Channel, Endpoint, Server, server::TcpIncoming},
+    service::interceptor::InterceptedService,
+    transport::{Channel, Endpoint, Server},
 };
 
 use super::{
+    connections::ConnectionSlot,
     generated::{
         Frame,
         cluster_client::ClusterClient as GeneratedClient,
         cluster_server::{Cluster, ClusterServer},
     },
+    limited_stream::limited_connections,
     wire::{
         ProbeReply, QueryReply, QueryRequest, ReplicateRequest, SubmitReply, SubmitRequest,
         WatchReply, WatchRequest, decode, encode,
     },
 };
+use crate::core::ConnectionLimits;
 
 /// The key of the metadata entry that holds the cluster key.
 const KEY_METADATA: &str = "x-bulrushspan-key";
 /// The maximum frame size. The largest frames hold a chunk of a snapshot or a
 /// whole policy.
 const FRAME_MAX_BYTES: usize = 256 * 1024 * 1024;
+/// The maximum number of calls of one connection at the same time.
+const STREAMS_MAX: u32 = 256;
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 type ReplyFuture<T> = Pin<Box<dyn Future<Output = Result<T, ClusterError>> + Send>>;
@@ -73,21 +79,22 @@
 impl Error for ClusterError {}
 
 struct ClusterService {
-    key: String,
     handlers: ClusterHandlers,
 }
 
-impl ClusterService {
-    /// Checks the cluster key, in constant time.
-    fn check_key(&self, request: &Request<Frame>) -> Result<(), Status> {
-        let sent_key = request.metadata().get(KEY_METADATA).map(|value| value.as_encoded_bytes());
-        let is_valid = sent_key.is_some_and(|sent_key| sent_key.ct_eq(self.key.as_bytes()).into());
-        if is_valid {
-            return Ok(());
-        }
-        Err(Status::unauthenticated("the cluster key is missing or wrong"))
+/// Checks the cluster key, in constant time, before anything else of a call is read.
+fn check_key(key: &str, request: Request<()>) -> Result<Request<()>, Status> {
+    let sent_key = request.metadata().get(KEY_METADATA).map(|value| value.as_encoded_bytes());
+    if !sent_key.is_some_and(|sent_key| sent_key.ct_eq(key.as_bytes()).into()) {
+        return Err(Status::unauthenticated("the cluster key is missing or wrong"));
     }
+    if let Some(slot) = request.extensions().get::<Arc<ConnectionSlot>>() {
+        slot.set_not_closable();
+    }
+    Ok(request)
+}
 
+impl ClusterService {
     async fn handle<Q, R, F>(
         &self,
         request: Request<Frame>,
@@ -98,7 +105,6 @@
         R: Serialize,
         F: FnOnce(Q) -> ReplyFuture<R>,
     {
-        self.check_key(&request)?;
         let message: Q = decode(&request.get_ref().body)
             .map_err(|error| Status::invalid_argument(error.to_string()))?;
         let reply =
@@ -131,7 +137,8 @@
     }
 }
 
-/// Serves the calls of other instances until `stop` completes.
+/// Serves the calls of other instances until `stop` completes. A connection on which no call with
+/// the key has arrived yet is closed to make room for another.
 ///
 /// # Errors
 ///
@@ -140,15 +147,19 @@
     listener: TcpListener,
     key: String,
     handlers: ClusterHandlers,
+    limits: ConnectionLimits,
     stop: impl Future<Output = ()> + Send,
 ) -> Result<(), tonic::transport::Error> {
-    let service = ClusterServer::new(ClusterService { key, handlers })
+    let service = ClusterServer::new(ClusterService { handlers })
         .max_decoding_message_size(FRAME_MAX_BYTES)
         .max_encoding_message_size(FRAME_MAX_BYTES);
-    // Without TCP_NODELAY, each small frame waits 40 ms for a delayed
-    // acknowledgement.
-    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
-    Server::builder().add_service(service).serve_with_incoming_shutdown(incoming, stop).await
+    let service = InterceptedService::new(service, move |request| check_key(&key, request));
+    let incoming = limited_connections(listener, limits);
+    Server::builder()
+        .max_concurrent_streams(STREAMS_MAX)
+        .add_service(service)
+        .serve_with_incoming_shutdown(incoming, stop)
+        .await
 }
 
 /// Represents a client of one other instance.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod held_bytes;
 pub mod http1;
 mod http_server;
+mod limited_stream;
 pub mod mesh;
 mod packed_list;
 pub mod relay;
--- a/src/runtime/admin_api.rs
+++ b/src/runtime/admin_api.rs
@@ -198,6 +198,7 @@
         let put_preset = self.change(
             warp::path!("v1" / "presets" / String)
                 .and(warp::put())
+                .and(self.operators_only())
                 .and(warp::body::content_length_limit(BODY_MAX_BYTES))
                 .and(warp::body::json())
                 .map(|name, preset: Preset| Change::PutPreset { name, preset }),
@@ -205,6 +206,7 @@
         let use_preset = self.change(
             warp::path!("v1" / "preset-in-force")
                 .and(warp::put())
+                .and(self.operators_only())
                 .and(warp::body::content_length_limit(BODY_MAX_BYTES))
                 .and(warp::body::json())
                 .map(|body: UsePresetBody| Change::UsePreset { name: body.name }),
@@ -232,6 +234,7 @@
         let blocks = self.change(
             warp::path!("v1" / "blocks")
                 .and(warp::put())
+                .and(self.operators_only())
                 .and(warp::body::content_length_limit(BODY_MAX_BYTES))
                 .and(warp::body::json())
                 .map(|blocks: BTreeMap<IpNet, RegionName>| Change::PutBlocks {
@@ -253,6 +256,20 @@
             .unify()
     }
 
+    /// Passes on requests that carry the token of an operator, before their bodies are read.
+    fn operators_only(&self) -> impl Filter<Extract = (), Error = Rejection> + Clone + use<> {
+        let api = self.clone();
+        warp::header::headers_cloned()
+            .and(warp::ext::get::<PeerAddr>())
+            .and_then(move |headers: HeaderMap, peer: PeerAddr| {
+                let is_operator = api.requester(headers, peer).is_some();
+                async move {
+                    if is_operator { Ok(()) } else { Err(warp::reject::custom(Unauthorized)) }
+                }
+            })
+            .untuple_one()
+    }
+
     /// Runs `run` for requests to `route` that carry the token of an operator, and
     /// refuses others.
     fn authorized<F, R, Fut>(
@@ -440,11 +457,20 @@
     response
 }
 
+/// The reason for rejecting a request without the token of an operator.
+#[derive(Debug)]
+struct Unauthorized;
+
+impl warp::reject::Reject for Unauthorized {}
+
 async fn handle_rejection(rejection: Rejection) -> Result<Response, Infallible> {
     if rejection.is_not_found() {
         let message = "there is no such path; docs/OPERATIONS.md lists them".to_owned();
         return Ok(api_error(StatusCode::NOT_FOUND, "no_such_path", message));
     }
+    if rejection.find::<Unauthorized>().is_some() {
+        return Ok(unauthorized());
+    }
     if let Some(error) = rejection.find::<warp::filters::body::BodyDeserializeError>() {
         return Ok(api_error(StatusCode::BAD_REQUEST, "bad_body", error.to_string()));
     }
--- a/src/runtime/instance.rs
+++ b/src/runtime/instance.rs
@@ -272,24 +272,29 @@
     ) {
         let (callers_stop_sender, callers_stop_receiver) = oneshot::channel::<()>();
         let (forward_stop_sender, forward_stop_receiver) = oneshot::channel::<()>();
-        let limits = HttpLimits::default();
+        let resources = self.settings.resources;
+        let limits = |connections| HttpLimits { connections, ..HttpLimits::default() };
         let caller_service = warp::service(caller_routes(gateway.clone()));
         let callers = tokio::spawn(serve_http(
             callers,
             caller_service,
-            limits,
+            limits(resources.caller_connections()),
             wait_for_stop(callers_stop_receiver),
         ));
         let forward_service = warp::service(forward_routes(gateway));
         let forward = tokio::spawn(serve_http(
             forward,
             forward_service,
-            limits,
+            limits(resources.instance_connections()),
             wait_for_stop(forward_stop_receiver),
         ));
         let operator_service = warp::service(operator_routes.routes());
-        let operators =
-            tokio::spawn(serve_http(operators, operator_service, limits, std::future::pending()));
+        let operators = tokio::spawn(serve_http(
+            operators,
+            operator_service,
+            limits(resources.operator_connections()),
+            std::future::pending(),
+        ));
         if self.stopping.wait_for(|stopping| *stopping).await.is_err() {
             return;
         }
--- a/src/runtime/replica_start.rs
+++ b/src/runtime/replica_start.rs
@@ -43,10 +43,12 @@
     parts: ReplicaParts<'_>,
 ) -> Result<Option<oneshot::Receiver<()>>, InstanceError> {
     let (listener, key, stop_receiver) = parts.cluster;
+    let limits = parts.settings.resources.instance_connections();
     let replica_cell: ReplicaCell = Arc::default();
     let Some(folder) = &parts.instance.data_folder else {
         let handlers = handlers(replica_cell, None);
-        tokio::spawn(serve_cluster(listener, key, handlers, wait_for_stop(stop_receiver)));
+        let stop = wait_for_stop(stop_receiver);
+        tokio::spawn(serve_cluster(listener, key, handlers, limits, stop));
         return Ok(None);
     };
     let new_identity = Identity::new(rand::random());
@@ -58,6 +60,7 @@
         listener,
         key,
         handlers(replica_cell.clone(), Some(id)),
+        limits,
         wait_for_stop(stop_receiver),
     ));
     let (failure_sender, failure_receiver) = oneshot::channel();
--- a/src/settings/capacity.rs
+++ b/src/settings/capacity.rs
@@ -1,6 +1,6 @@
 //! Divides the memory and the descriptors of a process among its connections and messages.
 
-use super::NodeSettings;
+use super::{InstanceResources, NodeSettings};
 use crate::core::ConnectionLimits;
 
 const MIB: u64 = 1024 * 1024;
@@ -142,6 +142,40 @@
     }
 }
 
+/// The part of the memory that the connections of one port of an instance may take: 1 of this many.
+const INSTANCE_PORT_MEMORY_PART: u64 = 8;
+/// What a connection to an instance takes with the state of its request, in bytes.
+const INSTANCE_CONNECTION_BYTES: usize = 48 * 1024;
+
+impl InstanceResources {
+    /// Returns the limits on callers' connections.
+    pub fn caller_connections(&self) -> ConnectionLimits {
+        self.connections(self.sockets_max() / CALLERS_PART * 3)
+    }
+
+    /// Returns the limits on the connections of other instances, to each of both ports for them.
+    pub fn instance_connections(&self) -> ConnectionLimits {
+        self.connections(self.sockets_max() / PEERS_PART)
+    }
+
+    /// Returns the limits on operators' connections.
+    pub fn operator_connections(&self) -> ConnectionLimits {
+        self.connections(self.sockets_max() / PLATFORM_PART)
+    }
+
+    fn connections(&self, count: usize) -> ConnectionLimits {
+        ConnectionLimits {
+            max_count: at_least_min(count),
+            max_bytes: (self.memory_mib * MIB / INSTANCE_PORT_MEMORY_PART) as usize,
+            connection_bytes: INSTANCE_CONNECTION_BYTES,
+        }
+    }
+
+    fn sockets_max(&self) -> usize {
+        self.descriptors.saturating_sub(FILE_DESCRIPTORS) as usize
+    }
+}
+
 fn at_least_min(count: usize) -> usize {
     count.max(CONNECTIONS_MIN)
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -14,7 +14,7 @@
 
 pub use self::{
     finding::{Finding, Findings},
-    model::{InstanceSettings, PlatformListSource, Settings, Timing},
+    model::{InstanceResources, InstanceSettings, PlatformListSource, Settings, Timing},
     node::{
         Bounds, ListenAddresses, NodeSettings, Resources, ToleratedFailures, UpstreamListSource,
     },
--- a/src/settings/model.rs
+++ b/src/settings/model.rs
@@ -32,6 +32,8 @@
     pub platform: Option<PlatformListSource>,
     /// The intervals and timeouts.
     pub timing: Timing,
+    /// What each instance may use of its machine.
+    pub resources: InstanceResources,
 }
 
 /// Represents the settings of one instance.
@@ -83,6 +85,21 @@
     pub cancel_hold: Duration,
 }
 
+/// Represents what each instance of a deployment may use of its machine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct InstanceResources {
+    /// The memory, in MiB.
+    pub memory_mib: u64,
+    /// The maximum number of open file descriptors.
+    pub descriptors: u64,
+}
+
+impl Default for InstanceResources {
+    fn default() -> Self {
+        Self { memory_mib: 512, descriptors: 4096 }
+    }
+}
+
 impl Settings {
     /// Returns the initial control state of the deployment.
     pub fn initial_policy(&self) -> InitialPolicy {
--- a/src/settings/parse.rs
+++ b/src/settings/parse.rs
@@ -12,7 +12,8 @@
 use jsonc_parser::{CollectOptions, ParseOptions, ast::Value, common::Ranged, parse_to_ast};
 
 use super::{
-    Finding, Findings, InstanceSettings, PlatformListSource, Settings, Timing, check,
+    Finding, Findings, InstanceResources, InstanceSettings, PlatformListSource, Settings, Timing,
+    check,
     finding::FindingCollector,
     reader::{Reader, members},
 };
@@ -24,6 +25,9 @@
 const FILE_MAX_BYTES: usize = 64 * 1024 * 1024;
 /// The maximum duration in settings: one day.
 const DURATION_MAX_MS: u64 = 24 * 60 * 60 * 1000;
+/// The largest memory and number of descriptors of an instance.
+const MEMORY_MAX_MIB: u64 = 1024 * 1024;
+const DESCRIPTORS_MAX: u64 = 1024 * 1024;
 
 /// Loads and validates a settings file. Paths in it are relative to its folder.
 ///
@@ -117,6 +121,10 @@
     let operator_tokens = read_tokens(&reader, folder);
     let platform =
         reader.optional("platform").and_then(|value| read_platform(value, folder, findings));
+    let resources = reader
+        .optional("resources")
+        .and_then(|value| read_resources(value, findings))
+        .unwrap_or_default();
     if let Some(name) = first_preset.as_ref().filter(|name| !presets.contains_key(*name)) {
         reader.add_finding(
             "first_preset",
@@ -139,9 +147,24 @@
         first_preset: first_preset?,
         platform,
         timing,
+        resources,
     })
 }
 
+fn read_resources(
+    value: &Value<'_>,
+    findings: &RefCell<FindingCollector>,
+) -> Option<InstanceResources> {
+    let reader = Reader::new(value, "`resources`", findings)?;
+    let default = InstanceResources::default();
+    let resources = InstanceResources {
+        memory_mib: reader.number_or("memory_mib", default.memory_mib, 64, MEMORY_MAX_MIB),
+        descriptors: reader.number_or("descriptors", default.descriptors, 512, DESCRIPTORS_MAX),
+    };
+    reader.finish();
+    Some(resources)
+}
+
 /// Returns the text of the finding for a name that the settings file does not define.
 fn unknown_name(kind: &str, name: &str) -> String {
     format!("`{name}` is no {kind} of this file; name one that is")
