Bound the entry instances that announce themselves

Whoever sent datagrams to a control replica's port for instances, each with another name, filled its memory: all names were kept for a minute. At most 4,096 are recorded now, seven times the size that the system is designed for; known ones are still updated. Found by reading; the test fails without the check, as the further name is recorded.

--- a/src/core/roster.rs
+++ b/src/core/roster.rs
@@ -50,6 +50,8 @@
 /// The warm-up: how long after its start a process may still lack announcements
 /// of some instances. It returns no addresses until then.
 const WARM_UP: Duration = Duration::from_millis(1200);
+/// The maximum number of entry instances that are recorded.
+pub const INSTANCES_MAX: usize = 4096;
 /// The maximum number of addresses returned to a caller.
 const ADDRESSES_MAX: usize = 64;
 /// The minimum number of addresses returned to a caller, if that many entry
@@ -65,9 +67,15 @@
         Self { regions_of_zones, started_at: now, instances: BTreeMap::new(), stalls }
     }
 
-    /// Records an announcement of an entry instance.
-    pub fn record_announcement(&mut self, name: InstanceName, instance: AnnouncedInstance) {
+    /// Records an announcement of an entry instance. Returns whether that was done: a further
+    /// instance is not recorded beyond [`INSTANCES_MAX`], as anyone can send announcements.
+    #[must_use]
+    pub fn record_announcement(&mut self, name: InstanceName, instance: AnnouncedInstance) -> bool {
+        if self.instances.len() >= INSTANCES_MAX && !self.instances.contains_key(&name) {
+            return false;
+        }
         self.instances.insert(name, instance);
+        true
     }
 
     /// Records that the process runs, which it is expected to do several times a second.
--- a/src/runtime/control_node/calls.rs
+++ b/src/runtime/control_node/calls.rs
@@ -284,7 +284,9 @@
             announced_at: now,
         };
         let mut roster = lock(&state.roster);
-        roster.record_announcement(announcement.instance, announced);
+        if !roster.record_announcement(announcement.instance, announced) {
+            tracing::debug!("too many instances announced themselves; one is not recorded");
+        }
         roster.remove_expired(now);
     }
 }
--- a/tests/it/hand_over.rs
+++ b/tests/it/hand_over.rs
@@ -145,7 +145,7 @@
     let regions = regions.map(|(zone, region)| (zone.to_owned(), region.to_owned())).into();
     let mut roster = Roster::new(regions, Duration::ZERO);
     for (name, instance) in instances {
-        roster.record_announcement(name, instance);
+        assert!(roster.record_announcement(name, instance));
     }
     roster
 }
--- a/tests/it/roster.rs
+++ b/tests/it/roster.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bulrushspan::core::roster::{AnnouncedInstance, Roster};
+use bulrushspan::core::roster::{AnnouncedInstance, INSTANCES_MAX, Roster};
 
 fn millis(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -15,14 +15,14 @@
     for (index, (name, zone, is_ready, announced_at_ms)) in entries.iter().enumerate() {
         let entry = AnnouncedInstance {
             zone: (*zone).to_owned(),
-            address: format!("10.0.0.{index}:80").parse().unwrap(),
-            relay_address: format!("10.0.0.{index}:7660").parse().unwrap(),
+            address: format!("10.0.{}.{}:80", index / 256, index % 256).parse().unwrap(),
+            relay_address: format!("10.0.{}.{}:7660", index / 256, index % 256).parse().unwrap(),
             is_ready: *is_ready,
             reaches_upstreams: true,
             has_lost_links: false,
             announced_at: millis(*announced_at_ms),
         };
-        roster.record_announcement((*name).to_owned(), entry);
+        assert!(roster.record_announcement((*name).to_owned(), entry));
     }
     roster
 }
@@ -90,3 +90,24 @@
     assert!(addresses(&roster, "a", 500).is_empty());
     assert_eq!(addresses(&roster, "a", 1300).len(), 2);
 }
+
+/// Announcements under ever new names, which anyone can send: all were kept for a minute.
+#[test]
+fn the_number_of_recorded_instances_is_limited() {
+    let names: Vec<String> = (0..INSTANCES_MAX).map(|number| format!("e{number}")).collect();
+    let entries: Vec<_> = names.iter().map(|name| (name.as_str(), "a", true, 1000)).collect();
+    let mut roster = roster(&entries);
+    let entry = AnnouncedInstance {
+        zone: "a".to_owned(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        relay_address: "10.0.0.1:7660".parse().unwrap(),
+        is_ready: true,
+        reaches_upstreams: true,
+        has_lost_links: false,
+        announced_at: millis(2000),
+    };
+    assert!(!roster.record_announcement("another".to_owned(), entry.clone()));
+    assert!(roster.record_announcement("e1".to_owned(), entry.clone()), "it is known");
+    roster.remove_expired(millis(61_500));
+    assert!(roster.record_announcement("another".to_owned(), entry));
+}
