Limit chunk extensions and trailers of a body together

A caller could send extensions and trailers for ever within one request: a line was limited to 4 KiB, and the number of lines was not, so they were no part of the limit on a body. Both are dropped, so this took processor time and a connection, not memory. Together they may be 16 KiB now; bodies in chunks of one byte without extensions are read as before.

The test fails without the limit (Ok(None), nothing refused).

--- a/src/net/http1/body.rs
+++ b/src/net/http1/body.rs
@@ -30,6 +30,8 @@
 #[derive(Clone, Debug)]
 pub struct BodyReader {
     state: State,
+    /// The size of the chunk extensions and trailers so far, which are dropped.
+    dropped_bytes: usize,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -65,6 +67,8 @@
 
 /// The maximum length of a chunk-size line or a trailer line.
 const LINE_MAX_BYTES: usize = 4096;
+/// The maximum length of all chunk extensions and trailers of a body together.
+const DROPPED_MAX_BYTES: usize = 16 * 1024;
 
 impl BodyReader {
     /// Creates a reader for a body with the given framing.
@@ -75,7 +79,7 @@
             Framing::Chunked => State::ChunkSize,
             Framing::UntilClose => State::UntilClose,
         };
-        Self { state }
+        Self { state, dropped_bytes: 0 }
     }
 
     /// Returns whether the end of the body has been reached.
@@ -119,6 +123,9 @@
                 }
                 State::ChunkSize => match httparse::parse_chunk_size(buffer) {
                     Ok(httparse::Status::Complete((length, size))) => {
+                        let digits = buffer.iter().take_while(|byte| byte.is_ascii_hexdigit());
+                        let extension_bytes = length - digits.count() - "\r\n".len();
+                        self.count_dropped(extension_bytes)?;
                         buffer.advance(length);
                         self.state =
                             if size == 0 { State::Trailers } else { State::ChunkData(size) };
@@ -141,6 +148,7 @@
                 State::Trailers => match buffer.iter().position(|byte| *byte == b'\n') {
                     Some(end) => {
                         let line = buffer.split_to(end + 1);
+                        self.count_dropped(line.len())?;
                         if line.trim_ascii().is_empty() {
                             self.state = State::Done;
                         }
@@ -152,6 +160,11 @@
         }
     }
 
+    fn count_dropped(&mut self, bytes: usize) -> Result<(), BodyError> {
+        self.dropped_bytes += bytes;
+        if self.dropped_bytes > DROPPED_MAX_BYTES { Err(BodyError::Malformed) } else { Ok(()) }
+    }
+
     /// Handles the end of the connection.
     ///
     /// # Errors
--- a/tests/it/http1.rs
+++ b/tests/it/http1.rs
@@ -171,3 +171,27 @@
         assert_eq!((head.target.as_str(), head.authority.as_deref()), (target, authority));
     }
 }
+
+/// Chunk extensions and trailers without end, each within the limit of a line: they took no part in
+/// the limit on the body.
+#[test]
+fn extensions_and_trailers_are_limited_together() {
+    let extension = format!("1;{}\r\nx\r\n", "x".repeat(1000));
+    let trailer = format!("0\r\n{}", format!("a: {}\r\n", "x".repeat(1000)).repeat(20));
+    for text in [extension.repeat(20), trailer] {
+        let mut buffer = BytesMut::from(text.as_str());
+        let mut reader = BodyReader::new(Framing::Chunked);
+        let result = loop {
+            match reader.next(&mut buffer) {
+                Ok(Some(_)) => {}
+                result => break result,
+            }
+        };
+        assert!(result.is_err(), "{result:?}");
+    }
+    let small_chunks = "1\r\nx\r\n".repeat(20_000);
+    let mut buffer = BytesMut::from(small_chunks.as_str());
+    let mut reader = BodyReader::new(Framing::Chunked);
+    while reader.next(&mut buffer).unwrap().is_some() {}
+    assert!(buffer.is_empty());
+}
