Keep the link's turn from requests that are not polled

Cause: the turn to write a piece was a fair semaphore that requests waited for. Pipelined requests are not polled while a response on their connection is written; one that was next in line, or held the turn in its sleep, kept it, and the response waited for the turn behind it. The same pause kept their deadlines from passing.

--- a/src/runtime/entry_node/callers/input.rs
+++ b/src/runtime/entry_node/callers/input.rs
@@ -109,7 +109,7 @@
 
     /// Parses the buffered input and starts each complete request.
     pub(super) async fn parse_requests(&mut self) -> io::Result<()> {
-        while self.pending.len() < self.pipelined_max() {
+        while self.in_progress() < self.pipelined_max() {
             match &self.read_state {
                 ReadState::Finished => return Ok(()),
                 ReadState::Head => {
--- a/src/runtime/entry_node/callers/mod.rs
+++ b/src/runtime/entry_node/callers/mod.rs
@@ -4,7 +4,7 @@
 mod input;
 mod output;
 
-use std::{io, net::IpAddr, rc::Rc, time::Duration};
+use std::{collections::VecDeque, io, net::IpAddr, rc::Rc, time::Duration};
 
 use futures_util::{StreamExt, future::LocalBoxFuture, stream::FuturesOrdered};
 use tokio::{
@@ -96,6 +96,8 @@
     input: Input,
     read_state: ReadState,
     pending: FuturesOrdered<PendingResponse>,
+    /// The responses that became ready while another was written, in their order.
+    ready: VecDeque<ReadyResponse>,
     /// When the connection was accepted, last received the first byte, a part of the body
     /// or the end of a request, or last had a response written to it.
     last_active_at: Instant,
@@ -118,6 +120,7 @@
             place,
             read_state: ReadState::Head,
             pending: FuturesOrdered::new(),
+            ready: VecDeque::new(),
             last_active_at: Instant::now(),
         }
     }
@@ -132,6 +135,10 @@
         loop {
             self.parse_requests().await?;
             self.refuse_partial_request();
+            if let Some(response) = self.ready.pop_front() {
+                self.write_response(response).await?;
+                continue;
+            }
             if self.is_finished() && self.pending.is_empty() {
                 return Ok(());
             }
@@ -162,7 +169,7 @@
                     }
                     if self.is_finished() {
                         self.input.buffer.clear();
-                    } else if was_idle && self.pending.is_empty() && !self.place.is_surplus {
+                    } else if was_idle && self.in_progress() == 0 && !self.place.is_surplus {
                         self.place.slot.set_closable_after(self.state.limits().header_timeout);
                     }
                 }
@@ -188,7 +195,7 @@
     /// Refuses a request whose body is still arriving, if the process is about to exit.
     fn refuse_partial_request(&mut self) {
         let is_refusing = self.state.stop_phase() >= StopPhase::Refusing;
-        if !is_refusing || !self.pending.is_empty() {
+        if !is_refusing || self.in_progress() > 0 {
             return;
         }
         if let Some(request) = self.take_partial_request() {
@@ -242,10 +249,15 @@
     /// caller disconnects. What follows the last request is discarded.
     fn wants_input(&self) -> bool {
         self.is_finished()
-            || self.pending.len() < self.pipelined_max()
+            || self.in_progress() < self.pipelined_max()
             || self.input.buffer.len() < PIPELINED_MAX_BYTES
     }
 
+    /// Returns how many requests are in progress or have a response that is not written.
+    fn in_progress(&self) -> usize {
+        self.pending.len() + self.ready.len()
+    }
+
     /// Returns how many requests may be in progress. While the instance stops, the connection
     /// is closed after the response to the last one.
     fn pipelined_max(&self) -> usize {
--- a/src/runtime/entry_node/callers/output.rs
+++ b/src/runtime/entry_node/callers/output.rs
@@ -3,18 +3,24 @@
 use std::{io, time::Duration};
 
 use bytes::Buf as _;
-use futures_util::stream::FuturesOrdered;
+use futures_util::{StreamExt, stream::FuturesOrdered};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
     time::{Instant, timeout, timeout_at},
 };
 
 use super::{
-    super::ready_response::ReadyResponse, CallerConnection, RECEIVE_BUFFER_BYTES, ReadState,
+    super::{ready_response::ReadyResponse, state::EntryState},
+    CallerConnection, RECEIVE_BUFFER_BYTES, ReadState,
 };
 use crate::{
     core::StopPhase,
-    net::socket_buffers::{set_receive_buffer, set_send_buffer},
+    net::{
+        connections::ConnectionSlot,
+        http1::Message,
+        socket_buffers::{set_receive_buffer, set_send_buffer},
+    },
 };
 
 /// The size up to which a response is written through a small buffer.
@@ -44,13 +50,14 @@
     pub(super) async fn write_response(&mut self, ready: ReadyResponse) -> io::Result<()> {
         let is_stopping = self.state.stop_phase() > StopPhase::Serving;
         // Requests behind this one that were sent on are answered before the connection closes.
-        let is_last = is_stopping && self.pending.is_empty();
+        let is_last = is_stopping && self.in_progress() == 0;
         let ready = if is_last { ready.with_connection_close() } else { ready };
-        self.write_message(&ready).await?;
+        self.write_beside_requests(&ready).await?;
         self.last_active_at = Instant::now();
         if ready.response.closes_connection {
             self.read_state = ReadState::Finished;
             self.pending = FuturesOrdered::new();
+            self.ready.clear();
             self.stream.shutdown().await?;
             // The caller of a stopping instance doesn't expect the close, and may be sending.
             if ready.has_unread_input || is_stopping {
@@ -60,23 +67,19 @@
         Ok(())
     }
 
-    async fn write_message(&mut self, ready: &ReadyResponse) -> io::Result<()> {
-        let message = ready.encode(self.sender);
-        let (link, slot) = (&self.state.link, &self.place.slot);
-        let progress_timeout = self.state.limits().idle_timeout;
-        if message.remaining() <= SHORT_RESPONSE_MAX_BYTES {
-            // A caller that has sent another request has probably read the last response.
-            let _ = slot.try_set_bytes(CONNECTION_BYTES);
-            return link.write_to_reader_bounded(&self.stream, message, progress_timeout).await;
-        }
-        if slot.try_set_bytes(LONG_RESPONSE_CONNECTION_BYTES) {
-            set_send_buffer(&self.stream, LONG_SEND_BUFFER_BYTES);
-            return link.write_to_reader(&mut self.stream, message, progress_timeout).await;
+    /// Writes a response while the requests behind it go on: their deadlines pass, and upstreams
+    /// send their responses, whether or not the caller reads this one.
+    async fn write_beside_requests(&mut self, ready: &ReadyResponse) -> io::Result<()> {
+        let Self { state, sender, stream, place, pending, ready: queue, .. } = self;
+        let writing = write_message(state, stream, &place.slot, ready.encode(*sender));
+        tokio::pin!(writing);
+        loop {
+            tokio::select! {
+                biased;
+                result = &mut writing => return result,
+                Some(response) = pending.next() => queue.push_back(response),
+            }
         }
-        set_receive_buffer(&self.stream, RECEIVE_BUFFER_MIN_BYTES);
-        link.write_to_reader_bounded(&self.stream, message, progress_timeout).await?;
-        set_receive_buffer(&self.stream, RECEIVE_BUFFER_BYTES);
-        Ok(())
     }
 
     /// Reads and discards input until the caller closes the connection or pauses, or another
@@ -101,3 +104,27 @@
         Ok(())
     }
 }
+
+/// Writes a message through buffers that the connection has room for.
+async fn write_message(
+    state: &EntryState,
+    stream: &mut TcpStream,
+    slot: &ConnectionSlot,
+    message: Message,
+) -> io::Result<()> {
+    let progress_timeout = state.limits().idle_timeout;
+    let link = &state.link;
+    if message.remaining() <= SHORT_RESPONSE_MAX_BYTES {
+        // A caller that has sent another request has probably read the last response.
+        let _ = slot.try_set_bytes(CONNECTION_BYTES);
+        return link.write_to_reader_bounded(stream, message, progress_timeout).await;
+    }
+    if slot.try_set_bytes(LONG_RESPONSE_CONNECTION_BYTES) {
+        set_send_buffer(stream, LONG_SEND_BUFFER_BYTES);
+        return link.write_to_reader(stream, message, progress_timeout).await;
+    }
+    set_receive_buffer(stream, RECEIVE_BUFFER_MIN_BYTES);
+    link.write_to_reader_bounded(stream, message, progress_timeout).await?;
+    set_receive_buffer(stream, RECEIVE_BUFFER_BYTES);
+    Ok(())
+}
--- a/src/runtime/entry_node/link.rs
+++ b/src/runtime/entry_node/link.rs
@@ -1,12 +1,12 @@
 //! Writes to the instance's own network link, so that large bodies do not delay short messages.
 
-use std::{cell::RefCell, io, time::Duration};
+use std::{cell::RefCell, io, rc::Rc, time::Duration};
 
 use bytes::{Buf, buf::Take};
 use tokio::{
     io::{AsyncWrite, AsyncWriteExt},
     net::TcpStream,
-    sync::Semaphore,
+    sync::{Semaphore, oneshot},
     time::timeout,
 };
 
@@ -21,6 +21,11 @@
 
 /// The instance's own network link, which all of its connections share.
 pub(super) struct InstanceLink {
+    schedule: Rc<Schedule>,
+}
+
+/// When the next piece of a body may be written.
+struct Schedule {
     clock: Clock,
     pacer: RefCell<LinkPacer>,
     /// Held by the body that may write the next piece; bodies take turns.
@@ -31,7 +36,7 @@
     /// Returns an idle link.
     pub(super) fn new(clock: Clock, bytes_per_s: f64) -> Self {
         let pacer = RefCell::new(LinkPacer::new(bytes_per_s));
-        Self { clock, pacer, turn: Semaphore::new(1) }
+        Self { schedule: Rc::new(Schedule { clock, pacer, turn: Semaphore::new(1) }) }
     }
 
     /// Writes a message. A large one is written in pieces, each once the link has almost sent
@@ -64,7 +69,7 @@
     {
         let length = message.remaining();
         while message.has_remaining() {
-            let mut piece = self.next_piece(&mut message, length).await?;
+            let mut piece = self.next_piece(&mut message, length).await;
             if piece.get_ref().remaining() == length && !is_wanted() {
                 return Ok(false);
             }
@@ -90,7 +95,7 @@
     {
         let length = message.remaining();
         while message.has_remaining() {
-            let mut piece = self.next_piece(&mut message, length).await?;
+            let mut piece = self.next_piece(&mut message, length).await;
             while piece.has_remaining() {
                 let mut part = (&mut piece).take(PROGRESS_MIN_BYTES);
                 timeout(progress_timeout, stream.write_all_buf(&mut part)).await??;
@@ -114,7 +119,7 @@
     ) -> io::Result<()> {
         let length = message.remaining();
         while message.has_remaining() {
-            let mut piece = self.next_piece(&mut message, length).await?;
+            let mut piece = self.next_piece(&mut message, length).await;
             while piece.has_remaining() {
                 timeout(progress_timeout, send_bounded(stream, &mut piece)).await??;
             }
@@ -127,28 +132,60 @@
         &self,
         message: &'a mut Message,
         length: usize,
-    ) -> io::Result<Take<&'a mut Message>> {
-        let piece_max_bytes = self.pacer.borrow().piece_max_bytes();
+    ) -> Take<&'a mut Message> {
+        let piece_max_bytes = self.schedule.pacer.borrow().piece_max_bytes();
         if length <= piece_max_bytes {
-            self.record_write(length);
+            self.schedule.record_write(length);
         } else {
-            // The turn is not kept while the connection takes the piece: a peer that stops
-            // reading must not hold up the other bodies.
-            self.take_turn(message.remaining().min(piece_max_bytes)).await?;
+            self.take_turn(message.remaining().min(piece_max_bytes)).await;
         }
-        Ok(message.take(piece_max_bytes))
+        message.take(piece_max_bytes)
     }
 
-    async fn take_turn(&self, length: usize) -> io::Result<()> {
-        let _turn = self.turn.acquire().await.map_err(io::Error::other)?;
+    /// Waits until a piece of a body may be written.
+    ///
+    /// The turn is taken by a task of its own. The calling future may stop being polled, as those
+    /// of pipelined requests are while a response is written, and would keep the turn from all
+    /// others.
+    async fn take_turn(&self, length: usize) {
+        if let Ok(_turn) = self.schedule.turn.try_acquire()
+            && self.schedule.wait().is_zero()
+        {
+            return self.schedule.record_write(length);
+        }
+        let (granted, turn) = oneshot::channel();
+        tokio::task::spawn_local(grant_turn(self.schedule.clone(), length, granted));
+        // The task ends only after it has granted the turn.
+        turn.await.ok();
+    }
+}
+
+/// Grants the next turn to write a piece, unless it is not wanted any more.
+async fn grant_turn(schedule: Rc<Schedule>, length: usize, mut granted: oneshot::Sender<()>) {
+    let wait = async {
+        let turn = schedule.turn.acquire().await;
         loop {
-            let wait = self.pacer.borrow().wait(self.clock.now());
+            let wait = schedule.wait();
             if wait.is_zero() {
-                self.record_write(length);
-                return Ok(());
+                return turn;
             }
             tokio::time::sleep(wait).await;
         }
+    };
+    tokio::select! {
+        biased;
+        () = granted.closed() => {}
+        _turn = wait => {
+            schedule.record_write(length);
+            granted.send(()).ok();
+        }
+    }
+}
+
+impl Schedule {
+    /// Returns how long to wait before the next piece of a body is written.
+    fn wait(&self) -> Duration {
+        self.pacer.borrow().wait(self.clock.now())
     }
 
     fn record_write(&self, length: usize) {
--- a/tests/callers/entry.rs
+++ b/tests/callers/entry.rs
@@ -237,3 +237,27 @@
         play(number, Limits::default(), port, CROWD, script).await;
     }
 }
+
+/// A caller that pipelines long requests: one of them took the turn to write on the instance's link
+/// and was not polled again, so that no long message of anyone was written from then on.
+#[tokio::test(flavor = "multi_thread")]
+async fn pipelined_long_requests_do_not_keep_the_link_from_others() {
+    let mut rig = Rig::start(16, Limits { link_mbps: 2, ..Limits::default() }).await;
+    let cookie = format!("Cookie: a={}\r\n\r\n", "x".repeat(12_000));
+    let request = get("/medium/1").replace("\r\n\r\n", &format!("\r\n{cookie}"));
+    let crowd = send_crowd(rig.address("entry", CALLERS), 1, &Script::new(request.repeat(9))).await;
+    let url = format!("http://{}/menu/1", rig.address("entry", CALLERS));
+    let http = reqwest::Client::builder().no_proxy().build().unwrap();
+    for number in 0..24 {
+        rig.wait_for("a long request to be answered", async || {
+            let request = http.get(&url).header("Host", "shop.example");
+            let request = request.header("Cookie", format!("a={}", "x".repeat(8000)));
+            let id = format!("long-{number}");
+            let response = request.header("Bulrushspan-Request-Id", id).send().await.ok()?;
+            response.status().is_success().then_some(())
+        })
+        .await;
+    }
+    rig.check("entry");
+    drop(crowd);
+}
--- a/tests/callers/rig.rs
+++ b/tests/callers/rig.rs
@@ -40,6 +40,7 @@
     pub descriptors: usize,
     pub header_max_bytes: u64,
     pub body_max_bytes: u64,
+    pub link_mbps: u64,
 }
 
 impl Default for Limits {
@@ -49,6 +50,7 @@
             descriptors: 4000,
             header_max_bytes: 16 * 1024,
             body_max_bytes: 8 * 1024 * 1024,
+            link_mbps: 1000,
         }
     }
 }
@@ -151,7 +153,7 @@
             "seeds": [self.address("control", 8146)], "bootstrap": true, "data_dir": data_folder,
             "limits": {
                 "cpu_share": 1.0, "memory_mb": self.limits.memory_mib,
-                "max_fds": self.limits.descriptors, "link_mbps": 1000,
+                "max_fds": self.limits.descriptors, "link_mbps": self.limits.link_mbps,
             },
             "bounds": {"grace_s": 6, "config_s": 2.5},
             "cloud": {"addr": self.address("list", 8142), "rate_per_s": 50, "max_lag_s": 0.8},
