Take statuses that do not exist for broken responses

A head whose status is not between 100 and 599 is malformed now, and so is 101, since an upgrade is never asked for; the attempt counts as broken off. The product's own path got errors from its HTTP library below 100 already; there 600 and above are broken now too (by reading, no test).

Passes now, for 000, 099, 101, 600 and 999. A second test, of an early 200 without a length that is reset during an upload of 8 MiB, passes before and after: 502 or 503.

--- a/src/net/http1/head.rs
+++ b/src/net/http1/head.rs
@@ -1,6 +1,11 @@
 //! Parses the heads of requests and responses.
 
-use std::{collections::BTreeSet, error::Error, fmt, ops::Range};
+use std::{
+    collections::BTreeSet,
+    error::Error,
+    fmt,
+    ops::{Range, RangeInclusive},
+};
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderName, header};
@@ -72,6 +77,9 @@
 /// The maximum number of header fields of a response, and the number of fields of a
 /// request that are parsed without an allocation.
 const FIELDS_MAX: usize = 100;
+/// The statuses that responses may have.
+const STATUSES: RangeInclusive<u16> = 100..=599;
+const SWITCHING_PROTOCOLS: u16 = 101;
 /// The size of the shortest header field: a name of one byte, a colon and a line feed.
 const FIELD_MIN_BYTES: usize = 3;
 
@@ -208,6 +216,10 @@
         Err(_) => return Err(HeadError::Malformed("not a valid HTTP/1.x response head")),
     };
     let status = response.code.unwrap_or_default();
+    // After 101, the connection would speak another protocol, which is never asked for.
+    if !STATUSES.contains(&status) || status == SWITCHING_PROTOCOLS {
+        return Err(HeadError::Malformed("a status that no response may have"));
+    }
     let is_http11 = response.version == Some(1);
     let raw = Bytes::copy_from_slice(&buffer[..length]);
     let headers = copy_fields(&buffer[..length], raw, response.headers);
--- a/src/runtime/gateway/attempt.rs
+++ b/src/runtime/gateway/attempt.rs
@@ -29,6 +29,9 @@
 /// The size in bytes that a link is charged for the head of any request or response.
 pub(super) const ASSUMED_HEAD_BYTES: u64 = 512;
 
+/// The first status that no response may have.
+const STATUS_END: u16 = 600;
+
 impl Gateway {
     /// Sends a request to an upstream that this instance owns. `may_wait` allows it to queue for a
     /// slot.
@@ -75,6 +78,11 @@
         response: reqwest::Response,
         shed_means_not_run: bool,
     ) -> Result<UpstreamResponse, Problem> {
+        if response.status().as_u16() >= STATUS_END {
+            slot.set_finish(Finish::Broken);
+            let message = "the upstream's answer has a status that does not exist";
+            return Err(Problem::unknown(StatusCode::BAD_GATEWAY, "broken", message));
+        }
         let is_shed = response.status() == StatusCode::SERVICE_UNAVAILABLE;
         if is_shed {
             let seconds = header_u64(response.headers(), header::RETRY_AFTER.as_str());
--- a/tests/processes/faulty_upstreams.rs
+++ b/tests/processes/faulty_upstreams.rs
@@ -110,6 +110,14 @@
             end = if name == "reset" { End::Reset } else { End::Closed };
             bytes.replace("200 OK", &format!("200 OK\r\nBulrushspan-Request-Id: {id}"))
         }
+        ["status", status] if !is_repeated => {
+            let body = ok(id);
+            format!(
+                "HTTP/1.1 {status} Odd\r\nBulrushspan-Request-Id: {id}\r\n\
+                 Content-Length: {}\r\n\r\n{body}",
+                body.len()
+            )
+        }
         ["break", next] => {
             end = End::Closed;
             if is_repeated && next == "refuse" { refusal("503", Some(id)) } else { String::new() }
@@ -311,3 +319,58 @@
     let rig = start(79, control(upstreams, Vec::new(), 1)).await;
     expect(&rig, &received, "menu/break-again", (502, 1)).await;
 }
+
+/// Statuses that no response may have, in front of a body that looks like a response: callers got
+/// that body as the response, or the status.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_with_a_status_that_does_not_exist_is_not_passed_on() {
+    let (rig, received) = start_with_two_upstreams(85).await;
+    for status in ["000", "099", "101", "600", "999"] {
+        for (route, expected) in [("order", (502, 1)), ("menu", (200, 2))] {
+            expect(&rig, &received, &format!("{route}/status-{status}"), expected).await;
+        }
+    }
+}
+
+/// Reads the head of a request, answers with the start of a body that has no length, and resets the
+/// connection while the request is still being sent.
+async fn serve_early_answers(listener: TcpListener) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let mut head = vec![0; 2048];
+        let length = stream.read(&mut head).await.unwrap_or(0);
+        let text = String::from_utf8_lossy(&head[..length]).into_owned();
+        let field = text.lines().find(|line| line.starts_with("Bulrushspan-Request-Id: "));
+        let start = format!("HTTP/1.1 200 OK\r\n{}\r\n\r\npart", field.unwrap_or_default());
+        tokio::spawn(async move {
+            stream.write_all(start.as_bytes()).await.ok();
+            sleep(LATE_DELAY).await;
+            stream.set_zero_linger().unwrap();
+        });
+    }
+}
+
+/// An upstream that answers a long upload at once and resets the connection: part of its body was
+/// taken for a complete response by similar systems.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_early_answer_that_is_reset_during_an_upload_is_not_complete() {
+    let address = address(upstream_number(86), 8080);
+    tokio::spawn(serve_early_answers(TcpListener::bind(&address).await.unwrap()));
+    let upstreams = vec![listed_upstream(address.parse().unwrap())];
+    let rig = start(86, control(upstreams, Vec::new(), 1)).await;
+    let body = "x".repeat(8 * 1024 * 1024);
+    for number in 0..3 {
+        let request = format!(
+            "POST /order/{number} HTTP/1.1\r\nHost: shop.example\r\nContent-Length: {}\r\n\
+             Bulrushspan-Request-Id: r{number}\r\nConnection: close\r\n\r\n{body}",
+            body.len()
+        );
+        let mut caller = rig.connect().await;
+        caller.write_all(request.as_bytes()).await.unwrap();
+        let mut response = Vec::new();
+        caller.read_to_end(&mut response).await.unwrap();
+        let response = String::from_utf8_lossy(&response);
+        // The upstream is checked before it gets another request, and may be passed over.
+        let is_failure = ["HTTP/1.1 502", "HTTP/1.1 503"].iter().any(|s| response.starts_with(s));
+        assert!(is_failure, "{response}");
+    }
+}
