Let a caller read why its upload failed

On the product's own path, an upload of 8 MiB whose upstream answered early and reset the connection ended without any answer: the instance answered 502 and closed, the caller was still sending, and the unread bytes reset its connection.

The rest of a body is read and dropped for up to 10 s once the request has failed.

--- a/src/runtime/gateway/body.rs
+++ b/src/runtime/gateway/body.rs
@@ -30,6 +30,8 @@
 
 /// The longest pause between two chunks of a caller's body.
 const CHUNK_TIMEOUT: Duration = Duration::from_secs(30);
+/// How long the rest of a body is read at most once the request has failed.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(10);
 
 impl CallerBody {
     /// Creates the body of a request that has none.
@@ -85,6 +87,15 @@
         Some(reqwest::Body::wrap_stream(chunks))
     }
 
+    /// Reads and drops what is left of the body, for a limited time. A caller that is still sending
+    /// can then read the response; otherwise the connection would be reset.
+    pub(super) async fn discard(&self) {
+        let Some(shared_stream) = self.stream.clone() else { return };
+        let discarding =
+            async { while let Some(Ok(_)) = shared_stream.lock().await.next().await {} };
+        tokio::time::timeout(DISCARD_TIMEOUT, discarding).await.ok();
+    }
+
     async fn next(&self, shared_stream: &Mutex<ByteStream>) -> Option<io::Result<Bytes>> {
         self.read_started.store(true, Ordering::Release);
         let mut stream = shared_stream.lock().await;
--- a/src/runtime/gateway/callers.rs
+++ b/src/runtime/gateway/callers.rs
@@ -192,7 +192,14 @@
         let started_at = self.now();
         let parse_result = self.parse_request(head, |max| CallerBody::new(body, max));
         let result = match parse_result {
-            Ok(request) => self.run_request(request).await,
+            Ok(request) => {
+                let body = request.body.clone();
+                let result = self.run_request(request).await;
+                if result.is_err() {
+                    tokio::spawn(async move { body.discard().await });
+                }
+                result
+            }
             Err(problem) => Err(problem),
         };
         self.record_outcome(&service, &result, started_at);
--- a/tests/callers/gateway.rs
+++ b/tests/callers/gateway.rs
@@ -7,7 +7,11 @@
     net::{ClusterClient, wire::SubmitRequest},
 };
 use futures_util::future::join_all;
-use tokio::net::TcpStream;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
 
 use super::{
     crowd::{Script, send_crowd},
@@ -119,3 +123,40 @@
     })
     .await;
 }
+
+/// Reads the head of a request, answers with the start of a body that has no length, and resets the
+/// connection while the request is still being sent.
+async fn serve_early_answers(listener: TcpListener) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        tokio::spawn(async move {
+            let mut head = [0; 2048];
+            if stream.read(&mut head).await.unwrap_or(0) == 0 {
+                return;
+            }
+            stream.write_all(b"HTTP/1.1 200 OK\r\n\r\npart").await.ok();
+            sleep(Duration::from_millis(300)).await;
+            stream.set_zero_linger().unwrap();
+        });
+    }
+}
+
+/// Upstreams that answer a long upload at once and reset the connection: the caller was still
+/// sending, and could read no answer at all.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failed_upload_is_answered_while_the_caller_sends() {
+    let _turn = take_turn().await;
+    let mut deployment = Deployment::start();
+    deployment.wait_all_ready();
+    for (index, name) in deployment.upstreams.clone().iter().enumerate() {
+        deployment.kill(name);
+        let listener = TcpListener::bind(deployment.upstream_address(index)).await.unwrap();
+        tokio::spawn(serve_early_answers(listener));
+    }
+    let url = format!("{}/services/orders/files", deployment.callers_url(INSTANCE));
+    for _ in 0..5 {
+        let body = vec![b'x'; 8 * MIB];
+        let response = deployment.http.put(&url).body(body).send().await.unwrap();
+        assert!(!response.status().is_success(), "{response:?}");
+        response.bytes().await.unwrap();
+    }
+}
