Share descriptors among callers' connections and their requests

Connections of callers and requests in progress share 13/16 of the descriptors that are not for files now, callers' connections up to three quarters of that; an idle connection beyond 0.8 of idle_timeout, which callers use no more, is closed for a new one.

--- a/src/core/connection_table.rs
+++ b/src/core/connection_table.rs
@@ -51,11 +51,13 @@
         Self { limits, held_bytes: 0, next_id: 0, open: BTreeMap::new() }
     }
 
-    /// Adds a connection, and removes others to make room for it.
-    pub fn admit(&mut self, now: Duration) -> Admission {
+    /// Adds a connection, and removes others to make room for it. `max_count` is a limit on the
+    /// number of connections beside the one of the table.
+    pub fn admit(&mut self, max_count: usize, now: Duration) -> Admission {
         let bytes = self.limits.connection_bytes;
+        let max_count = max_count.min(self.limits.max_count);
         let mut closed = Vec::new();
-        while !self.has_room(bytes) {
+        while self.open.len() >= max_count || self.held_bytes + bytes > self.limits.max_bytes {
             let Some(id) = self.first_closable(now) else {
                 return Admission { id: None, closed };
             };
@@ -69,10 +71,6 @@
         Admission { id: Some(id), closed }
     }
 
-    fn has_room(&self, bytes: usize) -> bool {
-        self.open.len() < self.limits.max_count && self.held_bytes + bytes <= self.limits.max_bytes
-    }
-
     fn first_closable(&self, now: Duration) -> Option<ConnectionId> {
         let closable = self.open.iter().filter_map(|(id, connection)| {
             Some((connection.closable_at.filter(|at| *at <= now)?, *id))
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -41,8 +41,14 @@
 
     /// Returns a place for a new connection, or `None` if there is no room for it.
     pub(crate) fn admit(&self) -> Option<ConnectionSlot> {
+        self.admit_up_to(usize::MAX)
+    }
+
+    /// Returns a place for a new connection as [`Connections::admit`] does, while at most
+    /// `max_count` are open.
+    pub(crate) fn admit_up_to(&self, max_count: usize) -> Option<ConnectionSlot> {
         let mut shared = self.lock();
-        let admission = shared.table.admit(self.now());
+        let admission = shared.table.admit(max_count, self.now());
         for id in admission.closed {
             shared.signals.remove(&id).inspect(|signal| signal.notify_one());
         }
--- a/src/runtime/entry_node/callers/mod.rs
+++ b/src/runtime/entry_node/callers/mod.rs
@@ -40,6 +40,8 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// The idle timeout of connections while the instance stops.
 const STOP_IDLE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// The part of the idle timeout after which callers use an idle connection no more.
+const REUSED_IDLE_FRACTION: f64 = 0.8;
 /// The size of the send buffer of connections whose responses are short.
 const SEND_BUFFER_BYTES: usize = 4 * 1024;
 /// The size of the receive buffer of connections whose requests are short.
@@ -50,7 +52,6 @@
 /// Accepts connections for as long as the process runs.
 pub(super) async fn accept(state: Rc<EntryState>, listener: TcpListener, sender: Sender) {
     set_send_buffer_of_accepted(&listener, SEND_BUFFER_BYTES);
-    let connections = state.connections(sender).clone();
     let surplus = Connections::new(state.settings.surplus_connections());
     loop {
         match listener.accept().await {
@@ -58,7 +59,7 @@
                 // Callers may pause while they read a response.
                 configure_stream(&stream, state.limits().idle_timeout);
                 set_receive_buffer(&stream, RECEIVE_BUFFER_BYTES);
-                let slot = connections.admit();
+                let slot = state.admit_connection(sender);
                 let is_surplus = slot.is_none();
                 let Some(slot) = slot.or_else(|| surplus.admit()) else { continue };
                 if is_surplus {
@@ -148,6 +149,11 @@
                 continue;
             }
             let was_idle = self.is_idle();
+            if was_idle && self.in_progress() == 0 && !self.place.is_surplus {
+                // Callers no longer use it then.
+                let reuse_max = self.state.limits().idle_timeout.mul_f64(REUSED_IDLE_FRACTION);
+                self.place.slot.set_closable_after(reuse_max);
+            }
             // Further bytes of a head don't: sent one by one, they would keep the connection open
             // for ever.
             let input_renews_timeout =
--- a/src/runtime/entry_node/mod.rs
+++ b/src/runtime/entry_node/mod.rs
@@ -23,6 +23,7 @@
 mod replica_search;
 mod request;
 mod response;
+mod room;
 mod state;
 
 use std::{rc::Rc, sync::Arc, time::Duration};
--- a/src/runtime/entry_node/state.rs
+++ b/src/runtime/entry_node/state.rs
@@ -355,18 +355,6 @@
         phases.wait_for(|phase| *phase == StopPhase::Ending).await.ok();
     }
 
-    /// Returns whether one more request may be in progress. With many in progress, idle connections
-    /// to upstreams and peers are closed to leave descriptors for theirs.
-    pub(super) fn has_room_for_request(&self) -> bool {
-        let (open, max) = (self.open_requests.get(), self.settings.requests_max());
-        if open > max / 2 {
-            let idle_max = max.saturating_sub(open) / 2;
-            self.pool.borrow_mut().close_beyond(idle_max);
-            self.peer_pool.borrow_mut().close_beyond(idle_max);
-        }
-        open < max
-    }
-
     /// Recomputes whether the instance is ready for callers.
     pub(super) fn update_readiness(&self) {
         let ready = self.has_configuration()
--- a/src/settings/capacity.rs
+++ b/src/settings/capacity.rs
@@ -18,17 +18,21 @@
 /// What a connection takes whose messages are short, in bytes.
 const CONNECTION_BYTES: usize = 4 * 1024;
 
-/// The part of the sockets that callers' connections may take, and that requests in progress may
-/// take at upstreams and peers: 3 of this many, each.
-const CALLERS_PART: usize = 8;
+/// The part of the sockets that callers' connections and those of their requests to upstreams and
+/// peers may take together: 13 of 16.
+const REQUESTS_PARTS: (usize, usize) = (13, 16);
+/// The part of those that callers' connections may take: 3 of this many.
+const CALLERS_PART: usize = 4;
+/// The part of the sockets of an instance that callers' connections may take: 3 of this many.
+const INSTANCE_CALLERS_PART: usize = 8;
 /// The part of the sockets that peers' connections may take: 1 of this many.
 const PEERS_PART: usize = 16;
 /// The part of the sockets for connections that are accepted to refuse their requests, at each of
 /// both ports: 1 of this many.
 const SURPLUS_PART: usize = 64;
-/// The part of the requests in progress up to which idle connections are kept, to upstreams and to
-/// peers each: 1 of this many.
-const IDLE_PART: usize = 4;
+/// The part of the sockets for callers and their requests up to which idle connections are kept, to
+/// upstreams and to peers each: 1 of this many.
+const IDLE_PART: usize = 8;
 
 /// The part of the memory that the calls and replies of a control replica may take together: 1 of
 /// this many.
@@ -97,7 +101,7 @@
     /// Returns the limits on callers' connections.
     pub fn caller_connections(&self) -> ConnectionLimits {
         ConnectionLimits {
-            max_count: at_least_min(self.sockets_max() / CALLERS_PART * 3),
+            max_count: at_least_min(self.request_sockets_max() / CALLERS_PART * 3),
             max_bytes: self.memory_part(CONNECTIONS_MEMORY_PART) * 3,
             connection_bytes: CONNECTION_BYTES,
         }
@@ -120,15 +124,17 @@
         ConnectionLimits { max_count, max_bytes, connection_bytes: CONNECTION_BYTES }
     }
 
-    /// Returns the maximum number of callers' requests that are in progress.
-    pub fn requests_max(&self) -> usize {
-        at_least_min(self.sockets_max() / CALLERS_PART * 3)
+    /// Returns the maximum number of callers' connections and requests in progress together.
+    pub fn request_sockets_max(&self) -> usize {
+        let (parts, of) = REQUESTS_PARTS;
+        at_least_min(self.sockets_max() / of * parts)
     }
 
-    /// Returns the maximum number of idle connections to upstreams, and to peers, while at most half
-    /// of [`Self::requests_max`] are in progress. With more, fewer are kept.
+    /// Returns the maximum number of idle connections to upstreams, and to peers, while callers and
+    /// their requests take at most half of [`Self::request_sockets_max`]. Beyond that, fewer are
+    /// kept.
     pub fn idle_connections_max(&self) -> usize {
-        self.requests_max() / IDLE_PART
+        self.request_sockets_max() / IDLE_PART
     }
 
     /// Returns how many sockets the process may open.
@@ -150,7 +156,7 @@
 impl InstanceResources {
     /// Returns the limits on callers' connections.
     pub fn caller_connections(&self) -> ConnectionLimits {
-        self.connections(self.sockets_max() / CALLERS_PART * 3)
+        self.connections(self.sockets_max() / INSTANCE_CALLERS_PART * 3)
     }
 
     /// Returns the limits on the connections of other instances, to each of both ports for them.
--- a/tests/it/connection_table.rs
+++ b/tests/it/connection_table.rs
@@ -13,30 +13,42 @@
 #[test]
 fn a_connection_is_closed_for_another_only_once_it_may_be() {
     let mut table = ConnectionTable::new(LIMITS);
-    let ids: Vec<_> = (0..4).map(|_| table.admit(START).id.unwrap()).collect();
+    let ids: Vec<_> = (0..4).map(|_| table.admit(usize::MAX, START).id.unwrap()).collect();
     table.set_closable_at(ids[1], Some(Duration::from_secs(3)));
     table.set_closable_at(ids[2], Some(Duration::from_secs(2)));
-    let early = table.admit(Duration::from_secs(1));
+    let early = table.admit(usize::MAX, Duration::from_secs(1));
     assert_eq!((early.id, early.closed), (None, Vec::new()));
-    let admission = table.admit(Duration::from_secs(3));
+    let admission = table.admit(usize::MAX, Duration::from_secs(3));
     assert!(admission.id.is_some());
     assert_eq!(admission.closed, [ids[2]], "the first that was closable");
     table.set_closable_at(ids[1], None);
-    assert_eq!(table.admit(Duration::from_secs(9)).id, None);
+    assert_eq!(table.admit(usize::MAX, Duration::from_secs(9)).id, None);
 }
 
 /// Connections whose buffers take all memory.
 #[test]
 fn connections_that_take_much_leave_no_room_for_more_of_them() {
     let mut table = ConnectionTable::new(LIMITS);
-    let first = table.admit(START).id.unwrap();
+    let first = table.admit(usize::MAX, START).id.unwrap();
     assert!(table.try_set_bytes(first, 95));
-    assert_eq!(table.admit(START).id, None);
+    assert_eq!(table.admit(usize::MAX, START).id, None);
     table.set_closable_at(first, Some(START));
-    assert_eq!(table.admit(START).closed, [first]);
+    assert_eq!(table.admit(usize::MAX, START).closed, [first]);
     assert!(!table.try_set_bytes(first, 20), "it is not counted any more");
 }
 
+/// Connections of callers that take the descriptors of requests in progress.
+#[test]
+fn a_limit_of_the_moment_applies_too() {
+    let mut table = ConnectionTable::new(LIMITS);
+    let first = table.admit(2, START).id.unwrap();
+    assert!(table.admit(2, START).id.is_some());
+    assert_eq!(table.admit(2, START).id, None);
+    table.set_closable_at(first, Some(START));
+    assert_eq!(table.admit(2, START).closed, [first]);
+    assert!(table.admit(3, START).id.is_some());
+}
+
 proptest! {
     #[test]
     fn the_connections_together_never_exceed_the_limits(
@@ -48,7 +60,7 @@
             let now = Duration::from_secs(step as u64);
             match action {
                 0 => {
-                    let admission = table.admit(now);
+                    let admission = table.admit(3 + bytes % 3, now);
                     admission.closed.iter().for_each(|id| { sizes.remove(id); });
                     admission.id.map(|id| sizes.insert(id, LIMITS.connection_bytes));
                 }
