--- a/src/runtime/entry_node/health.rs
+++ b/src/runtime/entry_node/health.rs
@@ -6,9 +6,9 @@
 use tracing::info;
 
 use super::{
-    attempt::{BodyLimits, read_body, read_head},
     links::connect_to_upstream,
     notices::{NoticeSource, record_notice},
+    reading::{BodyLimits, read_body, read_head},
     state::EntryState,
 };
 use crate::{
--- a/src/runtime/entry_node/mod.rs
+++ b/src/runtime/entry_node/mod.rs
@@ -17,6 +17,7 @@
 mod notices;
 mod pool;
 mod readiness;
+mod reading;
 mod ready_response;
 mod refusal;
 mod replica_call;
