--- a/src/runtime/instance.rs
+++ b/src/runtime/instance.rs
@@ -285,7 +285,7 @@
         let forward = tokio::spawn(serve_http(
             forward,
             forward_service,
-            limits(resources.instance_connections()),
+            limits(resources.forward_connections()),
             wait_for_stop(forward_stop_receiver),
         ));
         let operator_service = warp::service(operator_routes.routes());
--- a/src/runtime/replica_start.rs
+++ b/src/runtime/replica_start.rs
@@ -43,7 +43,7 @@
     parts: ReplicaParts<'_>,
 ) -> Result<Option<oneshot::Receiver<()>>, InstanceError> {
     let (listener, key, stop_receiver) = parts.cluster;
-    let limits = parts.settings.resources.instance_connections();
+    let limits = parts.settings.resources.cluster_connections();
     let replica_cell: ReplicaCell = Arc::default();
     let Some(folder) = &parts.instance.data_folder else {
         let handlers = handlers(replica_cell, None);
--- a/src/settings/capacity.rs
+++ b/src/settings/capacity.rs
@@ -150,6 +150,9 @@
 
 /// The part of the memory that the connections of one port of an instance may take: 1 of this many.
 const INSTANCE_PORT_MEMORY_PART: u64 = 8;
+/// The part of the sockets of an instance that the connections of instances that forward requests
+/// may take: 1 of this many.
+const FORWARD_PART: usize = 8;
 /// What a connection to an instance takes with the state of its request, in bytes.
 const INSTANCE_CONNECTION_BYTES: usize = 48 * 1024;
 
@@ -159,9 +162,15 @@
         self.connections(self.sockets_max() / INSTANCE_CALLERS_PART * 3)
     }
 
-    /// Returns the limits on the connections of other instances, to each of both ports for them.
-    pub fn instance_connections(&self) -> ConnectionLimits {
-        self.connections(self.sockets_max() / PEERS_PART)
+    /// Returns the limits on the connections of instances that forward requests.
+    pub fn forward_connections(&self) -> ConnectionLimits {
+        self.connections(self.sockets_max() / FORWARD_PART)
+    }
+
+    /// Returns the limits on the connections for control traffic. The leader has one from each
+    /// instance.
+    pub fn cluster_connections(&self) -> ConnectionLimits {
+        self.connections(self.sockets_max() / CONTROL_PORT_PART)
     }
 
     /// Returns the limits on operators' connections.
