Count connections that are still closing

At most an eighth of a listener's connections, four at least, may be closing at the same time now, and the loops yield before a place is taken over. The new unit test fails without the limit (20 admitted, 8 allowed).

--- a/src/core/connection_table.rs
+++ b/src/core/connection_table.rs
@@ -1,6 +1,9 @@
 //! Limits the connections of a listener, in number and in the memory that they take.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 /// Identifies an open connection of one listener.
 pub type ConnectionId = u64;
@@ -17,6 +20,8 @@
     held_bytes: usize,
     next_id: ConnectionId,
     open: BTreeMap<ConnectionId, Connection>,
+    /// The connections that are to make room, and are not closed yet.
+    closing: BTreeSet<ConnectionId>,
 }
 
 /// Represents the limits on the connections of a listener.
@@ -41,14 +46,20 @@
 pub struct Admission {
     /// The id of the new connection; `None` if it is refused.
     pub id: Option<ConnectionId>,
-    /// The connections to close, which are no longer counted.
+    /// The connections to close. They no longer count as open.
     pub closed: Vec<ConnectionId>,
 }
 
+/// The number of connections that may be closing at the same time, as a part of all: 1 of this
+/// many, and at least [`CLOSING_MIN`].
+const CLOSING_PART: usize = 8;
+const CLOSING_MIN: usize = 4;
+
 impl ConnectionTable {
     /// Creates a table of no connections.
     pub fn new(limits: ConnectionLimits) -> Self {
-        Self { limits, held_bytes: 0, next_id: 0, open: BTreeMap::new() }
+        let (open, closing) = (BTreeMap::new(), BTreeSet::new());
+        Self { limits, held_bytes: 0, next_id: 0, open, closing }
     }
 
     /// Adds a connection, and removes others to make room for it. `max_count` is a limit on the
@@ -58,10 +69,11 @@
         let max_count = max_count.min(self.limits.max_count);
         let mut closed = Vec::new();
         while self.open.len() >= max_count || self.held_bytes + bytes > self.limits.max_bytes {
-            let Some(id) = self.first_closable(now) else {
+            let Some(id) = self.first_closable(now).filter(|_| self.may_close_more()) else {
                 return Admission { id: None, closed };
             };
             self.remove(id);
+            self.closing.insert(id);
             closed.push(id);
         }
         let id = self.next_id;
@@ -71,6 +83,12 @@
         Admission { id: Some(id), closed }
     }
 
+    /// Returns whether one more connection may be closed to make room. Each keeps its descriptor
+    /// until it is closed, so only a few are at a time.
+    fn may_close_more(&self) -> bool {
+        self.closing.len() < (self.limits.max_count / CLOSING_PART).max(CLOSING_MIN)
+    }
+
     fn first_closable(&self, now: Duration) -> Option<ConnectionId> {
         let closable = self.open.iter().filter_map(|(id, connection)| {
             Some((connection.closable_at.filter(|at| *at <= now)?, *id))
@@ -101,11 +119,18 @@
 
     /// Removes a connection that was closed.
     pub fn remove(&mut self, id: ConnectionId) {
+        self.closing.remove(&id);
         if let Some(connection) = self.open.remove(&id) {
             self.held_bytes -= connection.bytes;
         }
     }
 
+    /// Returns whether a new connection needs the place of another.
+    pub fn is_full(&self) -> bool {
+        let bytes = self.held_bytes + self.limits.connection_bytes;
+        self.open.len() >= self.limits.max_count || bytes > self.limits.max_bytes
+    }
+
     /// Returns the number of open connections.
     pub fn len(&self) -> usize {
         self.open.len()
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -58,6 +58,15 @@
         Some(ConnectionSlot { connections: self.clone(), id, close_signal })
     }
 
+    /// Returns a place for a new connection as [`Connections::admit`] does, after connections that
+    /// make room had time to be closed.
+    pub(crate) async fn admit_next(&self) -> Option<ConnectionSlot> {
+        if self.lock().table.is_full() {
+            tokio::task::yield_now().await;
+        }
+        self.admit()
+    }
+
     /// Returns the number of open connections.
     pub(crate) fn count(&self) -> usize {
         self.lock().table.len()
--- a/src/net/http_server.rs
+++ b/src/net/http_server.rs
@@ -104,7 +104,7 @@
         };
         match accept_result {
             Ok((stream, peer)) => {
-                let Some(slot) = connections.admit() else { continue };
+                let Some(slot) = connections.admit_next().await else { continue };
                 serve_connection((stream, peer), slot, &service, limits, &graceful);
             }
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
--- a/src/net/limited_stream.rs
+++ b/src/net/limited_stream.rs
@@ -38,7 +38,7 @@
         loop {
             match listener.accept().await {
                 Ok((stream, peer)) => {
-                    let Some(slot) = connections.admit() else {
+                    let Some(slot) = connections.admit_next().await else {
                         tracing::warn!(%peer, "too many connections from other instances; closing one");
                         continue;
                     };
--- a/src/net/mesh/server.rs
+++ b/src/net/mesh/server.rs
@@ -90,7 +90,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                let Some(slot) = connections.admit() else {
+                let Some(slot) = connections.admit_next().await else {
                     tracing::warn!(%peer, "too many connections from other instances; closing one");
                     continue;
                 };
--- a/src/runtime/entry_node/callers/mod.rs
+++ b/src/runtime/entry_node/callers/mod.rs
@@ -61,6 +61,10 @@
                 set_receive_buffer(&stream, RECEIVE_BUFFER_BYTES);
                 let slot = state.admit_connection(sender);
                 let is_surplus = slot.is_none();
+                if is_surplus {
+                    // Connections that make room are closed before more are accepted.
+                    tokio::task::yield_now().await;
+                }
                 let Some(slot) = slot.or_else(|| surplus.admit()) else { continue };
                 if is_surplus {
                     slot.set_closable_after(Duration::ZERO);
--- a/tests/it/connection_table.rs
+++ b/tests/it/connection_table.rs
@@ -25,6 +25,24 @@
     assert_eq!(table.admit(usize::MAX, Duration::from_secs(9)).id, None);
 }
 
+/// Connections that were to make room and were not closed yet: with each new one, another descriptor
+/// was in use.
+#[test]
+fn few_connections_are_closing_at_the_same_time() {
+    let mut table = ConnectionTable::new(LIMITS);
+    let mut admit = || {
+        let admission = table.admit(usize::MAX, START);
+        admission.id.inspect(|id| table.set_closable_at(*id, Some(START)));
+        admission
+    };
+    let admissions: Vec<_> = (0..20).map(|_| admit()).collect();
+    let admitted = admissions.iter().filter(|admission| admission.id.is_some()).count();
+    assert_eq!(admitted, 8, "4 open, and 4 that are closing");
+    let closing = admissions.iter().find_map(|admission| admission.closed.first()).unwrap();
+    table.remove(*closing);
+    assert!(table.admit(usize::MAX, START).id.is_some());
+}
+
 /// Connections whose buffers take all memory.
 #[test]
 fn connections_that_take_much_leave_no_room_for_more_of_them() {
@@ -61,7 +79,10 @@
             match action {
                 0 => {
                     let admission = table.admit(3 + bytes % 3, now);
-                    admission.closed.iter().for_each(|id| { sizes.remove(id); });
+                    admission.closed.iter().for_each(|id| {
+                        sizes.remove(id);
+                        table.remove(*id);
+                    });
                     admission.id.map(|id| sizes.insert(id, LIMITS.connection_bytes));
                 }
                 1 => table.set_closable_at(id, Some(now + Duration::from_secs(bytes as u64 % 5))),
