--- a/tests/processes/limits.rs
+++ b/tests/processes/limits.rs
@@ -306,3 +306,26 @@
     assert_eq!(status, 503, "{response}");
     assert!(response.contains(r#""timeout""#), "{response}");
 }
+
+/// A body that goes on arriving byte by byte beyond its caller's deadline: each byte renewed the
+/// timeout, so that the request kept its memory and was never answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_arrives_byte_by_byte_is_awaited_until_its_deadline() {
+    let policies = vec![policy(1, HIGH)];
+    let rig = start(38, control(policies, Arc::default(), serve(38).await, Vec::new())).await;
+    let request = request(10, 2000).replace("X-Filler", "Bulrushspan-Deadline-Ms: 500\r\nX-Filler");
+    let (head, body) = request.split_at(request.len() - 2000);
+    let (mut read, mut write) = rig.connect().await.into_split();
+    write.write_all(head.as_bytes()).await.unwrap();
+    let body = body.to_owned();
+    let sending = tokio::spawn(async move {
+        for byte in body.as_bytes() {
+            write.write_all(&[*byte]).await.ok();
+            sleep(Duration::from_millis(100)).await;
+        }
+    });
+    let mut status_line = [0; 12];
+    timeout(WAIT_TIMEOUT, read.read_exact(&mut status_line)).await.unwrap().unwrap();
+    assert_eq!(&status_line, b"HTTP/1.1 503");
+    sending.abort();
+}
