--- a/src/explain/explanation.rs
+++ b/src/explain/explanation.rs
@@ -163,6 +163,10 @@
         "behind" => "the instance had an older configuration than the one that handed it over",
         "shed" => "its upstream was full, and no retry was left",
         "stopping" => "the instance was about to stop",
+        "memory" => "no memory was left for it",
+        "connections" => "the instance had no room for another connection",
+        "requests" => "too many requests were in progress",
+        "over_limits" => "the peer that was to take it over allows less",
         "no_configuration" => "the instance had no configuration yet",
         "stale_configuration" => {
             "no route matched, and the instance did not know whether its configuration was the \
