Let a connection be read again after it made room

Found in the last reading: a connection for control traffic that is closed for another polled a finished future if it was read once more, which panics in its task.

--- a/src/net/limited_stream.rs
+++ b/src/net/limited_stream.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use futures_util::{Stream, stream};
+use futures_util::{FutureExt, Stream, stream};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpListener, TcpStream},
@@ -58,7 +58,8 @@
         slot.set_closable_after(Duration::ZERO);
         let slot = Arc::new(slot);
         let closing_slot = slot.clone();
-        let closed = Box::pin(async move { closing_slot.closed().await });
+        // Reads may go on after the one that fails.
+        let closed = Box::pin(async move { closing_slot.closed().await }.fuse());
         Self { stream, slot, closed }
     }
 }
