Keep review case 11 inside the limits of the site file

Its server spoiled answers for as long as requests came; garble lasts 5 s in the site file. It also stated nine slots and refused at two. Now it spoils for 5 s, at most one of 34 answers, and has the slots that it states and a queue of one. The servers of all cases have slots and a queue.

--- a/review/rig-3/src/cases.rs
+++ b/review/rig-3/src/cases.rs
@@ -6,15 +6,16 @@
     path::Path,
     sync::{
         atomic::{AtomicU32, Ordering},
-        Arc,
+        Arc, OnceLock,
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use crate::{
     client::{ask, ask_on, new_id, Ask, Reply, HOST},
     deployment::{Answer, Copied, Deployment, Record, ServerState},
+    http::Message,
 };
 
 type Outcome = io::Result<Option<String>>;
@@ -37,6 +38,10 @@
 /// A faulty server spoils at most one of so many answers: less than the share 0.03 that `garble`
 /// has in the site file.
 const SPOILED_INTERVAL: u32 = 34;
+/// How long a faulty server spoils answers: the length that `garble` has there.
+const SPOILED_TIME: Duration = Duration::from_secs(5);
+/// A server fails one of so many requests by itself: `error_share` of `menu-lookup`, 0.004.
+const FAILURE_INTERVAL: u32 = 250;
 
 /// Returns a deployment with one front and three control replicas, none of which is started.
 fn deployment(root: &Path, record: &Record) -> io::Result<Deployment> {
@@ -55,17 +60,40 @@
     )
 }
 
-/// Has clients send unsafe requests at the same time, and returns their replies.
-fn send_bookings(deployment: &Deployment, clients: usize, count: usize) -> Vec<Reply> {
+/// Returns the answer, or a refusal if the server is full.
+fn serve(is_full: bool, answer: Answer) -> Answer {
+    if is_full {
+        Answer::not_run()
+    } else {
+        answer
+    }
+}
+
+/// The time in which a faulty server spoils answers, from its first request on.
+#[derive(Default)]
+struct Window(OnceLock<Instant>);
+
+impl Window {
+    fn is_open(&self) -> bool {
+        self.0.get_or_init(Instant::now).elapsed() < SPOILED_TIME
+    }
+}
+
+/// Has clients send requests at the same time for a while, and returns their replies.
+fn send_at_once(deployment: &Deployment, clients: usize, method: &'static str) -> Vec<Reply> {
     let front = deployment.front(0);
+    let until = Instant::now() + SPOILED_TIME + Duration::from_secs(3);
     let threads: Vec<_> = (0..clients)
         .map(|client| {
             let record = deployment.record.clone();
             thread::spawn(move || {
                 let mut replies = Vec::new();
-                for number in 0..count {
+                for number in 0.. {
+                    if Instant::now() > until {
+                        break;
+                    }
                     let key = (client * 31 + number * 7) % 24;
-                    let request = Ask::new("POST", format!("/desk/{client}-{number}"), key);
+                    let request = Ask::new(method, format!("/desk/{client}-{number}"), key);
                     replies.push(ask(&record, front, &request));
                     thread::sleep(Duration::from_millis(20));
                 }
@@ -95,26 +123,25 @@
 /// late: right before its next answer to a request that it runs.
 fn cut_refusal(root: &Path, record: Record, has_trouble: bool) -> Outcome {
     let mut deployment = deployment(root, &record)?;
-    let since_spoiled = AtomicU32::new(0);
-    let faulty = deployment.start_server("i-desk-0", "desk", "pos-a", move |server, _| {
+    let (since_spoiled, window) = (AtomicU32::new(0), Window::default());
+    let behave = move |_: &Message, is_full: bool| {
         let is_due = since_spoiled.fetch_add(1, Ordering::SeqCst) >= SPOILED_INTERVAL;
-        // It has two slots and no queue.
-        if server.running.load(Ordering::SeqCst) < 2 {
-            return Answer::run(60);
-        }
-        if !is_due || !has_trouble {
-            return Answer::not_run();
+        let may_spoil = has_trouble && is_due && window.is_open();
+        if !is_full || !may_spoil {
+            return serve(is_full, Answer::run(60));
         }
         since_spoiled.store(0, Ordering::SeqCst);
         Answer::not_run().copied(Copied::ToSecondField)
-    })?;
-    let sound = deployment.start_server("i-desk-1", "desk", "pos-a", |_, _| Answer::run(60))?;
+    };
+    let faulty = deployment.start_server_with((2, 1), "i-desk-0", "desk", "pos-a", behave)?;
+    let sound = deployment
+        .start_server("i-desk-1", "desk", "pos-a", |_, is_full| serve(is_full, Answer::run(60)))?;
     deployment.start()?;
     deployment.put_config(&[route("r-desk", "/desk/", "unsafe", "desk", 1.2), service("desk")])?;
     deployment.wait_ready()?;
     // After `retry_window_s`, the front knows its share of the retries.
     thread::sleep(Duration::from_secs(12));
-    let replies = send_bookings(&deployment, 8, 150);
+    let replies = send_at_once(&deployment, 10, "POST");
     let runs = runs(&[faulty, sound]);
     let twice: Vec<&String> =
         runs.iter().filter(|(_, count)| **count > 1).map(|(id, _)| id).collect();
@@ -134,29 +161,30 @@
         .then(|| format!("TWICE: {} unsafe requests ran on two servers", twice.len())))
 }
 
-/// One of two servers, which fails some requests, sends the beginning of its last answer a second
-/// time, late: right before it answers with a failure.
+/// One of two servers, which fails some requests, sends the beginning of an earlier answer a
+/// second time, late: right before it answers with a failure.
 fn cut_answer(root: &Path, record: Record, has_trouble: bool) -> Outcome {
     let mut deployment = deployment(root, &record)?;
-    let answers = AtomicU32::new(0);
-    let faulty = deployment.start_server("i-desk-0", "desk", "pos-a", move |_, _| {
-        let number = answers.fetch_add(1, Ordering::SeqCst) + 1;
-        if number % SPOILED_INTERVAL != 0 {
-            return Answer::run(60);
+    let (answers, window) = (AtomicU32::new(0), Window::default());
+    let faulty = deployment.start_server("i-desk-0", "desk", "pos-a", move |_, is_full| {
+        let may_spoil = has_trouble && window.is_open();
+        if is_full || (answers.fetch_add(1, Ordering::SeqCst) + 1) % FAILURE_INTERVAL != 0 {
+            return serve(is_full, Answer::run(10));
         }
-        let failure = Answer::run(60).with_status(500);
-        if has_trouble {
+        let failure = Answer::run(10).with_status(500);
+        if may_spoil {
             failure.after_copy("HTTP/1.1 200 O")
         } else {
             failure
         }
     })?;
-    deployment.start_server("i-desk-1", "desk", "pos-a", |_, _| Answer::run(60))?;
+    deployment
+        .start_server("i-desk-1", "desk", "pos-a", |_, is_full| serve(is_full, Answer::run(10)))?;
     deployment.start()?;
-    deployment.put_config(&[route("r-desk", "/desk/", "unsafe", "desk", 1.2), service("desk")])?;
+    deployment.put_config(&[route("r-desk", "/desk/", "safe", "desk", 3.0), service("desk")])?;
     deployment.wait_ready()?;
     thread::sleep(CONTACT_WINDOW);
-    let replies = send_bookings(&deployment, 4, 120);
+    let replies = send_at_once(&deployment, 16, "GET");
     let failed: BTreeSet<String> = faulty.failures.lock().unwrap().iter().cloned().collect();
     let wrong: Vec<&String> = replies
         .iter()
@@ -164,7 +192,7 @@
         .map(|reply| &reply.id)
         .collect();
     record.say(format!(
-        "{} unsafe requests: {} got 200, {} 500, {} 502; the server answered {} with 500, and the \
+        "{} requests: {} got 200, {} 500, {} 502; the server answered {} with 500, and the \
          clients got 200 for {} of these ({wrong:?})",
         replies.len(),
         count_status(&replies, 200),
@@ -184,11 +212,11 @@
     let value = if has_trouble { "timeout=9223372036854775807" } else { "timeout=10" };
     for number in 0..3 {
         let zone = ZONES[number].0;
-        deployment.start_server(&format!("i-desk-{number}"), "desk", zone, move |_, _| {
-            Answer::run(60).with_field("Keep-Alive", value)
+        deployment.start_server(&format!("i-desk-{number}"), "desk", zone, move |_, is_full| {
+            serve(is_full, Answer::run(60).with_field("Keep-Alive", value))
         })?;
-        deployment.start_server(&format!("i-menu-{number}"), "menu", zone, |_, _| {
-            Answer::run(20).with_field("Keep-Alive", "timeout=10")
+        deployment.start_server(&format!("i-menu-{number}"), "menu", zone, |_, is_full| {
+            serve(is_full, Answer::run(20).with_field("Keep-Alive", "timeout=10"))
         })?;
     }
     deployment.start()?;
@@ -240,11 +268,13 @@
     let mut files = Vec::new();
     for number in 0..3 {
         let zone = ZONES[number].0;
-        deployment
-            .start_server(&format!("i-desk-{number}"), "desk", zone, |_, _| Answer::run(60))?;
+        deployment.start_server(&format!("i-desk-{number}"), "desk", zone, |_, is_full| {
+            serve(is_full, Answer::run(60))
+        })?;
         let id = format!("i-files-{number}");
-        files.push(deployment.start_server(&id, "files", zone, |_, request| {
-            Answer::run(if request.target().contains("report") { 3500 } else { 60 })
+        files.push(deployment.start_server(&id, "files", zone, |request, is_full| {
+            let work_ms = if request.target().contains("report") { 3500 } else { 60 };
+            serve(is_full, Answer::run(work_ms))
         })?);
     }
     deployment.start()?;
@@ -304,7 +334,9 @@
     let mut deployment = deployment(root, &record)?;
     for number in 0..3 {
         let id = format!("i-desk-{number}");
-        deployment.start_server(&id, "desk", ZONES[number].0, |_, _| Answer::run(60))?;
+        deployment.start_server(&id, "desk", ZONES[number].0, |_, is_full| {
+            serve(is_full, Answer::run(60))
+        })?;
     }
     deployment.start()?;
     let version = if has_trouble { 0 } else { 1 };
--- a/review/rig-3/src/deployment.rs
+++ b/review/rig-3/src/deployment.rs
@@ -10,8 +10,8 @@
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
-        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
-        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+        Arc, Condvar, Mutex,
     },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -92,7 +92,8 @@
     }
 }
 
-type Behave = dyn Fn(&ServerState, &Message) -> Answer + Send + Sync;
+/// Decides on an answer, given whether the server is full.
+type Behave = dyn Fn(&Message, bool) -> Answer + Send + Sync;
 
 /// What one start of a server stand-in knows.
 pub struct ServerState {
@@ -102,10 +103,16 @@
     pub address: SocketAddr,
     pub born_unix_ms: u64,
     pub slots: u32,
+    /// How many requests it queues beside those that it runs.
+    pub queue: u32,
     pub is_listed: AtomicBool,
     pub is_draining: AtomicBool,
     pub is_leaving: AtomicBool,
-    pub running: AtomicU32,
+    /// The requests that it runs or queues.
+    pub present: Mutex<u32>,
+    /// The requests that it runs.
+    running: Mutex<u32>,
+    slot_free: Condvar,
     /// The ids of the requests that it ran.
     pub runs: Mutex<Vec<String>>,
     /// The ids of the requests that it answered with a failure.
@@ -242,13 +249,25 @@
         Ok(())
     }
 
-    /// Starts a server stand-in that is on the list.
+    /// Starts a server stand-in that is on the list, with the slots and the queue of `order-desk`.
     pub fn start_server(
         &mut self,
         id: &str,
         service: &str,
         zone: &str,
-        behave: impl Fn(&ServerState, &Message) -> Answer + Send + Sync + 'static,
+        behave: impl Fn(&Message, bool) -> Answer + Send + Sync + 'static,
+    ) -> io::Result<Arc<ServerState>> {
+        self.start_server_with((4, 12), id, service, zone, behave)
+    }
+
+    /// Starts a server stand-in with a number of slots and a length of its queue.
+    pub fn start_server_with(
+        &mut self,
+        (slots, queue): (u32, u32),
+        id: &str,
+        service: &str,
+        zone: &str,
+        behave: impl Fn(&Message, bool) -> Answer + Send + Sync + 'static,
     ) -> io::Result<Arc<ServerState>> {
         let number = self.servers.lock().unwrap().len();
         let address = SocketAddr::from((self.ip(60 + number), SERVER_PORT));
@@ -259,11 +278,14 @@
             zone: zone.to_owned(),
             address,
             born_unix_ms: unix_ms(),
-            slots: 9,
+            slots,
+            queue,
             is_listed: AtomicBool::new(true),
             is_draining: AtomicBool::new(false),
             is_leaving: AtomicBool::new(false),
-            running: AtomicU32::new(0),
+            present: Mutex::new(0),
+            running: Mutex::new(0),
+            slot_free: Condvar::new(),
             runs: Mutex::default(),
             failures: Mutex::default(),
             connections: Mutex::default(),
@@ -542,8 +564,9 @@
         ];
         return connection.write("HTTP/1.1 421 Misdirected Request", &fields, b"");
     }
-    let running = server.running.load(Ordering::SeqCst);
-    let load = format!("{running},0,{}", server.slots);
+    let present = *server.present.lock().unwrap();
+    let running = present.min(server.slots);
+    let load = format!("{running},{},{}", present - running, server.slots);
     if request.target() == "/healthz" {
         let is_leaving = server.is_leaving.load(Ordering::SeqCst);
         let start = match is_leaving {
@@ -560,7 +583,13 @@
         record.line(format!("server {}: health check", server.id));
         return connection.write(start, &fields, b"");
     }
-    let answer = (server.behave)(server, request);
+    let answer = {
+        let mut present = server.present.lock().unwrap();
+        let is_full = *present >= server.slots + server.queue;
+        let answer = (server.behave)(request, is_full);
+        *present += u32::from(answer.work.is_some());
+        answer
+    };
     let Some(work) = answer.work else {
         record.line(format!("server {}: {id} not run", server.id));
         let start = "HTTP/1.1 503 Service Unavailable";
@@ -587,9 +616,15 @@
     }
     record.line(format!("server {}: runs {id}", server.id));
     server.runs.lock().unwrap().push(id.clone());
-    server.running.fetch_add(1, Ordering::SeqCst);
+    {
+        let running = server.running.lock().unwrap();
+        let is_busy = |running: &mut u32| *running >= server.slots;
+        *server.slot_free.wait_while(running, is_busy).unwrap() += 1;
+    }
     thread::sleep(work);
-    server.running.fetch_sub(1, Ordering::SeqCst);
+    *server.running.lock().unwrap() -= 1;
+    server.slot_free.notify_one();
+    *server.present.lock().unwrap() -= 1;
     let stamp = format!("{}.{id}", server.id);
     let mut fields = vec![
         ("Content-Type", "application/json"),
