Put a first configuration of version 0 in force

It was acknowledged with 200; every read of the configuration got 503, and the entry instance refused all requests ("no_configuration").

Cause: RoutingTable::version was a number whose 0 stood for "no configuration", while 0 is also a version that operators may choose. The state machine dropped the table, since its version was not higher than that of the empty one; reads, routing, readiness and gauges took 0 for none.

Why this fix works: the version is an Option, whose None is lower than every version, so that no number has two meanings in any place. Stored and sent forms keep the meaning of earlier builds: 0 is none, and a delivered r0 is a nil, which those builds refuse to read rather than skip.

Besides: the gauge config_version is -1 while there is no configuration and no longer negative beyond 2^63, and a version with a sign is refused.

--- a/src/core/control/command.rs
+++ b/src/core/control/command.rs
@@ -150,6 +150,6 @@
     /// The proposed routing table or a newer one is in force.
     Routing {
         /// The version of the routing table in force.
-        version: ConfigVersion,
+        version: Option<ConfigVersion>,
     },
 }
--- a/src/core/routing/delta.rs
+++ b/src/core/routing/delta.rs
@@ -4,14 +4,15 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{CallerLimits, ConfigVersion, Route, RouteName, RoutingTable, ServiceSpec};
+use super::{CallerLimits, ConfigVersion, Route, RouteName, RoutingTable, ServiceSpec, version};
 use crate::core::control::ServiceName;
 
 /// Represents the changes from one routing table to another.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RoutingDelta {
     /// The version of the table after the changes.
-    pub version: ConfigVersion,
+    #[serde(with = "version")]
+    pub version: Option<ConfigVersion>,
     /// The routes that are new or changed, or removed (`None`).
     pub routes: BTreeMap<RouteName, Option<Arc<Route>>>,
     /// The services that are new or changed, or removed (`None`).
--- a/src/core/routing/mod.rs
+++ b/src/core/routing/mod.rs
@@ -4,6 +4,7 @@
 mod delta;
 mod route;
 mod table;
+mod version;
 
 pub use self::{
     delta::RoutingDelta,
--- a/src/core/routing/table.rs
+++ b/src/core/routing/table.rs
@@ -8,14 +8,15 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{ConfigVersion, Route, RouteName};
+use super::{ConfigVersion, Route, RouteName, version};
 use crate::core::control::ServiceName;
 
 /// Represents a complete configuration of routes, services and limits.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct RoutingTable {
-    /// The version; 0 means that no configuration was delivered yet.
-    pub version: ConfigVersion,
+    /// The version, or `None` if no configuration was delivered yet.
+    #[serde(with = "version")]
+    pub version: Option<ConfigVersion>,
     /// The routes, by name.
     pub routes: BTreeMap<RouteName, Arc<Route>>,
     /// The services, by name.
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use super::http1::{HeadWriter, Headers};
+use crate::core::routing::ConfigVersion;
 
 /// Represents the terms on which an instance takes over a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -14,7 +15,7 @@
     pub attempts_max: u32,
     /// The version of the configuration that routed the request. An instance with an older
     /// one does not take it over.
-    pub config_version: u64,
+    pub config_version: ConfigVersion,
     /// Identifies the request when its caller sends it again; `None` from an instance that does
     /// not say.
     pub fingerprint: Option<u128>,
--- a/src/runtime/control_node/metrics.rs
+++ b/src/runtime/control_node/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use prometheus::{IntCounterVec, IntGauge, IntGaugeVec, Registry};
+use prometheus::{Gauge, IntCounterVec, IntGauge, IntGaugeVec, Registry};
 
 use super::{
     ControlNodeState,
@@ -20,7 +20,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct ControlGauges {
     registry: Registry,
-    config_version: IntGauge,
+    config_version: Gauge,
     evacuated_zones: IntGauge,
     list_age_ms: IntGauge,
     listed_upstreams: IntGauge,
@@ -43,7 +43,13 @@
             &["reason"],
         );
         Ok(Self {
-            config_version: gauge("config_version", "Version of the configuration applied here.")?,
+            config_version: register_metric(
+                &registry,
+                Gauge::with_opts(opts(
+                    "config_version",
+                    "Version of the configuration applied here; -1 while there is none.",
+                )),
+            )?,
             evacuated_zones: gauge("evacuated_zones", "Availability zones that are evacuated.")?,
             list_age_ms: gauge(
                 "list_age_milliseconds",
@@ -65,7 +71,8 @@
         dropped_lines: &DroppedLines,
     ) -> String {
         if let Some(policy) = current_policy(state).await {
-            self.config_version.set(policy.routing.version as i64);
+            let version = policy.routing.version;
+            self.config_version.set(version.map_or(-1.0, |version| version as f64));
             self.evacuated_zones.set(policy.evacuated.len() as i64);
         }
         if let Some(count) = voter_count(state).await {
--- a/src/runtime/control_node/operators.rs
+++ b/src/runtime/control_node/operators.rs
@@ -178,7 +178,9 @@
 ///
 /// All readers of a version share one body, since a large one takes much of the memory.
 #[derive(Default)]
-pub(super) struct ConfigurationBody(Mutex<Option<(ConfigVersion, Weak<EncodedConfiguration>)>>);
+pub(super) struct ConfigurationBody(
+    Mutex<Option<(Option<ConfigVersion>, Weak<EncodedConfiguration>)>>,
+);
 
 /// A configuration as operators read it.
 struct EncodedConfiguration {
@@ -241,5 +243,5 @@
     replica.send(CatchUp(index, reply)).await.ok()?;
     reply_receiver.await.ok()?;
     let policy = replica.send(CurrentPolicy).await.ok()?;
-    Some(policy.routing).filter(|routing| routing.version > 0)
+    Some(policy.routing).filter(|routing| routing.version.is_some())
 }
--- a/src/runtime/entry_node/exchange/mod.rs
+++ b/src/runtime/entry_node/exchange/mod.rs
@@ -45,7 +45,8 @@
     if !state.has_configuration() {
         return refuse_without_configuration(state, id);
     }
-    if request.relay_terms.is_some_and(|terms| terms.config_version > state.config_version()) {
+    if request.relay_terms.is_some_and(|terms| Some(terms.config_version) > state.config_version())
+    {
         return refuse(state, id, "behind", RETRY_AFTER_DEFAULT);
     }
     let routes = state.routes.borrow().clone();
@@ -205,7 +206,7 @@
         }
         let terms = RelayTerms {
             attempts_max: attempts_left,
-            config_version: self.state.config_version(),
+            config_version: self.state.config_version()?,
             fingerprint: self.request.fingerprint(),
         };
         let (state, request) = (self.state, self.request);
--- a/src/runtime/entry_node/metrics.rs
+++ b/src/runtime/entry_node/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry};
+use prometheus::{Gauge, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry};
 
 use super::{ready_response::Sender, state::EntryState};
 use crate::{
@@ -32,7 +32,7 @@
     open_connections: IntGaugeVec,
     message_bytes: IntGauge,
     ready: IntGauge,
-    config_version: IntGauge,
+    config_version: Gauge,
     failed_searches: IntCounter,
     config_age_ms: IntGauge,
     list_age_ms: IntGauge,
@@ -165,7 +165,13 @@
                 "Memory that requests and responses take, in bytes.",
             )?,
             ready: gauge("ready", "1 while the directory may name this instance.")?,
-            config_version: gauge("config_version", "Version of the configuration in force.")?,
+            config_version: register_metric(
+                &registry,
+                Gauge::with_opts(opts(
+                    "config_version",
+                    "Version of the configuration in force; -1 while there is none.",
+                )),
+            )?,
             failed_searches: register_metric(
                 &registry,
                 IntCounter::with_opts(opts(
@@ -264,7 +270,8 @@
         self.message_bytes.set(state.memory.held_bytes() as i64);
         self.ready.set(i64::from(state.is_ready.load(std::sync::atomic::Ordering::Relaxed)));
         self.links_lost.set(i64::from(state.links.is_any_lost()));
-        self.config_version.set(state.config_version() as i64);
+        let version = state.config_version();
+        self.config_version.set(version.map_or(-1.0, |version| version as f64));
         self.config_age_ms.set(state.config_age_ms().map_or(-1, |age_ms| age_ms as i64));
         self.list_age_ms.set(state.list_age_ms().map_or(-1, |age_ms| age_ms as i64));
         self.entry_instances.set(i64::from(state.entry_count()));
--- a/src/runtime/entry_node/state.rs
+++ b/src/runtime/entry_node/state.rs
@@ -24,7 +24,7 @@
         control::{InstanceName, Policy, ServiceName, ZoneName},
         peers::Peers,
         placement::{DemandMeter, DemandReport},
-        routing::{CallerLimits, RouteIndex},
+        routing::{CallerLimits, ConfigVersion, RouteIndex},
         suspects::{CrashReport, Suspects},
     },
     net::{connections::Connections, held_bytes::SharedBudget},
@@ -296,8 +296,8 @@
         self.policy.borrow().routing.limits.clone()
     }
 
-    /// Returns the version of the configuration in force.
-    pub(super) fn config_version(&self) -> u64 {
+    /// Returns the version of the configuration in force, or `None` before the first one.
+    pub(super) fn config_version(&self) -> Option<ConfigVersion> {
         self.policy.borrow().routing.version
     }
 
@@ -334,7 +334,7 @@
     /// Returns whether a configuration is in force, so that requests can be
     /// routed.
     pub(super) fn has_configuration(&self) -> bool {
-        self.policy.borrow().routing.version > 0
+        self.config_version().is_some()
     }
 
     /// Returns whether a request that ends at `end` is answered before the process exits.
--- a/tests/it/control.rs
+++ b/tests/it/control.rs
@@ -11,7 +11,7 @@
         },
         steering::Layout,
     },
-    net::wire::{PolicyUpdate, encode},
+    net::wire::{PolicyUpdate, decode, encode},
     platform::configuration,
 };
 use serde_json::json;
@@ -279,3 +279,43 @@
     }
     assert!(state.deltas_bytes() > limits.deltas_max_bytes / 2);
 }
+
+/// Version 0 was taken for no configuration: it was acknowledged, and neither put in force nor
+/// read back.
+#[test]
+fn a_first_configuration_of_version_0_is_in_force_until_a_higher_one() {
+    let limits = ControlLimits::default();
+    let mut state = ControlState::new();
+    let mut follower = Policy::default();
+    for (version, routes, routes_in_force) in
+        [(0, 3, 3), (0, 5, 3), (4, 5, 5), (0, 3, 5), (4, 3, 5), (7, 2, 2)]
+    {
+        put_routes(&mut state, &limits, version, routes, 0.5);
+        let in_force = &state.policy().routing;
+        assert_eq!(in_force.routes.len(), routes_in_force, "r{version} with {routes} routes");
+        let read = configuration::decode(&configuration::encode(in_force).unwrap()).unwrap();
+        assert_eq!(read, **in_force);
+
+        let snapshot: ControlState = decode(&encode(&state).unwrap()).unwrap();
+        assert_eq!(snapshot.policy(), state.policy());
+        update(&mut state, &mut follower);
+        assert_eq!(follower, *state.policy());
+    }
+}
+
+/// Replicas and instances that stored or sent version 0 meant that there was no configuration.
+#[test]
+fn version_0_of_earlier_builds_is_no_configuration() {
+    let mut stored = serde_json::to_value(ControlState::new()).unwrap();
+    stored["policy"]["routing"]["version"] = json!(0);
+    let mut state: ControlState = decode(&encode(&stored).unwrap()).unwrap();
+    assert_eq!(state, ControlState::new());
+    assert_eq!(encode(&state).unwrap(), encode(&ControlState::new()).unwrap());
+    // Earlier builds kept nothing of a delivered version 0, so that a replica that reads one in
+    // their log must not put it in force.
+    let earlier = serde_json::from_value(stored["policy"]["routing"].clone()).unwrap();
+    state.apply(Command::Routing(earlier), &topology(), &ControlLimits::default());
+    assert_eq!(state, ControlState::new());
+    put_routes(&mut state, &ControlLimits::default(), 0, 3, 0.5);
+    assert_eq!(state.policy().routing.routes.len(), 3);
+}
--- a/tests/it/platform.rs
+++ b/tests/it/platform.rs
@@ -208,6 +208,33 @@
     }
 }
 
+/// A version beyond the largest number must be refused rather than acknowledged and lost.
+#[test]
+fn versions_are_read_as_numbers_up_to_the_largest() {
+    let json = configuration_json(&[route("one", "b", "/", r#""timeout_s": 1, "service": "s""#)]);
+    let read = |version: &str| {
+        let table = configuration::decode(json.replace("r7", version).as_bytes()).ok()?;
+        let encoded = String::from_utf8(configuration::encode(&table).unwrap()).unwrap();
+        Some(encoded.split('"').nth(3).unwrap().to_owned())
+    };
+    for (version, expected) in [
+        ("r0", Some("r0")),
+        ("r000", Some("r0")),
+        ("r007", Some("r7")),
+        ("r18446744073709551615", Some("r18446744073709551615")),
+        ("r18446744073709551616", None),
+        ("r+7", None),
+        ("r-0", None),
+        ("r7.0", None),
+        ("r 7", None),
+        ("r", None),
+        ("7", None),
+        ("", None),
+    ] {
+        assert_eq!(read(version).as_deref(), expected, "{version}");
+    }
+}
+
 const NODE_FILE: &str = r#"{"node": "n", "ip": "10.0.0.1", "zone": "a", "region": "r",
     "zones": {"a": "r"}, "listen": {"front": "10.0.0.1:80"}, "cluster_ports": [7, 9],
     "limits": {"cpu_share": 0.2, "memory_mb": 200, "max_fds": 400}, "new": 1,
--- a/tests/processes/platform.rs
+++ b/tests/processes/platform.rs
@@ -44,6 +44,53 @@
     assert!(text.starts_with("HTTP/1.1 200"), "{text}");
 }
 
+/// A first configuration of version 0 was acknowledged, never in force and never read back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_first_configuration_of_version_0_is_served_and_read_back() {
+    let mut fleet = Fleet::new(12);
+    let entries = fleet.start_upstreams();
+    fleet.launch(entries, &["c1", "c2", "c3", "e1"]);
+    fleet.configure("r0", "/book/").await;
+    fleet.configure("r0", "/order/").await;
+    let read_urls = ["c1", "c2", "c3"].map(|name| {
+        let ip = fleet.ip(name);
+        format!("http://{ip}:8146/api/config")
+    });
+    for url in &read_urls {
+        fleet.wait_for(url, 200, "\"r0\"").await;
+        fleet.wait_for(url, 200, "/book/").await;
+    }
+    for name in ["c1", "e1"] {
+        let metrics_url = format!("http://{}:9464/metrics", fleet.ip(name));
+        fleet.wait_for(&metrics_url, 200, "bulrushspan_config_version 0\n").await;
+    }
+    fleet.wait_ready("e1").await;
+    assert_eq!(fleet.post("e1", "first", "/book/1").await, Some(200));
+
+    let processes = ["c1", "c2", "c3", "e1"];
+    processes.iter().for_each(|name| fleet.kill(name));
+    fleet.lose_disk("c1");
+    processes.iter().for_each(|name| fleet.start_process(name, false));
+    fleet.start_process("e2", false);
+    for (number, entry) in ["e1", "e2"].into_iter().enumerate() {
+        fleet.wait_ready(entry).await;
+        assert_eq!(fleet.post(entry, &format!("again-{number}"), "/book/2").await, Some(200));
+    }
+    for url in &read_urls {
+        fleet.wait_for(url, 200, "/book/").await;
+    }
+
+    fleet.configure("r18446744073709551615", "/order/").await;
+    fleet.configure("r0", "/book/").await;
+    for url in &read_urls {
+        fleet.wait_for(url, 200, "\"r18446744073709551615\"").await;
+        fleet.wait_for(url, 200, "/order/").await;
+    }
+    let beyond = configuration("r18446744073709551616", "/book/");
+    let response = fleet.http.put(&read_urls[0]).body(beyond).send().await.unwrap();
+    assert_eq!(response.status().as_u16(), 400);
+}
+
 /// Returns a configuration with this many routes.
 fn large_configuration(version: &str, routes: usize) -> String {
     let mut table: Value = serde_json::from_str(&configuration(version, "/book/")).unwrap();
