Refuse a response head that two heads may have been joined to

An unsafe request that had run was taken for "not run" and ran at a second server, or was answered 503; a failure of the server reached the client as 200.

Cause: one cause for both. A copy that ends within a reason phrase or a field's value joins the status line behind it to that value, and the parser read both heads as one: the status and the fields of the first, the id of the second.

Why this fix works: the head that follows a cut-off one begins with a status line, so every joined head contains a second one. On a connection that has carried a response, such a head is an error, and whether the request ran is unknown: it is not sent again unless it is idempotent, and is answered 502. The first response on a connection can have nothing before it. It is delivered, and its connection is not kept, so that a server that quotes a status line in each answer is served as before, with a new connection each time.

--- a/src/net/http1/head.rs
+++ b/src/net/http1/head.rs
@@ -49,6 +49,10 @@
     pub framing: Framing,
     /// Whether the connection may be reused after this response.
     pub keeps_alive: bool,
+    /// Whether the head contains a status line besides its own, as two heads do that are read as
+    /// one because the first was cut off. The connection is not reused then: on a connection that
+    /// has carried another response, such a head can't be told from a sound one.
+    pub holds_status_line: bool,
 }
 
 /// Represents the reason why a head was rejected.
@@ -80,6 +84,8 @@
 /// The statuses that responses may have.
 const STATUSES: RangeInclusive<u16> = 100..=599;
 const SWITCHING_PROTOCOLS: u16 = 101;
+/// The number of digits of a status.
+const STATUS_DIGITS: usize = 3;
 /// The size of the shortest header field: a name of one byte, a colon and a line feed.
 const FIELD_MIN_BYTES: usize = 3;
 
@@ -228,7 +234,21 @@
     let closes = headers.has_token(&header::CONNECTION, "close")
         || (!is_http11 && !headers.has_token(&header::CONNECTION, "keep-alive"))
         || framing == Framing::UntilClose;
-    Ok(Some(ResponseHead { status, headers, framing, keeps_alive: !closes }))
+    let holds_status_line = contains_status_line(&headers.raw.trim_ascii_start()[1..]);
+    let closes = closes || holds_status_line;
+    Ok(Some(ResponseHead { status, headers, framing, keeps_alive: !closes, holds_status_line }))
+}
+
+/// Returns whether a status line begins anywhere in `bytes`.
+fn contains_status_line(bytes: &[u8]) -> bool {
+    let is_start = |bytes: &[u8]| {
+        let [b'H', b'T', b'T', b'P', b'/', major, b'.', minor, b' ', status @ ..] = bytes else {
+            return false;
+        };
+        let digits = status.iter().take_while(|byte| byte.is_ascii_digit()).count();
+        major.is_ascii_digit() && minor.is_ascii_digit() && digits == STATUS_DIGITS
+    };
+    (0..bytes.len()).any(|start| is_start(&bytes[start..]))
 }
 
 /// Converts parsed fields, which are slices of `source`, to ranges in its copy `raw`.
--- a/src/runtime/entry_node/reading.rs
+++ b/src/runtime/entry_node/reading.rs
@@ -24,12 +24,16 @@
 /// interim ones, and late ones to earlier requests.
 const SKIPPED_MAX: usize = 16;
 
+/// The error of a head that may consist of a part of an earlier response and the response's own.
+const JOINED_HEADS: &str = "a second status line in the head of a response on a kept connection";
+
 /// Reads the response to a request. Interim responses (1xx) and responses that
 /// have the id of another request are skipped, up to [`SKIPPED_MAX`] of them; `on_skipped` gets
 /// the head of each of the latter, and the local port of the connection.
 ///
 /// A response without an id is an error, unless it is the first on its connection: it may be
-/// a late one to an earlier request.
+/// a late one to an earlier request. So is a head that contains another status line: it may begin
+/// with a part of an earlier response.
 pub(super) async fn read_response(
     connection: &mut UpstreamConnection,
     request: &Request,
@@ -40,6 +44,9 @@
     let mut is_first = !connection.is_reused;
     for _ in 0..=SKIPPED_MAX {
         let head = read_head(connection, &request.head.method, limits.memory).await?;
+        if head.holds_status_line && !is_first {
+            return Err(io::Error::other(JOINED_HEADS));
+        }
         if head.status < 200 {
             continue;
         }
--- a/tests/it/http1.rs
+++ b/tests/it/http1.rs
@@ -195,3 +195,22 @@
     while reader.next(&mut buffer).unwrap().is_some() {}
     assert!(buffer.is_empty());
 }
+
+/// A head that was cut off and the one after it were read as one.
+#[test]
+fn a_status_line_within_a_response_head_is_noticed() {
+    for (text, expected) in [
+        ("HTTP/1.1 200 OK\r\nServer: u\r\n\r\n", false),
+        ("\r\nHTTP/1.1 200 OK\r\n\r\n", false),
+        ("HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy, HTTP/1.1 20\r\n\r\n", false),
+        ("HTTP/1.1 200 OK\r\nA: HTTP/1.1 2000\r\nB: XHTTP/11 200\r\n\r\n", false),
+        ("HTTP/1.1 200 OHTTP/1.1 500 Error\r\n\r\n", true),
+        ("HTTP/1.1 200 \u{e9}HTTP/1.1 500 Error\r\n\r\n", true),
+        ("HTTP/1.1 200 OK\r\nA: bHTTP/1.0 503\r\n\r\n", true),
+        ("HTTP/1.1 200 OK\r\nA:HTTP/1.1 503 Busy\r\n\r\n", true),
+    ] {
+        let head = parse_response_head(&mut BytesMut::from(text), HEAD_MAX, "GET");
+        let head = head.unwrap().unwrap();
+        assert_eq!(head.holds_status_line, expected, "{text:?}");
+    }
+}
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -13,6 +13,7 @@
 mod follow;
 mod guide;
 mod hand_over;
+mod joined_heads;
 mod large_configurations;
 mod late_refusals;
 mod late_requests;
