Check upstreams that failed while their service was gone

Cause: take_due_checks marked the check as running before it looked the service up. Without the service no check was made, and the next one of a running check was due at the end of time.

Why this fix works: an upstream whose service is not known stays due, so it is checked as soon as the service is back. And a running check is repeated once its timeout and a second have passed without a result, whatever ended it.

--- a/src/core/balance/balancer/mod.rs
+++ b/src/core/balance/balancer/mod.rs
@@ -307,19 +307,23 @@
     }
 
     /// Returns the upstreams whose health check is due, unless they leave or want no requests
-    /// now.
+    /// now, or their service is not known.
     ///
     /// Each is returned only once until the result of its check is passed to
-    /// [`Balancer::record_check`].
-    pub fn take_due_checks(&mut self, now: Duration) -> Vec<(Choice, Arc<ServiceSpec>)> {
+    /// [`Balancer::record_check`], or until `timeout` has passed without one.
+    pub fn take_due_checks(
+        &mut self,
+        now: Duration,
+        timeout: Duration,
+    ) -> Vec<(Choice, Arc<ServiceSpec>)> {
         let services = &self.services;
         let notices = &self.notices;
         let due = self.upstreams.values_mut().filter(|upstream| {
             upstream.health.is_check_due(now) && !notices.is_silenced(&upstream.listed.id, now)
         });
         due.filter_map(|upstream| {
-            upstream.health = upstream.health.after_check_started();
             let service = services.get(&upstream.listed.service)?;
+            upstream.health = upstream.health.after_check_started(now + timeout);
             Some((upstream.choice(now), service.clone()))
         })
         .collect()
--- a/src/core/balance/health.rs
+++ b/src/core/balance/health.rs
@@ -62,11 +62,12 @@
         Self::Unhealthy { failed_checks: failed_checks + 1, check_at: now + backoff, is_silent }
     }
 
-    /// Returns the health while a health check is running.
-    pub(super) fn after_check_started(self) -> Self {
+    /// Returns the health while a health check is running. Another one is due at `timeout_at`,
+    /// unless this one has a result before.
+    pub(super) fn after_check_started(self, timeout_at: Duration) -> Self {
         match self {
             Self::Unhealthy { failed_checks, is_silent, .. } => {
-                Self::Unhealthy { failed_checks, check_at: Duration::MAX, is_silent }
+                Self::Unhealthy { failed_checks, check_at: timeout_at, is_silent }
             }
             Self::Healthy => Self::Healthy,
         }
--- a/src/runtime/entry_node/health.rs
+++ b/src/runtime/entry_node/health.rs
@@ -26,6 +26,8 @@
 /// any request.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// How much later than its timeout a check may end before it is repeated.
+const RESULT_MARGIN: Duration = Duration::from_secs(1);
 /// The maximum size of the body of a response to a check.
 const BODY_MAX_BYTES: usize = 64 * 1024;
 
@@ -34,7 +36,8 @@
     loop {
         state.upstream_failed.notified().await;
         while state.balancer.borrow().has_unhealthy() {
-            let due_checks = state.balancer.borrow_mut().take_due_checks(state.clock.now());
+            let (now, result_timeout) = (state.clock.now(), check_timeout(&state) + RESULT_MARGIN);
+            let due_checks = state.balancer.borrow_mut().take_due_checks(now, result_timeout);
             for (choice, service) in due_checks {
                 tokio::task::spawn_local(check(state.clone(), choice, service));
             }
@@ -43,11 +46,14 @@
     }
 }
 
+fn check_timeout(state: &EntryState) -> Duration {
+    CHECK_TIMEOUT + state.settings.link_queue_time()
+}
+
 /// Checks one upstream and records the result.
 async fn check(state: Rc<EntryState>, choice: Choice, service: std::sync::Arc<ServiceSpec>) {
-    let queue_time = state.settings.link_queue_time();
     let check_future = send_check(&state, &choice, &service.health_path);
-    let check_result = timeout(CHECK_TIMEOUT + queue_time, check_future).await;
+    let check_result = timeout(check_timeout(&state), check_future).await;
     let result = match check_result {
         Ok(Ok(result)) => result,
         Ok(Err(_)) | Err(_) => CheckResult::Silent,
--- a/tests/it/balance.rs
+++ b/tests/it/balance.rs
@@ -1,6 +1,10 @@
 //! Tests of the choice of an upstream for each request.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use bulrushspan::core::{
     MapDelta, RecentMax,
@@ -11,6 +15,8 @@
 };
 
 const SERVICE: &str = "orders";
+const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
+const HEALTHY: CheckResult = CheckResult::Healthy { cold_left: Duration::ZERO };
 
 fn millis(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -36,6 +42,18 @@
     MapDelta { version: 1, is_full: true, put, removed: Vec::new() }
 }
 
+fn services() -> BTreeMap<String, Arc<ServiceSpec>> {
+    let service = ServiceSpec {
+        health_path: "/health".to_owned(),
+        connections_max: 100,
+        protocol: "h1".to_owned(),
+        tls: false,
+        cold_start: millis(3000),
+        cold_rate_per_s: 8.0,
+    };
+    [(SERVICE.to_owned(), service.into())].into()
+}
+
 /// Returns a balancer in zone `a` of region `north`, one of two entry instances.
 fn balancer(listed: &[ListedUpstream]) -> Balancer {
     let zones = [("a", "north"), ("b", "north"), ("c", "south")];
@@ -46,15 +64,7 @@
     };
     let mut balancer =
         Balancer::new(locality, ColdLimit { factor: 1.5, slack: 5.0, entry_count: 2 });
-    let service = ServiceSpec {
-        health_path: "/health".to_owned(),
-        connections_max: 100,
-        protocol: "h1".to_owned(),
-        tls: false,
-        cold_start: millis(3000),
-        cold_rate_per_s: 8.0,
-    };
-    balancer.set_services([(SERVICE.to_owned(), service.into())].into());
+    balancer.set_services(services());
     balancer.apply_delta(full_list(listed), millis(0));
     balancer
 }
@@ -136,15 +146,43 @@
     assert!(!ids.iter().any(|id| balancer.takes_work(&(*id).to_owned(), millis(1))));
 }
 
+/// An upstream that failed while no configuration had its service was never checked again.
+#[test]
+fn an_upstream_whose_service_is_gone_for_a_while_is_checked_once_it_is_back() {
+    let mut balancer = balancer(&[upstream("u1", "a")]);
+    let id = "u1".to_owned();
+    balancer.set_services(BTreeMap::new());
+    balancer.record_failure(&id, millis(0));
+    for ms in (50..1000).step_by(50) {
+        assert!(balancer.take_due_checks(millis(ms), CHECK_TIMEOUT).is_empty());
+    }
+    balancer.set_services(services());
+    assert_eq!(balancer.take_due_checks(millis(1000), CHECK_TIMEOUT).len(), 1);
+    assert!(balancer.record_check(&id, HEALTHY, millis(1010)));
+    assert_eq!(chosen_ids(&mut balancer, &[], millis(1010)), id_set(&["u1"]));
+}
+
+/// A check that was started and ended without a result, as after a panic, must not be the last.
+#[test]
+fn a_check_without_a_result_is_repeated_after_its_timeout() {
+    let mut balancer = balancer(&[upstream("u1", "a")]);
+    balancer.record_failure(&"u1".to_owned(), millis(0));
+    assert_eq!(balancer.take_due_checks(millis(100), CHECK_TIMEOUT).len(), 1);
+    let timed_out_at = millis(100) + CHECK_TIMEOUT;
+    assert!(balancer.take_due_checks(timed_out_at - millis(1), CHECK_TIMEOUT).is_empty());
+    assert_eq!(balancer.take_due_checks(timed_out_at, CHECK_TIMEOUT).len(), 1);
+    assert!(balancer.take_due_checks(timed_out_at + millis(1), CHECK_TIMEOUT).is_empty());
+}
+
 #[test]
 fn a_failed_upstream_is_used_after_a_passed_check_and_is_cold_for_the_reported_time() {
     let mut balancer = balancer(&[upstream("u1", "a")]);
     let id = "u1".to_owned();
     balancer.record_failure(&id, millis(0));
-    assert!(balancer.take_due_checks(millis(10)).is_empty());
-    assert_eq!(balancer.take_due_checks(millis(30)).len(), 1);
+    assert!(balancer.take_due_checks(millis(10), CHECK_TIMEOUT).is_empty());
+    assert_eq!(balancer.take_due_checks(millis(30), CHECK_TIMEOUT).len(), 1);
     assert!(
-        balancer.take_due_checks(millis(30)).is_empty(),
+        balancer.take_due_checks(millis(30), CHECK_TIMEOUT).is_empty(),
         "only one check of an upstream may be running"
     );
     assert!(!balancer.record_check(&id, CheckResult::Silent, millis(40)));
--- a/tests/it/notices.rs
+++ b/tests/it/notices.rs
@@ -125,7 +125,9 @@
         "said again"
     );
     balancer.record_failure(&"u1".to_owned(), millis(3));
-    assert!(balancer.take_due_checks(millis(900)).is_empty() && !balancer.has_unhealthy());
+    assert!(
+        balancer.take_due_checks(millis(900), millis(1000)).is_empty() && !balancer.has_unhealthy()
+    );
     let other = choose(&mut balancer, key, millis(4)).unwrap();
     let expected = PassedOver { id: "u1".to_owned(), obstacle: Obstacle::Leaving };
     assert_eq!(other.id, "u2");
@@ -191,7 +193,7 @@
     assert_eq!(left(&balancer, 1000), Some(millis(2000)));
     for upstream in [&first, &second] {
         balancer.record_failure(&upstream.id, millis(1000));
-        assert!(balancer.take_due_checks(millis(2000)).is_empty());
+        assert!(balancer.take_due_checks(millis(2000), millis(1000)).is_empty());
     }
     let healthy = CheckResult::Healthy { cold_left: Duration::ZERO };
     assert!(balancer.record_check(&first.id, healthy, millis(3000)));
