Bound the time for which an idle connection is kept

Cause: the pool multiplied the stated time by 7 without a bound. The product overflowed, and the panic ended the task of the caller's connection with all requests on it.

--- a/src/runtime/entry_node/pool.rs
+++ b/src/runtime/entry_node/pool.rs
@@ -50,6 +50,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long an idle connection is kept if the upstream states no timeout.
 const KEEP_ALIVE_DEFAULT: Duration = Duration::from_secs(4);
+/// The longest time that an idle connection is kept, whatever the upstream states.
+const KEEP_ALIVE_MAX: Duration = Duration::from_secs(24 * 60 * 60);
 
 impl UpstreamConnection {
     /// Prepares the connection for a message of a number of bytes. The rest of a large one may
@@ -123,8 +125,8 @@
     }
 
     /// Keeps a connection for later requests: for 70 % of the time that the
-    /// upstream says it keeps it open, or for [`KEEP_ALIVE_DEFAULT`]. Without room for it, the
-    /// connection is closed.
+    /// upstream says it keeps it open, at most [`KEEP_ALIVE_MAX`], or for [`KEEP_ALIVE_DEFAULT`].
+    /// Without room for it, the connection is closed.
     pub(super) fn put(
         &mut self,
         address: SocketAddr,
@@ -135,7 +137,8 @@
             self.close_expired();
             return;
         }
-        let keep_alive = keep_alive.map_or(KEEP_ALIVE_DEFAULT, |keep_alive| keep_alive * 7 / 10);
+        let keep_alive = keep_alive
+            .map_or(KEEP_ALIVE_DEFAULT, |keep_alive| keep_alive.min(KEEP_ALIVE_MAX) * 7 / 10);
         let expires_at = Instant::now() + keep_alive;
         let idle_connection = IdleConnection { connection: connection.into_idle(), expires_at };
         self.idle.entry(address).or_default().push(idle_connection);
--- a/tests/processes/entry.rs
+++ b/tests/processes/entry.rs
@@ -25,7 +25,7 @@
     },
     platform::configuration,
 };
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -74,7 +74,8 @@
         let listener = TcpListener::bind(address(upstream_number(number), 8080)).await.unwrap();
         let upstream = listed_upstream(listener.local_addr().unwrap());
         tokio::spawn(serve_upstream(listener, behaviour, event_sender));
-        let rig = Self::launch(number, control_replica(upstream), events, link_mbps).await;
+        let control = control_replica(policy(|_| ()), upstream);
+        let rig = Self::launch(number, control, events, link_mbps).await;
         rig.wait_ready().await;
         rig
     }
@@ -255,17 +256,28 @@
     }
 }
 
-/// Returns a control replica with one route, whose list never changes.
-fn control_replica(upstream: ListedUpstream) -> MeshHandler<NodeRequest, NodeReply> {
-    let table = json!({"version": "r1", "resources": [
+/// Returns a policy with one route. `edit` changes its configuration.
+pub(super) fn policy(edit: impl FnOnce(&mut Value)) -> Policy {
+    let mut table = json!({"version": "r1", "resources": [
         {"type": "services", "meta": {"name": SERVICE}, "spec": {
             "health_path": "/health", "max_conns": 100, "cold_start_s": 0.0, "cold_per_s": 5.0}},
         {"type": "routes", "meta": {"name": "menu"}, "spec": {
             "host": "shop.example", "path_prefix": "/menu/", "kind": "safe", "timeout_s": 20.0,
             "slo_s": 1.0, "priority": 1, "service": SERVICE, "max_attempts": 1}},
+        {"type": "limits", "meta": {}, "spec": {
+            "max_header_bytes": 16_384, "max_body_bytes": 67_108_864, "header_timeout_s": 3.0,
+            "idle_timeout_s": 15.0}},
     ]});
+    edit(&mut table);
     let routing = configuration::decode(table.to_string().as_bytes()).unwrap();
-    let policy = Policy { version: 1, routing: routing.into(), ..Policy::default() };
+    Policy { version: 1, routing: routing.into(), ..Policy::default() }
+}
+
+/// Returns a control replica whose policy and list never change.
+pub(super) fn control_replica(
+    policy: Policy,
+    upstream: ListedUpstream,
+) -> MeshHandler<NodeRequest, NodeReply> {
     Arc::new(move |call, _peer| {
         let (policy, upstream) = (policy.clone(), upstream.clone());
         Box::pin(async move {
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -8,6 +8,7 @@
 mod endless_bytes;
 mod entry;
 mod evacuations;
+mod extreme_numbers;
 mod faulty_upstreams;
 mod fleet;
 mod follow;
