Bound the times of a configuration where they are used

What callers saw: after a configuration with an idle_timeout_s above 9.2e18, each connection was closed without an answer to its first request. Times close to 2^64 s did the same once the process had run for half an hour (by reading).

Cause: the timeout was added to an Instant, and slo_s, timeout_s and cold times to durations, without a bound.

Evidence: extreme_times_of_a_configuration_cost_no_request_its_answer got no answer on the code of ("overflow when adding duration to instant").

Why this fix works: timeouts of connections are at most a year where they are used, and sums of durations saturate. The configuration itself is kept and read back as it was sent.

--- a/src/core/balance/upstream_state.rs
+++ b/src/core/balance/upstream_state.rs
@@ -60,7 +60,8 @@
 
     pub(super) fn set_cold(&mut self, remaining: Duration, now: Duration) {
         if !remaining.is_zero() {
-            self.cold_until = self.cold_until.max(now + remaining + COLD_MARGIN);
+            let cold_until = now.saturating_add(remaining).saturating_add(COLD_MARGIN);
+            self.cold_until = self.cold_until.max(cold_until);
         }
     }
 
--- a/src/runtime/entry_node/exchange/mod.rs
+++ b/src/runtime/entry_node/exchange/mod.rs
@@ -76,7 +76,7 @@
         service,
         key,
         object: object_id(name, key),
-        deadline: request.arrived_at + request.timeout().min(route.timeout),
+        deadline: request.arrived_at.saturating_add(request.timeout().min(route.timeout)),
         attempts_max: attempts_max.min(route.attempts_max),
         tried: Vec::new(),
         attempts: 0,
@@ -353,7 +353,7 @@
         if !self.route.execution.is_repeatable() {
             return self.deadline;
         }
-        self.deadline.min(self.state.clock.now() + self.route.objective)
+        self.deadline.min(self.state.clock.now().saturating_add(self.route.objective))
     }
 
     /// Ends the request because its time is over.
--- a/src/runtime/entry_node/state.rs
+++ b/src/runtime/entry_node/state.rs
@@ -32,6 +32,10 @@
     settings::NodeSettings,
 };
 
+/// The longest timeout of callers' connections, whatever the configuration states: a moment that
+/// is too far away has no representation.
+const CALLER_TIMEOUT_MAX: Duration = Duration::from_secs(365 * 24 * 60 * 60);
+
 /// The shared state of an entry instance. Times are measured by [`Clock`].
 pub(super) struct EntryState {
     pub(super) settings: NodeSettings,
@@ -291,9 +295,15 @@
         self.entry_count.borrow().current()
     }
 
-    /// Returns the limits on callers' requests and connections.
+    /// Returns the limits on callers' requests and connections, with timeouts of at most
+    /// [`CALLER_TIMEOUT_MAX`].
     pub(super) fn limits(&self) -> CallerLimits {
-        self.policy.borrow().routing.limits.clone()
+        let limits = self.policy.borrow().routing.limits.clone();
+        CallerLimits {
+            header_timeout: limits.header_timeout.min(CALLER_TIMEOUT_MAX),
+            idle_timeout: limits.idle_timeout.min(CALLER_TIMEOUT_MAX),
+            ..limits
+        }
     }
 
     /// Returns the version of the configuration in force, or `None` before the first one.
