Keep upstreams in use whatever loads, limits and weights are stated

The load's sum overflowed, and a server that counts as busy gets no request with whose response to state another load. The counts of both ends of a limit's window saturated, so their difference was 0. The sum of the weights was infinite. The share of a cold upstream's limit wrapped around.

Why this fix works: a reported wait counts as 10 s at most, after which the upstream is tried again; an instance's share of a limit is at most 1e6 requests a second, and of a cold upstream's limit 2^32 - 1; weights count as parts of the largest one.

--- a/src/core/balance/cold.rs
+++ b/src/core/balance/cold.rs
@@ -32,7 +32,8 @@
     /// [`COLD_WINDOW`] to a cold upstream that sustains `rate_per_s` requests per second.
     pub(super) fn share(&self, rate_per_s: f64, rank: u32, upstream: UpstreamHash) -> u32 {
         let limit = rate_per_s * self.factor + self.slack;
-        let allowed = (limit * USED_FRACTION).max(limit.min(1.0)) as u64;
+        let allowed = (limit * USED_FRACTION).max(limit.min(1.0));
+        let allowed = allowed.min(f64::from(u32::MAX)) as u64;
         let count = u64::from(self.entry_count.max(1));
         let offset = ((u128::from(upstream) * u128::from(count)) >> u64::BITS) as u64;
         let position = (u64::from(rank) + offset) % count;
--- a/src/core/balance/load.rs
+++ b/src/core/balance/load.rs
@@ -23,6 +23,8 @@
     in_flight: u32,
 }
 
+/// The longest wait for a slot that a report is taken for.
+const REPORTED_WAIT_MAX: Duration = Duration::from_secs(10);
 /// The assumed run time before the first response.
 const INITIAL_RUN_TIME: Duration = Duration::from_millis(200);
 /// A new run time has a weight of `1 / RUN_TIME_SMOOTHING` in the average.
@@ -56,9 +58,14 @@
     }
 
     /// Records a load report of the upstream, which replaces the estimate.
+    ///
+    /// A wait of more than [`REPORTED_WAIT_MAX`] is taken for that: an upstream that gets no
+    /// requests reports no other load.
     pub(super) fn record_report(&mut self, report: ReportedLoad, now: Duration) {
         self.slots = f64::from(report.slots.max(1));
-        self.backlog = f64::from(report.running + report.waiting);
+        let finished_max = REPORTED_WAIT_MAX.as_secs_f64() / self.run_time_s() * self.slots;
+        let backlog = f64::from(report.running) + f64::from(report.waiting);
+        self.backlog = backlog.min(self.slots + finished_max);
         self.updated_at = now;
     }
 
@@ -85,8 +92,12 @@
     /// Between reports the backlog shrinks at the rate at which slots become
     /// free, but never below the number of this instance's own requests.
     fn backlog_at(&self, now: Duration) -> f64 {
-        let run_time_s = self.run_time.as_secs_f64().max(0.001);
-        let finished = now.saturating_sub(self.updated_at).as_secs_f64() / run_time_s * self.slots;
+        let elapsed_s = now.saturating_sub(self.updated_at).as_secs_f64();
+        let finished = elapsed_s / self.run_time_s() * self.slots;
         (self.backlog - finished).max(f64::from(self.in_flight))
     }
+
+    fn run_time_s(&self) -> f64 {
+        self.run_time.as_secs_f64().max(0.001)
+    }
 }
--- a/src/core/balance/pause.rs
+++ b/src/core/balance/pause.rs
@@ -63,7 +63,7 @@
     pub(super) fn admits(&self, slots: u32, now: Duration) -> bool {
         let intervals = now.saturating_sub(self.until).as_secs_f64() / RAMP_INTERVAL.as_secs_f64();
         let doublings = (intervals as u32).min(RAMP_STEPS);
-        let limit = (self.completed + 1).saturating_mul(1 << doublings);
+        let limit = self.completed.saturating_add(1).saturating_mul(1 << doublings);
         limit >= slots || self.in_flight < limit
     }
 
--- a/src/core/balance/rate_limit.rs
+++ b/src/core/balance/rate_limit.rs
@@ -29,6 +29,8 @@
 /// The shortest share that is kept, in requests a second. Instances would otherwise not learn
 /// that the limit has ended.
 const SHARE_MIN_PER_S: f64 = 0.01;
+/// The greatest share, in requests a second. The requests of all windows so far must be countable.
+const SHARE_MAX_PER_S: f64 = 1e6;
 
 impl RateLimit {
     /// Creates a limit that was named at `now`. `phase`, from 0 to 1, is how much of a window
@@ -92,6 +94,6 @@
     }
 
     fn share_per_s(&self, entry_count: u32) -> f64 {
-        (self.per_s / f64::from(entry_count.max(1))).max(SHARE_MIN_PER_S)
+        (self.per_s / f64::from(entry_count.max(1))).clamp(SHARE_MIN_PER_S, SHARE_MAX_PER_S)
     }
 }
--- a/src/core/routing/route.rs
+++ b/src/core/routing/route.rs
@@ -87,13 +87,15 @@
             Self::Service(service) => return Some(service),
             Self::Split(parts) => parts,
         };
-        let total: f64 = parts.iter().map(|item| item.weight).sum();
+        // The sum of the weights themselves may overflow.
+        let largest = parts.iter().map(|item| item.weight).fold(0.0, f64::max);
+        let total: f64 = parts.iter().map(|item| item.weight / largest).sum();
         let mut remaining = point * total;
         let weighted = parts.iter().filter(|item| item.weight > 0.0);
         let mut last = None;
         for item in weighted {
             last = Some(&item.service);
-            remaining -= item.weight;
+            remaining -= item.weight / largest;
             if remaining < 0.0 {
                 break;
             }
--- a/tests/it/balance.rs
+++ b/tests/it/balance.rs
@@ -288,3 +288,37 @@
     let maxima = observations.map(|(ms, value)| recent_max.record(value, millis(ms)));
     assert_eq!(maxima, [3, 9, 9, 9, 4, 1]);
 }
+
+/// Extreme numbers of configurations and upstreams wrapped around or overflowed.
+#[test]
+fn extreme_numbers_keep_upstreams_in_use() {
+    let ids = ["u1".to_owned()];
+    for cold_rate_per_s in [2_f64.powi(33), 1e300, f64::MAX] {
+        let mut cold_upstream = upstream("u1", "a");
+        cold_upstream.cold_left = Duration::MAX;
+        let mut balancer = balancer(&[cold_upstream]);
+        let mut services = services();
+        let service = Arc::make_mut(services.get_mut(SERVICE).unwrap());
+        (service.cold_rate_per_s, service.cold_start) = (cold_rate_per_s, Duration::MAX);
+        balancer.set_services(services);
+        balancer.set_evacuated(["a".to_owned()].into(), millis(1));
+        balancer.set_evacuated(BTreeSet::new(), millis(2));
+        let id = choose(&mut balancer, 1, &[], &[], millis(5000));
+        assert_eq!(id.as_ref(), Some(&ids[0]), "{cold_rate_per_s} requests a second");
+    }
+
+    let mut balancer = balancer(&[upstream("u1", "a")]);
+    let report = ReportedLoad { running: u32::MAX, waiting: u32::MAX, slots: 1 };
+    balancer.record_load(&ids[0], report, millis(0));
+    let (service, object) = (SERVICE.to_owned(), object_id("route", "1"));
+    let requirements = Requirements {
+        service: &service,
+        object,
+        has_large_body: false,
+        home_regions: &[],
+        tried: &[],
+    };
+    let mut expected_wait = |now| balancer.choose(&requirements, now).unwrap().expected_wait;
+    assert!(expected_wait(millis(0)) > millis(5000));
+    assert_eq!(expected_wait(millis(30_000)), Duration::ZERO);
+}
--- a/tests/it/notices.rs
+++ b/tests/it/notices.rs
@@ -338,3 +338,17 @@
         }
     }
 }
+
+/// A limit that is higher than any rate overflowed, and the upstream got no requests.
+#[test]
+fn an_extreme_limit_does_not_block_an_upstream() {
+    for limit_per_s in [1e18, 1e300, f64::MAX, f64::INFINITY] {
+        let mut balancer = balancer(&[upstream("u1", Some(1))]);
+        let choice = choose(&mut balancer, 1, millis(0)).unwrap();
+        let notice = UpstreamNotice { limit_per_s: Some(limit_per_s), ..UpstreamNotice::default() };
+        balancer.record_notice(&choice, notice, millis(0), millis(1));
+        for ms in (2000..10_000).step_by(100) {
+            assert!(choose(&mut balancer, 1, millis(ms)).is_some(), "{limit_per_s} at {ms} ms");
+        }
+    }
+}
--- a/tests/it/routing.rs
+++ b/tests/it/routing.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bulrushspan::{
-    core::routing::{RouteIndex, RoutingTable},
+    core::routing::{Destination, RouteIndex, RoutingTable, WeightedService},
     platform::configuration,
 };
 use serde_json::json;
@@ -73,3 +73,16 @@
     assert_eq!(find(&index, "h", "/menu/a/"), "h/menu/a/");
     assert_eq!(find(&index, "h", "/menu"), "h/");
 }
+
+/// Weights whose sum overflows sent all requests to the last service.
+#[test]
+fn extreme_weights_keep_their_proportions() {
+    let split = |weight: f64| {
+        let part = |service: &str| WeightedService { service: service.to_owned(), weight };
+        Destination::Split(vec![part("first"), part("last")])
+    };
+    for weight in [f64::MIN_POSITIVE, 1.0, 1e308, f64::MAX] {
+        assert_eq!(split(weight).pick(0.2).unwrap(), "first", "{weight}");
+        assert_eq!(split(weight).pick(0.8).unwrap(), "last", "{weight}");
+    }
+}
