Answer a request whose handling panics, and those beside it

Cause: the requests of a connection are handled in its task.

Why this fix works: the panic is caught where the request is handled. The request may have run, so it is answered 502, which promises nothing, and a log line names it.

--- a/src/runtime/entry_node/callers/input.rs
+++ b/src/runtime/entry_node/callers/input.rs
@@ -1,10 +1,11 @@
 //! Reads requests from callers' connections.
 
-use std::{io, time::Duration};
+use std::{io, panic::AssertUnwindSafe, rc::Rc, time::Duration};
 
 use bytes::BytesMut;
+use futures_util::FutureExt;
 use tokio::{io::AsyncWriteExt, time::Instant};
-use tracing::info;
+use tracing::{error, info};
 
 use super::{
     super::{
@@ -12,6 +13,8 @@
         ready_response::{AnsweredRequest, OpenRequest, ReadyResponse, Sender},
         refusal::{RETRY_AFTER_DEFAULT, refuse, refuse_for_stop},
         request::{self, Request},
+        response::Response,
+        state::EntryState,
     },
     CallerConnection, RECEIVE_BUFFER_BYTES,
 };
@@ -265,7 +268,7 @@
         self.pending.push_back(Box::pin(async move {
             let answered = AnsweredRequest::new(&request.head);
             let response = if has_room {
-                exchange::handle_request(&state, &request).await
+                respond(&state, &request).await
             } else {
                 refuse(&state, answered.id(), "requests", RETRY_AFTER_DEFAULT)
             };
@@ -287,3 +290,13 @@
         }
     }
 }
+
+/// Handles a request. If that panics, only this request gets no response of an upstream; the
+/// others on the connection go on.
+async fn respond(state: &Rc<EntryState>, request: &Request) -> Response {
+    let handling = AssertUnwindSafe(exchange::handle_request(state, request)).catch_unwind();
+    handling.await.unwrap_or_else(|_| {
+        error!(request = request.id(), "panic while handling a request, which may have run");
+        Response::local(502, "internal_error")
+    })
+}
