Tell the initial policy from other changes of the policy

What operators would see: a new deployment without presets and client blocks, if any command was committed before the one that sets the initial policy.

Cause: a policy version above 0 was taken for "the initial policy is set", while every command that changes the policy advances its version.

Why this fix works: the revision is advanced by the initial policy and by operators' changes only, and the latter are rejected, and not recorded, until the initial policy is there.

--- a/src/core/control/plan.rs
+++ b/src/core/control/plan.rs
@@ -36,9 +36,6 @@
 /// The commands are checked again when they are applied, so a plan made from
 /// an outdated state is safe.
 pub fn plan(inputs: &PlanInputs<'_>) -> Vec<Command> {
-    if !inputs.state.has_initial_policy() {
-        return Vec::new();
-    }
     let mut commands = Vec::new();
     commands.extend(plan_instances(inputs));
     commands.extend(plan_owners(inputs));
--- a/src/core/control/state/changes.rs
+++ b/src/core/control/state/changes.rs
@@ -25,6 +25,11 @@
         topology: &Topology,
         limits: &ControlLimits,
     ) -> ChangeOutcome {
+        if !self.has_initial_policy() {
+            // Not recorded, so that the change can be sent again.
+            let finding = "the initial policy is not set yet; send the change again".to_owned();
+            return ChangeOutcome::Rejected { revision: 0, findings: vec![finding] };
+        }
         let digest = digest_of(&request.change, request.meta.expected_revision);
         if let Some(recorded) = self.answers.get(&request.meta.change_id) {
             return self.resent_change_outcome(recorded, &digest);
--- a/src/core/control/state/mod.rs
+++ b/src/core/control/state/mod.rs
@@ -91,7 +91,7 @@
 
     /// Returns whether the deployment has its initial policy.
     pub fn has_initial_policy(&self) -> bool {
-        self.policy.version > 0
+        self.policy.revision > 0
     }
 
     /// Returns the number of evacuation orders accepted for a zone.
--- a/src/runtime/replica/mod.rs
+++ b/src/runtime/replica/mod.rs
@@ -244,17 +244,18 @@
         if applied_index < leadership.planned_through {
             return;
         }
-        let commands = if self.state.has_initial_policy() {
-            plan(&PlanInputs {
+        let commands = match &self.setup.initial_policy {
+            Some(initial) if !self.state.has_initial_policy() => {
+                vec![Command::Seed(initial.clone())]
+            }
+            _ => plan(&PlanInputs {
                 state: &self.state,
                 topology: &self.setup.topology,
                 sessions: &leadership.sessions,
                 now,
                 unix_ms: self.clock.unix_ms(),
                 last_shift_at: leadership.last_shift_at,
-            })
-        } else {
-            self.setup.initial_policy.clone().map(Command::Seed).into_iter().collect()
+            }),
         };
         if commands.is_empty() {
             return;
--- a/tests/it/control.rs
+++ b/tests/it/control.rs
@@ -38,13 +38,18 @@
 
 fn seeded_state() -> ControlState {
     let mut state = ControlState::new();
+    seed(&mut state);
+    state
+}
+
+/// Applies the command that sets the initial policy.
+fn seed(state: &mut ControlState) {
     let initial = InitialPolicy {
         presets: vec![("ordinary".to_owned(), preset(0)), ("peak".to_owned(), preset(300))],
         in_force: "ordinary".to_owned(),
         blocks: Vec::new(),
     };
     state.apply(Command::Seed(initial), &topology(), &ControlLimits::default());
-    state
 }
 
 fn change(
@@ -280,6 +285,25 @@
     assert!(state.deltas_bytes() > limits.deltas_max_bytes / 2);
 }
 
+/// Any change of the policy, such as a recorded crash, was taken for the initial policy, which was
+/// then never set.
+#[test]
+fn the_initial_policy_is_set_after_other_changes_and_before_those_of_operators() {
+    let mut state = ControlState::new();
+    let early = change(&mut state, "early", 0, use_preset("peak"));
+    assert!(matches!(early, ChangeOutcome::Rejected { revision: 0, .. }), "{early:?}");
+    let suspect =
+        Command::Suspect { fingerprint: "f".to_owned(), upstream: "u1".to_owned(), at_unix_ms: 1 };
+    state.apply(suspect, &topology(), &ControlLimits::default());
+    seed(&mut state);
+    assert_eq!(state.policy().in_force, "ordinary");
+    // The outcome of the rejected change is not kept, so that it can be sent again.
+    let accepted = change(&mut state, "early", 1, use_preset("peak"));
+    assert!(matches!(accepted, ChangeOutcome::Accepted { revision: 2, .. }), "{accepted:?}");
+    seed(&mut state);
+    assert_eq!(state.policy().in_force, "peak");
+}
+
 /// Version 0 was taken for no configuration: it was acknowledged, and neither put in force nor
 /// read back.
 #[test]
