Keep calls of instances in pieces, and bound their receive buffers

What the test saw: control::unfinished_calls_of_instances_fit_into_memory, twenty calls of 7 MiB that stop short of their end, took up to 72 MiB of 64 beside load.

Cause: each call was received into one buffer of its length. Once such a buffer is freed, the allocator serves the next ones from its heap and keeps what is freed there, while the budget counts only what is held. Beside it, receive buffers of the system were not bounded.

Why this fix works: long calls are kept in pieces of up to 64 KiB, which are used again. Receive buffers are 64 KiB, and 256 KiB for a long call that the budget has room for, and are counted.

Ruled out on the way: receive buffers of 16 KiB stall a call of 5 MB for more than 60 s; wire::calls_of_all_lengths_arrive_whole_on_one_connection showed it.

--- a/src/net/held_bytes.rs
+++ b/src/net/held_bytes.rs
@@ -1,11 +1,12 @@
 //! Counts the memory that messages take against the budget of the process.
 
 use std::{
+    collections::VecDeque,
     io,
     sync::{Arc, Mutex, MutexGuard},
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 
 use crate::core::{MemoryBudget, MessageKind};
 
@@ -89,11 +90,28 @@
         self.pieces.iter().map(Bytes::len).sum()
     }
 
+    pub(crate) fn reader(&self) -> impl io::Read {
+        PieceReader(VecDeque::from_iter(self.pieces.iter().cloned()))
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.pieces.is_empty()
     }
 }
 
+/// Reads pieces one after the other.
+struct PieceReader(VecDeque<Bytes>);
+
+impl io::Read for PieceReader {
+    fn read(&mut self, target: &mut [u8]) -> io::Result<usize> {
+        while self.0.pop_front_if(|piece| piece.is_empty()).is_some() {}
+        let Some(piece) = self.0.front_mut() else { return Ok(0) };
+        let length = piece.len().min(target.len());
+        piece.copy_to_slice(&mut target[..length]);
+        Ok(length)
+    }
+}
+
 impl From<String> for Body {
     /// Creates a short body of this instance's own, which is not counted.
     fn from(text: String) -> Self {
--- a/src/net/mesh/mod.rs
+++ b/src/net/mesh/mod.rs
@@ -5,12 +5,12 @@
 //! caller stopped waiting for its reply, since a connection can stop delivering
 //! data without a reset.
 
+mod call_decoder;
 mod client;
 mod server;
 
 use std::{fmt, io, net::SocketAddr, time::Duration};
 
-use bytes::BytesMut;
 use futures_util::StreamExt;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpStream;
@@ -72,16 +72,16 @@
 /// How long data may stay unacknowledged by a receiver that has room for it.
 pub(crate) const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(2);
 
-/// Returns the next frame, or `None` at the end of the connection, if the frame is longer than
+/// Returns what is decoded next, or `None` at the end of the connection, if the frame is longer than
 /// `max_bytes`, which the decoder checks, or if there is no memory for it.
 async fn next_frame<R, D>(
     read: &mut FramedRead<R, D>,
     peer: SocketAddr,
     max_bytes: usize,
-) -> Option<BytesMut>
+) -> Option<D::Item>
 where
     R: tokio::io::AsyncRead + Unpin,
-    D: Decoder<Item = BytesMut, Error = io::Error>,
+    D: Decoder<Error = io::Error>,
 {
     match read.next().await? {
         Ok(frame) => Some(frame),
--- a/src/net/mesh/server.rs
+++ b/src/net/mesh/server.rs
@@ -2,20 +2,20 @@
 
 use std::{future::Future, io, net::SocketAddr, pin::Pin, sync::Arc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::SinkExt;
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{
-    io::AsyncRead,
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpStream, tcp::OwnedReadHalf},
     sync::{Semaphore, mpsc},
     time,
 };
-use tokio_util::codec::{Decoder, FramedRead, FramedWrite, LengthDelimitedCodec};
+use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
 use super::{
-    FRAME_MAX_BYTES, MeshMessage, QUEUE_LEN, RETRY_DELAY, UNACKNOWLEDGED_MAX, codec,
-    configure_stream, is_within_limit, next_frame,
+    FRAME_MAX_BYTES, MeshMessage, QUEUE_LEN, RETRY_DELAY, UNACKNOWLEDGED_MAX,
+    call_decoder::{Arrival, Call, CallDecoder},
+    codec, configure_stream, is_within_limit, next_frame,
 };
 use crate::{
     core::{ConnectionLimits, MessageKind},
@@ -23,7 +23,8 @@
         SharedBudget,
         connections::{ConnectionSlot, Connections},
         held_bytes::HeldBytes,
-        wire::{decode, encode},
+        socket_buffers::set_receive_buffer,
+        wire::encode,
     },
 };
 
@@ -66,6 +67,13 @@
 /// How long the rest of a call is awaited at least. A call that is still incomplete after twice
 /// that time ends its connection.
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
+/// The size of the receive buffer of connections whose calls are short. The system takes up to
+/// twice as much. Smaller ones lose packets on links that join them.
+const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
+/// The size of the receive buffer for a long call.
+const LONG_RECEIVE_BUFFER_BYTES: usize = 256 * 1024;
+/// What the receive buffer for a long call takes, at the size that the system makes of it.
+const LONG_RECEIVE_BUFFER_HELD_BYTES: usize = 2 * LONG_RECEIVE_BUFFER_BYTES;
 
 /// Serves the calls of other instances and never returns. A call for which the
 /// handler returns `None` gets no reply.
@@ -129,19 +137,19 @@
     Rep: Serialize + Send + 'static,
 {
     let (read_half, write_half) = stream.into_split();
-    let held = HeldBytes::new(&limits.memory, MessageKind::Request);
-    let decoder = CountingDecoder { inner: codec(limits.call_max_bytes), held };
+    set_receive_buffer(read_half.as_ref(), RECEIVE_BUFFER_BYTES);
+    let decoder = CallDecoder::new(codec(limits.call_max_bytes), &limits.memory);
     let mut read = FramedRead::new(read_half, decoder);
     let (replies, queue) = mpsc::channel::<QueuedReply>(QUEUE_LEN);
     tokio::spawn(write_replies(FramedWrite::new(write_half, codec(FRAME_MAX_BYTES)), queue));
     let calls = Arc::new(Semaphore::new(CALLS_MAX));
-    while let Some(frame) = next_call(&mut read, peer, limits.call_max_bytes).await {
-        let Ok(MeshMessage { id, reply_max_bytes, body }) = decode::<MeshMessage<Req>>(&frame)
+    while let Some(call) = next_call(&mut read, peer, limits).await {
+        let Ok(MeshMessage { id, reply_max_bytes, body }) = call.decode::<MeshMessage<Req>>()
         else {
             tracing::warn!(%peer, "can't decode a call from another instance; disconnecting it");
             return;
         };
-        drop(frame);
+        drop(call);
         slot.set_not_closable();
         let Ok(call) = calls.clone().acquire_owned().await else { return };
         let (replies, reply) = (replies.clone(), handler(body, peer));
@@ -167,43 +175,40 @@
 
 /// Returns the next call, or `None` at the end of the connection or if the rest of a call does not
 /// arrive.
-async fn next_call<R, D>(
-    read: &mut FramedRead<R, D>,
+async fn next_call(
+    read: &mut FramedRead<OwnedReadHalf, CallDecoder>,
     peer: SocketAddr,
-    max_bytes: usize,
-) -> Option<BytesMut>
-where
-    R: AsyncRead + Unpin,
-    D: Decoder<Item = BytesMut, Error = io::Error>,
-{
+    limits: &ServerLimits,
+) -> Option<Call> {
     let mut is_overdue = false;
-    loop {
-        match time::timeout(CALL_TIMEOUT, next_frame(read, peer, max_bytes)).await {
-            Ok(frame) => return frame,
-            Err(_) if read.read_buffer().is_empty() => is_overdue = false,
+    let mut long_buffer = HeldBytes::new(&limits.memory, MessageKind::Request);
+    let call = loop {
+        match time::timeout(CALL_TIMEOUT, next_frame(read, peer, limits.call_max_bytes)).await {
+            Ok(Some(Arrival::LongCallBegan)) => {
+                is_overdue = false;
+                if long_buffer.resize(LONG_RECEIVE_BUFFER_HELD_BYTES).is_ok() {
+                    set_receive_buffer(read.get_ref().as_ref(), LONG_RECEIVE_BUFFER_BYTES);
+                }
+            }
+            Ok(Some(Arrival::Call(call))) => break Some(call),
+            Ok(None) => break None,
+            Err(_) if !is_receiving(read) => is_overdue = false,
             Err(_) if is_overdue => {
                 tracing::warn!(%peer, "a call did not arrive to its end; disconnecting");
-                return None;
+                break None;
             }
             Err(_) => is_overdue = true,
         }
+    };
+    if matches!(call, Some(Call::Long(_))) {
+        set_receive_buffer(read.get_ref().as_ref(), RECEIVE_BUFFER_BYTES);
     }
+    call
 }
 
-/// Counts the bytes of a call that have arrived.
-struct CountingDecoder {
-    inner: LengthDelimitedCodec,
-    held: HeldBytes,
-}
-
-impl Decoder for CountingDecoder {
-    type Error = io::Error;
-    type Item = BytesMut;
-
-    fn decode(&mut self, source: &mut BytesMut) -> io::Result<Option<BytesMut>> {
-        self.held.resize(source.len())?;
-        self.inner.decode(source)
-    }
+/// Returns whether a part of a call has arrived.
+fn is_receiving(read: &FramedRead<OwnedReadHalf, CallDecoder>) -> bool {
+    !read.read_buffer().is_empty() || read.decoder().is_receiving_long_call()
 }
 
 async fn write_replies<W>(
--- a/src/net/wire.rs
+++ b/src/net/wire.rs
@@ -3,7 +3,7 @@
 //! They are encoded as MessagePack with field names, and sent in the frames of
 //! `proto/cluster.proto` or of [`mesh`](super::mesh).
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, io, net::SocketAddr};
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -388,6 +388,17 @@
     rmp_serde::to_vec_named(message)
 }
 
+/// Decodes a message from a reader, like [`decode`].
+///
+/// # Errors
+///
+/// Returns an error if the bytes are not a valid message of type `T`.
+pub(crate) fn decode_from<T: DeserializeOwned>(
+    reader: impl io::Read,
+) -> Result<T, rmp_serde::decode::Error> {
+    rmp_serde::from_read(reader)
+}
+
 /// Decodes a message that was encoded by [`encode`].
 ///
 /// # Errors
--- a/src/runtime/control_node/mod.rs
+++ b/src/runtime/control_node/mod.rs
@@ -161,7 +161,7 @@
         tokio::spawn(state.clone().supervise_replica(folder, failure_receiver));
         let mesh_limits = ServerLimits {
             call_max_bytes: state.settings.call_max_bytes(),
-            connections: state.settings.control_connections(),
+            connections: state.settings.instance_connections(),
             memory: state.memory.clone(),
         };
         tokio::spawn(serve_mesh_with_limits(cluster, calls::handler(state.clone()), mesh_limits));
--- a/src/runtime/entry_node/exchange/mod.rs
+++ b/src/runtime/entry_node/exchange/mod.rs
@@ -391,13 +391,3 @@
         self.elapsed().as_millis() as u64
     }
 }
-
-impl Drop for Exchange<'_> {
-    fn drop(&mut self) {
-        if !self.is_done {
-            self.record_outcome(RequestOutcome::CallerLeft);
-            let (upstream, took_ms) = (self.tried.last(), self.elapsed_ms());
-            info!(target: REQUEST_TARGET, request = self.id, upstream, took_ms, "caller left");
-        }
-    }
-}
--- a/src/runtime/entry_node/exchange/records.rs
+++ b/src/runtime/entry_node/exchange/records.rs
@@ -73,3 +73,13 @@
         self.state.metrics.record_request(self.service, self.route, outcome, self.elapsed());
     }
 }
+
+impl Drop for Exchange<'_> {
+    fn drop(&mut self) {
+        if !self.is_done {
+            self.record_outcome(RequestOutcome::CallerLeft);
+            let (upstream, took_ms) = (self.tried.last(), self.elapsed_ms());
+            info!(target: REQUEST_TARGET, request = self.id, upstream, took_ms, "caller left");
+        }
+    }
+}
--- a/src/settings/capacity.rs
+++ b/src/settings/capacity.rs
@@ -52,6 +52,11 @@
 const PLATFORM_PART: usize = 64;
 /// What an operator's connection takes, in bytes. Its responses may be long.
 const OPERATOR_CONNECTION_BYTES: usize = 128 * 1024;
+/// The part of the memory that the connections of other instances to a control replica may take:
+/// 3 of this many.
+const INSTANCES_MEMORY_PART: u64 = 8;
+/// What a connection of another instance takes, with the buffers of its socket, in bytes.
+const CALLS_CONNECTION_BYTES: usize = 144 * 1024;
 /// What a connection takes whose head is buffered, in bytes.
 const SHORT_CALL_CONNECTION_BYTES: usize = 16 * 1024;
 
@@ -76,8 +81,16 @@
         }
     }
 
-    /// Returns the limits on the connections of callers of the directory, and on those of other
-    /// instances to a control replica.
+    /// Returns the limits on the connections of other instances to a control replica.
+    pub fn instance_connections(&self) -> ConnectionLimits {
+        ConnectionLimits {
+            max_count: at_least_min(self.sockets_max() / CONTROL_PORT_PART),
+            max_bytes: 3 * self.memory_part(INSTANCES_MEMORY_PART),
+            connection_bytes: CALLS_CONNECTION_BYTES,
+        }
+    }
+
+    /// Returns the limits on the connections of callers of the directory.
     pub fn control_connections(&self) -> ConnectionLimits {
         ConnectionLimits {
             max_count: at_least_min(self.sockets_max() / CONTROL_PORT_PART),
--- a/tests/it/wire.rs
+++ b/tests/it/wire.rs
@@ -77,6 +77,26 @@
     assert_eq!(call.await, Err(MeshError::TooLong));
 }
 
+/// Long calls are kept in pieces, and must arrive whole among short ones on the same connection.
+#[tokio::test]
+async fn calls_of_all_lengths_arrive_whole_on_one_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let echo: MeshHandler<String, String> = Arc::new(|text, _peer| Box::pin(async { Some(text) }));
+    tokio::spawn(serve_mesh(listener, echo));
+    let client: MeshClient<String, String> = MeshClient::new(address);
+    let client = &client;
+    let frame_bytes = [8 * 1024, 16 * 1024, 64 * 1024].into_iter();
+    let around_limits = frame_bytes.flat_map(|bytes| bytes - 40..bytes + 40);
+    let lengths = around_limits.chain([0, 1, 100, 1_000_000, 5_000_000]);
+    let calls = lengths.map(|length| async move {
+        let text: String = (0..length).map(|index| char::from(b'a' + (index % 23) as u8)).collect();
+        let reply = client.call(text.clone(), Duration::from_secs(60)).await;
+        assert!(reply.as_ref() == Ok(&text), "{length} bytes: {:?}", reply.map(|text| text.len()));
+    });
+    futures_util::future::join_all(calls).await;
+}
+
 fn delta(version: Version, name: &str) -> PolicyDelta {
     let preset = Preset {
         shares: BTreeMap::from([(name.to_owned(), BTreeMap::from([(name.to_owned(), 1000)]))]),
