Read a long call from its pieces without a queue

The reader of pieces walked a queue for each field that it read. It now keeps the rest of the current piece, so that most reads copy from a slice.

--- a/src/net/held_bytes.rs
+++ b/src/net/held_bytes.rs
@@ -1,12 +1,11 @@
 //! Counts the memory that messages take against the budget of the process.
 
 use std::{
-    collections::VecDeque,
     io,
     sync::{Arc, Mutex, MutexGuard},
 };
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 
 use crate::core::{MemoryBudget, MessageKind};
 
@@ -90,8 +89,8 @@
         self.pieces.iter().map(Bytes::len).sum()
     }
 
-    pub(crate) fn reader(&self) -> impl io::Read {
-        PieceReader(VecDeque::from_iter(self.pieces.iter().cloned()))
+    pub(crate) fn reader(&self) -> impl io::Read + '_ {
+        PieceReader { current: &[], rest: self.pieces.iter() }
     }
 
     pub(crate) fn is_empty(&self) -> bool {
@@ -100,15 +99,18 @@
 }
 
 /// Reads pieces one after the other.
-struct PieceReader(VecDeque<Bytes>);
+struct PieceReader<'a> {
+    current: &'a [u8],
+    rest: std::slice::Iter<'a, Bytes>,
+}
 
-impl io::Read for PieceReader {
+impl io::Read for PieceReader<'_> {
     fn read(&mut self, target: &mut [u8]) -> io::Result<usize> {
-        while self.0.pop_front_if(|piece| piece.is_empty()).is_some() {}
-        let Some(piece) = self.0.front_mut() else { return Ok(0) };
-        let length = piece.len().min(target.len());
-        piece.copy_to_slice(&mut target[..length]);
-        Ok(length)
+        while self.current.is_empty() {
+            let Some(piece) = self.rest.next() else { return Ok(0) };
+            self.current = piece;
+        }
+        self.current.read(target)
     }
 }
 
