Leave receive buffers of instances to the system while there is memory

Cause: a receive buffer whose size is set no longer grows with the connection, so that a long call takes more turns of a busy process.

Why this fix works: the size is set only for a long call for whose buffer the budget has no room, as in a crowd of unfinished calls. Otherwise the system adapts the buffer, and 1 MiB is counted for it.

--- a/src/net/mesh/server.rs
+++ b/src/net/mesh/server.rs
@@ -67,13 +67,11 @@
 /// How long the rest of a call is awaited at least. A call that is still incomplete after twice
 /// that time ends its connection.
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
-/// The size of the receive buffer of connections whose calls are short. The system takes up to
-/// twice as much. Smaller ones lose packets on links that join them.
-const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
-/// The size of the receive buffer for a long call.
-const LONG_RECEIVE_BUFFER_BYTES: usize = 256 * 1024;
-/// What the receive buffer for a long call takes, at the size that the system makes of it.
-const LONG_RECEIVE_BUFFER_HELD_BYTES: usize = 2 * LONG_RECEIVE_BUFFER_BYTES;
+/// What the receive buffer of a connection takes while a long call arrives.
+const LONG_RECEIVE_BUFFER_BYTES: usize = 1024 * 1024;
+/// The size of the receive buffer if there is no memory for a larger one. Smaller ones lose
+/// packets on links that join them.
+const RECEIVE_BUFFER_MIN_BYTES: usize = 64 * 1024;
 
 /// Serves the calls of other instances and never returns. A call for which the
 /// handler returns `None` gets no reply.
@@ -137,7 +135,6 @@
     Rep: Serialize + Send + 'static,
 {
     let (read_half, write_half) = stream.into_split();
-    set_receive_buffer(read_half.as_ref(), RECEIVE_BUFFER_BYTES);
     let decoder = CallDecoder::new(codec(limits.call_max_bytes), &limits.memory);
     let mut read = FramedRead::new(read_half, decoder);
     let (replies, queue) = mpsc::channel::<QueuedReply>(QUEUE_LEN);
@@ -182,28 +179,25 @@
 ) -> Option<Call> {
     let mut is_overdue = false;
     let mut long_buffer = HeldBytes::new(&limits.memory, MessageKind::Request);
-    let call = loop {
+    loop {
         match time::timeout(CALL_TIMEOUT, next_frame(read, peer, limits.call_max_bytes)).await {
             Ok(Some(Arrival::LongCallBegan)) => {
                 is_overdue = false;
-                if long_buffer.resize(LONG_RECEIVE_BUFFER_HELD_BYTES).is_ok() {
-                    set_receive_buffer(read.get_ref().as_ref(), LONG_RECEIVE_BUFFER_BYTES);
+                // With a size set, the system no longer adapts the buffer to the way.
+                if long_buffer.resize(LONG_RECEIVE_BUFFER_BYTES).is_err() {
+                    set_receive_buffer(read.get_ref().as_ref(), RECEIVE_BUFFER_MIN_BYTES);
                 }
             }
-            Ok(Some(Arrival::Call(call))) => break Some(call),
-            Ok(None) => break None,
+            Ok(Some(Arrival::Call(call))) => return Some(call),
+            Ok(None) => return None,
             Err(_) if !is_receiving(read) => is_overdue = false,
             Err(_) if is_overdue => {
                 tracing::warn!(%peer, "a call did not arrive to its end; disconnecting");
-                break None;
+                return None;
             }
             Err(_) => is_overdue = true,
         }
-    };
-    if matches!(call, Some(Call::Long(_))) {
-        set_receive_buffer(read.get_ref().as_ref(), RECEIVE_BUFFER_BYTES);
     }
-    call
 }
 
 /// Returns whether a part of a call has arrived.
