--- a/src/core/control/command.rs
+++ b/src/core/control/command.rs
@@ -64,8 +64,8 @@
     },
     /// Changes the claims of request keys.
     Claim(ClaimCommand),
-    /// Puts a routing table in force unless the current one has the same or a higher
-    /// version.
+    /// Puts a routing table in force unless it has no version, or the current one has the same or
+    /// a higher version.
     Routing(Box<RoutingTable>),
     /// Sets the upstreams that objects are placed on.
     Place(PlacementDelta),
--- a/src/net/mesh/server.rs
+++ b/src/net/mesh/server.rs
@@ -183,7 +183,7 @@
         match time::timeout(CALL_TIMEOUT, next_frame(read, peer, limits.call_max_bytes)).await {
             Ok(Some(Arrival::LongCallBegan)) => {
                 is_overdue = false;
-                // With a size set, the system no longer adapts the buffer to the way.
+                // The system no longer adapts a buffer whose size was set.
                 if long_buffer.resize(LONG_RECEIVE_BUFFER_BYTES).is_err() {
                     set_receive_buffer(read.get_ref().as_ref(), RECEIVE_BUFFER_MIN_BYTES);
                 }
