--- a/src/net/mesh/mod.rs
+++ b/src/net/mesh/mod.rs
@@ -72,8 +72,8 @@
 /// How long data may stay unacknowledged by a receiver that has room for it.
 pub(crate) const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(2);
 
-/// Returns what is decoded next, or `None` at the end of the connection, if the frame is longer than
-/// `max_bytes`, which the decoder checks, or if there is no memory for it.
+/// Returns what is decoded next, or `None` at the end of the connection, if the frame is longer
+/// than `max_bytes`, which the decoder checks, or if there is no memory for it.
 async fn next_frame<R, D>(
     read: &mut FramedRead<R, D>,
     peer: SocketAddr,
