--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -14,6 +14,7 @@
 mod entry_count;
 mod link_pacer;
 mod memory_budget;
+mod panics;
 pub mod peers;
 pub mod placement;
 mod recent_max;
@@ -34,6 +35,7 @@
     entry_count::EntryCount,
     link_pacer::LinkPacer,
     memory_budget::{MemoryBudget, MessageKind},
+    panics::catch_panic,
     recent_max::RecentMax,
     stall_detector::StallDetector,
     stop_plan::{StopPhase, StopPlan},
--- a/src/runtime/entry_node/callers/input.rs
+++ b/src/runtime/entry_node/callers/input.rs
@@ -1,9 +1,8 @@
 //! Reads requests from callers' connections.
 
-use std::{io, panic::AssertUnwindSafe, rc::Rc, time::Duration};
+use std::{io, rc::Rc, time::Duration};
 
 use bytes::BytesMut;
-use futures_util::FutureExt;
 use tokio::{io::AsyncWriteExt, time::Instant};
 use tracing::{error, info};
 
@@ -19,7 +18,7 @@
     CallerConnection, RECEIVE_BUFFER_BYTES,
 };
 use crate::{
-    core::{MessageKind, StopPhase},
+    core::{MessageKind, StopPhase, catch_panic},
     net::{
         held_bytes::{BodyBuffer, HeldBytes, SharedBudget},
         http1::{BodyError, BodyReader, HeadError, RequestHead, parse_request_head},
@@ -294,8 +293,7 @@
 /// Handles a request. If that panics, only this request gets no response of an upstream; the
 /// others on the connection go on.
 async fn respond(state: &Rc<EntryState>, request: &Request) -> Response {
-    let handling = AssertUnwindSafe(exchange::handle_request(state, request)).catch_unwind();
-    handling.await.unwrap_or_else(|_| {
+    catch_panic(exchange::handle_request(state, request)).await.unwrap_or_else(|| {
         error!(request = request.id(), "panic while handling a request, which may have run");
         Response::local(502, "internal_error")
     })
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -13,6 +13,7 @@
 mod link_pacer;
 mod memory_budget;
 mod notices;
+mod panics;
 mod placement;
 mod platform;
 mod platform_fuzz;
