--- a/src/net/held_bytes.rs
+++ b/src/net/held_bytes.rs
@@ -89,6 +89,7 @@
         self.pieces.iter().map(Bytes::len).sum()
     }
 
+    /// Returns a reader of the whole body.
     pub(crate) fn reader(&self) -> impl io::Read + '_ {
         PieceReader { current: &[], rest: self.pieces.iter() }
     }
--- a/src/net/mesh/call_decoder.rs
+++ b/src/net/mesh/call_decoder.rs
@@ -17,11 +17,11 @@
 
 /// The length of the length field of a frame, in bytes.
 const LENGTH_BYTES: usize = 4;
-/// The size from which on a call is kept in pieces. One buffer for all of it would be returned to
-/// the operating system only in part.
+/// The size from which on a call is kept in pieces. The allocator may keep the memory of larger
+/// buffers once they are freed.
 const LONG_CALL_MIN_BYTES: usize = 8 * 1024;
 
-/// What arrives on a connection.
+/// An event on a connection.
 pub(super) enum Arrival {
     /// The beginning of a long call.
     LongCallBegan,
@@ -49,7 +49,7 @@
     }
 }
 
-/// Counts the bytes of calls that have arrived.
+/// Splits the input of a connection into calls, and counts the bytes that have arrived.
 pub(super) struct CallDecoder {
     inner: LengthDelimitedCodec,
     memory: SharedBudget,
--- a/src/net/mesh/server.rs
+++ b/src/net/mesh/server.rs
@@ -67,10 +67,9 @@
 /// How long the rest of a call is awaited at least. A call that is still incomplete after twice
 /// that time ends its connection.
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
-/// What the receive buffer of a connection takes while a long call arrives.
+/// The memory counted for the receive buffer of a connection while a long call arrives.
 const LONG_RECEIVE_BUFFER_BYTES: usize = 1024 * 1024;
-/// The size of the receive buffer if there is no memory for a larger one. Smaller ones lose
-/// packets on links that join them.
+/// The size of the receive buffer for a long call if there is no memory for a larger one.
 const RECEIVE_BUFFER_MIN_BYTES: usize = 64 * 1024;
 
 /// Serves the calls of other instances and never returns. A call for which the
@@ -183,7 +182,7 @@
         match time::timeout(CALL_TIMEOUT, next_frame(read, peer, limits.call_max_bytes)).await {
             Ok(Some(Arrival::LongCallBegan)) => {
                 is_overdue = false;
-                // The system no longer adapts a buffer whose size was set.
+                // The system stops tuning a buffer whose size is set.
                 if long_buffer.resize(LONG_RECEIVE_BUFFER_BYTES).is_err() {
                     set_receive_buffer(read.get_ref().as_ref(), RECEIVE_BUFFER_MIN_BYTES);
                 }
--- a/src/net/wire/mod.rs
+++ b/src/net/wire/mod.rs
@@ -3,10 +3,14 @@
 //! They are encoded as MessagePack with field names, and sent in the frames of
 //! `proto/cluster.proto` or of [`mesh`](super::mesh).
 
-use std::{collections::BTreeMap, io, net::SocketAddr};
+mod encoding;
 
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use std::{collections::BTreeMap, net::SocketAddr};
 
+use serde::{Deserialize, Serialize};
+
+pub(crate) use self::encoding::decode_from;
+pub use self::encoding::{decode, encode};
 use super::packed_list;
 use crate::core::{
     MapDelta,
@@ -378,32 +382,3 @@
     /// The highest index known to be committed.
     pub commit: LogIndex,
 }
-
-/// Encodes a message as MessagePack with field names.
-///
-/// # Errors
-///
-/// Returns an error if the message can't be encoded.
-pub fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>, rmp_serde::encode::Error> {
-    rmp_serde::to_vec_named(message)
-}
-
-/// Decodes a message from a reader, like [`decode`].
-///
-/// # Errors
-///
-/// Returns an error if the bytes are not a valid message of type `T`.
-pub(crate) fn decode_from<T: DeserializeOwned>(
-    reader: impl io::Read,
-) -> Result<T, rmp_serde::decode::Error> {
-    rmp_serde::from_read(reader)
-}
-
-/// Decodes a message that was encoded by [`encode`].
-///
-/// # Errors
-///
-/// Returns an error if `bytes` are not a valid message of type `T`.
-pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, rmp_serde::decode::Error> {
-    rmp_serde::from_slice(bytes)
-}
