--- a/src/core/balance/load.rs
+++ b/src/core/balance/load.rs
@@ -23,7 +23,7 @@
     in_flight: u32,
 }
 
-/// The longest wait for a slot that a report is taken for.
+/// The maximum wait for a slot that a reported load may imply.
 const REPORTED_WAIT_MAX: Duration = Duration::from_secs(10);
 /// The assumed run time before the first response.
 const INITIAL_RUN_TIME: Duration = Duration::from_millis(200);
@@ -59,8 +59,8 @@
 
     /// Records a load report of the upstream, which replaces the estimate.
     ///
-    /// A wait of more than [`REPORTED_WAIT_MAX`] is taken for that: an upstream that gets no
-    /// requests reports no other load.
+    /// The backlog is capped at a wait of [`REPORTED_WAIT_MAX`], since an upstream that gets no
+    /// requests can't report a lower one.
     pub(super) fn record_report(&mut self, report: ReportedLoad, now: Duration) {
         self.slots = f64::from(report.slots.max(1));
         let finished_max = REPORTED_WAIT_MAX.as_secs_f64() / self.run_time_s() * self.slots;
--- a/src/core/balance/rate_limit.rs
+++ b/src/core/balance/rate_limit.rs
@@ -29,7 +29,7 @@
 /// The shortest share that is kept, in requests a second. Instances would otherwise not learn
 /// that the limit has ended.
 const SHARE_MIN_PER_S: f64 = 0.01;
-/// The greatest share, in requests a second. The requests of all windows so far must be countable.
+/// The maximum share, in requests a second. Larger ones overflow the count of requests.
 const SHARE_MAX_PER_S: f64 = 1e6;
 
 impl RateLimit {
--- a/src/runtime/entry_node/pool.rs
+++ b/src/runtime/entry_node/pool.rs
@@ -50,7 +50,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long an idle connection is kept if the upstream states no timeout.
 const KEEP_ALIVE_DEFAULT: Duration = Duration::from_secs(4);
-/// The longest time that an idle connection is kept, whatever the upstream states.
+/// The maximum time that an upstream can ask to keep an idle connection.
 const KEEP_ALIVE_MAX: Duration = Duration::from_secs(24 * 60 * 60);
 
 impl UpstreamConnection {
--- a/src/runtime/entry_node/state.rs
+++ b/src/runtime/entry_node/state.rs
@@ -32,8 +32,8 @@
     settings::NodeSettings,
 };
 
-/// The longest timeout of callers' connections, whatever the configuration states: a moment that
-/// is too far away has no representation.
+/// The maximum timeout of callers' connections. An `Instant` can't represent moments that are much
+/// further away.
 const CALLER_TIMEOUT_MAX: Duration = Duration::from_secs(365 * 24 * 60 * 60);
 
 /// The shared state of an entry instance. Times are measured by [`Clock`].
